Lay out the repository: schema, protocol and the interfaces between the parts

Cause: the parts are written side by side and need one schema, one protocol and one set of interfaces first.

--- /dev/null
+++ b/include/jacinthspool/impl/entry_core.h
@@ -0,0 +1,190 @@
+#ifndef JACINTHSPOOL_IMPL_ENTRY_CORE_H_
+#define JACINTHSPOOL_IMPL_ENTRY_CORE_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "jacinthspool/impl/decision.h"
+#include "jacinthspool/impl/ids.h"
+#include "jacinthspool/impl/messages.h"
+#include "jacinthspool/impl/time.h"
+
+namespace jacinthspool {
+
+/// \brief One backend server that the entry may choose.
+struct pool_member {
+  std::string backend;
+  std::string data_centre;
+};
+
+/// \brief The members of one pool and what is known of their speed.
+struct pool_view {
+  std::string name;
+  work_kind kind = work_kind::kDecode;
+  std::vector<pool_member> members;
+  std::uint32_t piece_tokens = 4096;
+  double prefill_tokens_per_s = 20000;
+  microseconds token_time = milliseconds(25);
+  double kv_bytes_per_token = 131072;
+  double link_bytes_per_s = 12.5e9;
+  microseconds kv_life = milliseconds(800);
+};
+
+/// \brief How the entry chooses: the product's way and the baselines it is measured against.
+struct seat_first_policy {
+  std::uint32_t candidates = 2;  ///< Quotes asked for each choice.
+  bool affinity = true;          ///< Prefer the backend server that has the prompt's head.
+};
+/// \brief Baseline: next in turn, no quotes compared.
+struct round_robin_policy {};
+/// \brief Baseline: the least of the lagging load reports.
+struct least_load_policy {};
+/// \brief Baseline: prefill first, then look for a decode seat.
+struct prefill_first_policy {};
+using routing_policy =
+    std::variant<seat_first_policy, round_robin_policy, least_load_policy, prefill_first_policy>;
+
+struct entry_policy {
+  std::string data_centre;
+  std::vector<pool_view> pools;
+  routing_policy routing = seat_first_policy{};
+  std::uint32_t max_requests = 4000;
+  std::uint32_t max_attempts = 3;
+  std::uint32_t retry_percent = 10;
+  microseconds reply_timeout = milliseconds(500);  ///< For a quote.
+  microseconds lease = seconds(4);                 ///< An agent silent for that long is down.
+  microseconds transfer_timeout = seconds(2);
+};
+
+/// \brief A caller's request, already checked against the settings.
+struct caller_request {
+  request_id id;
+  std::string team;
+  std::string workspace;
+  std::string model;           ///< Empty for calls.
+  std::string prefill_pool;    ///< Empty for calls.
+  std::string pool;            ///< Decode pool, or the service's pool.
+  std::string engine_request;  ///< JSON for the engine.
+  std::optional<call_request> call;
+  std::uint32_t prompt_tokens = 0;
+  std::uint32_t output_tokens = 0;
+  std::vector<std::uint64_t> prefix_hashes;
+  std::uint8_t priority = 1;
+  bool patient = false;  ///< Wait rather than be refused.
+  bool repeatable = true;
+  std::string idempotency_key;
+  microseconds deadline_in = milliseconds(430);  ///< First token, or the call's answer.
+};
+/// \brief The caller has gone; all that is held for it must be freed.
+struct caller_gone {
+  request_id id;
+};
+struct agent_up {
+  std::string backend;
+  incarnation_id incarnation = 0;
+};
+struct agent_down {
+  std::string backend;
+};
+struct agent_message {
+  std::string backend;
+  incarnation_id incarnation = 0;  ///< Of the connection it came on.
+  message body;
+};
+struct entry_policy_changed {
+  entry_policy policy;
+};
+struct entry_time_passed {};
+
+using entry_event = std::variant<caller_request, caller_gone, agent_up, agent_down, agent_message,
+                                 entry_policy_changed, entry_time_passed>;
+
+struct send_to_agent {
+  std::string backend;
+  message body;
+};
+/// \brief The next text for the caller, in order, each once.
+struct deliver_piece {
+  request_id id;
+  std::string text;
+};
+struct deliver_end {
+  request_id id;
+  std::string finish_reason;
+  std::uint32_t prompt_tokens = 0;
+  std::uint32_t completion_tokens = 0;
+};
+struct deliver_call {
+  request_id id;
+  std::uint16_t status = 0;
+  std::vector<header_field> headers;
+  std::vector<std::uint8_t> body;
+};
+/// \brief Final: the request did not run and will not.
+struct deliver_not_run {
+  request_id id;
+  refusal_reason reason = refusal_reason::kNone;
+  microseconds retry_after{};
+};
+/// \brief Final: the request may have run.
+struct deliver_unknown {
+  request_id id;
+  std::string detail;
+};
+/// \brief Final: a repeatable request failed and its attempts or budget are used up.
+struct deliver_failed {
+  request_id id;
+  std::string detail;
+  microseconds retry_after{};
+};
+struct log_entry_decision {
+  decision made;
+};
+
+using entry_effect =
+    std::variant<send_to_agent, deliver_piece, deliver_end, deliver_call, deliver_not_run,
+                 deliver_unknown, deliver_failed, log_entry_decision>;
+using entry_effects = std::vector<entry_effect>;
+
+/// \brief All requests of one entry, from acceptance to the final answer.
+///
+/// Pure: time and events come in, effects go out in order. Each accepted
+/// request gets exactly one final effect (`deliver_end`, `deliver_call`,
+/// `deliver_not_run`, `deliver_unknown` or `deliver_failed`), unless its
+/// caller goes first. See docs/design/protocol.md for the rules.
+class entry_core {
+ public:
+  struct options {
+    incarnation_id incarnation = 0;
+    std::uint64_t random_seed = 0;  ///< For jitter and for choices among equals.
+    entry_policy policy;
+  };
+
+  explicit entry_core(options settings);
+  ~entry_core();
+  entry_core(entry_core&&) noexcept;
+  entry_core& operator=(entry_core&&) noexcept;
+
+  /// \brief Takes one event; timeouts by `now` always come first.
+  [[nodiscard]] entry_effects Handle(instant now, entry_event event);
+
+  [[nodiscard]] std::optional<instant> next_wakeup() const;
+
+  /// \returns Number of requests without a final answer.
+  [[nodiscard]] std::size_t in_progress() const;
+
+  /// \returns true when no request and no unconfirmed cancel is left.
+  [[nodiscard]] bool idle() const;
+
+ private:
+  struct state;
+  std::unique_ptr<state> state_;
+};
+
+}  // namespace jacinthspool
+
+#endif  // JACINTHSPOOL_IMPL_ENTRY_CORE_H_
--- /dev/null
+++ b/src/main.cc
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/src/settings/settings_source.h
@@ -0,0 +1,40 @@
+#ifndef JACINTHSPOOL_SETTINGS_SETTINGS_SOURCE_H_
+#define JACINTHSPOOL_SETTINGS_SETTINGS_SOURCE_H_
+
+#include <memory>
+#include <string>
+
+#include "src/settings/settings_store.h"
+#include "src/transport/event_loop.h"
+#include "src/transport/http_client.h"
+#include "src/transport/timer_service.h"
+
+namespace jacinthspool {
+
+/// \brief Feeds a settings store from where the process settings say: the
+/// process file itself, or the configuration service (Consul's KV protocol,
+/// blocking queries). A service that is down is asked again with backoff.
+class settings_source {
+ public:
+  struct options {
+    event_loop& loop;
+    timer_service& timers;
+    http_client& client;
+    settings_store& store;
+    std::shared_ptr<const process_settings> process;
+    std::string process_file;  ///< Read again on Reload, for a source of kind "file".
+  };
+  explicit settings_source(options settings);
+  ~settings_source();
+
+  /// \brief Reads a file source again (SIGHUP).
+  void Reload();
+
+ private:
+  struct state;
+  std::unique_ptr<state> state_;
+};
+
+}  // namespace jacinthspool
+
+#endif  // JACINTHSPOOL_SETTINGS_SETTINGS_SOURCE_H_
--- /dev/null
+++ b/src/transport/peer.h
@@ -0,0 +1,107 @@
+#ifndef JACINTHSPOOL_TRANSPORT_PEER_H_
+#define JACINTHSPOOL_TRANSPORT_PEER_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "jacinthspool/impl/messages.h"
+#include "jacinthspool/impl/time.h"
+#include "src/transport/event_loop.h"
+#include "src/transport/key_ring.h"
+#include "src/transport/timer_service.h"
+
+namespace jacinthspool {
+
+/// \brief Who a process is, as told in `hello`.
+struct peer_identity {
+  std::string role;  ///< "entry" or "agent"
+  std::string name;
+  std::string data_centre;
+  incarnation_id incarnation = 0;
+};
+
+/// \brief One authenticated connection to another process of the system.
+class peer_connection {
+ public:
+  virtual ~peer_connection() = default;
+
+  /// \brief Sends a message; each request's messages go on a stream of their own.
+  virtual void Send(const message& value) = 0;
+
+  /// \brief Ends the stream of a request whose exchange is over.
+  virtual void Finish(request_id request) = 0;
+
+  /// \brief Closes the connection; `reason` goes to the log.
+  virtual void Close(const std::string& reason) = 0;
+
+  /// \returns The other side's identity.
+  [[nodiscard]] virtual const peer_identity& peer() const = 0;
+};
+
+/// \brief What the owner of connections is told. All run in the event loop.
+struct peer_handlers {
+  std::function<void(peer_connection&)> on_up;
+  std::function<void(peer_connection&, message)> on_message;
+  /// Called once; the connection is gone afterwards.
+  std::function<void(peer_connection&, const std::string& reason)> on_down;
+};
+
+/// \brief Accepts connections of entries.
+class peer_server {
+ public:
+  struct options {
+    event_loop& loop;
+    timer_service& timers;
+    key_ring& keys;
+    std::string address;  ///< ip:port; the port is held exclusively.
+    peer_identity identity;
+    peer_handlers handlers;
+    std::size_t max_queued_bytes = 64U << 20U;  ///< A connection that owes more is closed.
+  };
+
+  /// \returns Nothing and fills `error` when the address cannot be bound.
+  static std::unique_ptr<peer_server> Listen(options settings, std::string& error);
+
+  ~peer_server();
+
+  /// \brief Takes no new connections; those that exist go on.
+  void StopAccepting();
+
+ private:
+  struct state;
+  explicit peer_server(std::unique_ptr<state> initial);
+  std::unique_ptr<state> state_;
+};
+
+/// \brief Keeps one connection to an agent, and connects again with jittered backoff.
+class peer_client {
+ public:
+  struct options {
+    event_loop& loop;
+    timer_service& timers;
+    key_ring& keys;
+    std::string address;  ///< ip:port
+    peer_identity identity;
+    peer_handlers handlers;
+    microseconds connect_timeout = seconds(1);
+    microseconds first_backoff = milliseconds(50);
+    microseconds last_backoff = seconds(2);
+    std::size_t max_queued_bytes = 64U << 20U;
+  };
+
+  explicit peer_client(options settings);
+  ~peer_client();
+
+  /// \returns The connection when it is up and authenticated, else null.
+  [[nodiscard]] peer_connection* connection() const;
+
+ private:
+  struct state;
+  std::unique_ptr<state> state_;
+};
+
+}  // namespace jacinthspool
+
+#endif  // JACINTHSPOOL_TRANSPORT_PEER_H_
