--- /dev/null
+++ b/src/transport/caller_watch.h
@@ -0,0 +1,29 @@
+#ifndef JACINTHSPOOL_TRANSPORT_CALLER_WATCH_H_
+#define JACINTHSPOOL_TRANSPORT_CALLER_WATCH_H_
+
+#include <functional>
+#include <memory>
+
+#include "src/transport/event_loop.h"
+
+namespace jacinthspool {
+
+/// \brief Notices that the far end of a socket has gone while nobody reads from it.
+///
+/// `evhttp` does not read from a connection whose request is being answered.
+class caller_watch {
+ public:
+  /// \param on_gone Runs once; it may destroy this watch.
+  caller_watch(event_loop& loop, int socket, std::function<void()> on_gone);
+  ~caller_watch();
+  caller_watch(const caller_watch&) = delete;
+  caller_watch& operator=(const caller_watch&) = delete;
+
+ private:
+  struct state;
+  std::unique_ptr<state> state_;
+};
+
+}  // namespace jacinthspool
+
+#endif  // JACINTHSPOOL_TRANSPORT_CALLER_WATCH_H_
--- /dev/null
+++ b/src/transport/event_loop.cc
@@ -0,0 +1,90 @@
+#include "src/transport/event_loop.h"
+
+#include <event2/event.h>
+#include <event2/util.h>
+
+#include <csignal>
+#include <utility>
+#include <vector>
+
+namespace jacinthspool {
+namespace {
+
+struct signal_subscription {
+  event* source = nullptr;
+  std::function<void()> action;
+};
+
+event_base* NewBase() {
+  event_config* config = event_config_new();
+  event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+  event_base* base = event_base_new_with_config(config);
+  event_config_free(config);
+  return base;
+}
+
+}  // namespace
+
+struct event_loop::state {
+  event_base* base = nullptr;
+  event* wake = nullptr;
+  std::vector<std::function<void()>> posted;
+  std::vector<std::unique_ptr<signal_subscription>> signals;
+
+  static void RunPosted(evutil_socket_t /*unused*/, short /*unused*/, void* context) {
+    auto* self = static_cast<state*>(context);
+    // What these actions post belongs to the next turn.
+    std::vector<std::function<void()>> actions = std::exchange(self->posted, {});
+    for (const auto& action : actions) {
+      action();
+    }
+  }
+
+  static void RunSignal(evutil_socket_t /*unused*/, short /*unused*/, void* context) {
+    static_cast<signal_subscription*>(context)->action();
+  }
+};
+
+event_loop::event_loop() : state_(std::make_unique<state>()) {
+  // A write to a closed socket is reported by its result.
+  (void)std::signal(SIGPIPE, SIG_IGN);
+  state_->base = NewBase();
+  state_->wake = evtimer_new(state_->base, &state::RunPosted, state_.get());
+}
+
+event_loop::~event_loop() {
+  // What a dropped action owns may post again or use the base.
+  while (!state_->posted.empty()) {
+    std::exchange(state_->posted, {}).clear();
+  }
+  for (const auto& subscription : state_->signals) {
+    event_free(subscription->source);
+  }
+  event_free(state_->wake);
+  event_base_free(state_->base);
+}
+
+void event_loop::Run() { event_base_loop(state_->base, EVLOOP_NO_EXIT_ON_EMPTY); }
+
+void event_loop::Stop() { event_base_loopbreak(state_->base); }
+
+void event_loop::Post(std::function<void()> action) {
+  state_->posted.push_back(std::move(action));
+  if (state_->posted.size() == 1) {
+    const timeval at_once{};
+    evtimer_add(state_->wake, &at_once);
+  }
+}
+
+void event_loop::OnSignal(int signal_number, std::function<void()> action) {
+  auto subscription = std::make_unique<signal_subscription>();
+  subscription->action = std::move(action);
+  subscription->source =
+      evsignal_new(state_->base, signal_number, &state::RunSignal, subscription.get());
+  evsignal_add(subscription->source, nullptr);
+  state_->signals.push_back(std::move(subscription));
+}
+
+event_base* event_loop::base() const { return state_->base; }
+
+}  // namespace jacinthspool
--- /dev/null
+++ b/src/transport/evhttp_exchange.cc
@@ -0,0 +1,172 @@
+#include "src/transport/evhttp_exchange.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <strings.h>
+#include <sys/queue.h>
+
+#include <utility>
+
+#include "src/transport/evhttp_handles.h"
+
+namespace jacinthspool {
+namespace {
+
+constexpr int kInternalError = 500;
+
+std::string MethodName(const evhttp_request* request) {
+  for (const http_method& method : kHttpMethods) {
+    if (method.type == evhttp_request_get_command(request)) {
+      return method.name;
+    }
+  }
+  return {};
+}
+
+std::string PathOf(const evhttp_request* request) {
+  const char* path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(request));
+  return path == nullptr ? std::string() : path;
+}
+
+evbuffer_handle BufferOf(std::string_view text) {
+  evbuffer_handle buffer(evbuffer_new());
+  evbuffer_add(buffer.get(), text.data(), text.size());
+  return buffer;
+}
+
+void FreeConnection(bufferevent* /*unused*/, short /*unused*/, void* connection) {
+  evhttp_connection_free(static_cast<evhttp_connection*>(connection));
+}
+
+/// After a failed write evhttp would answer the request once more, on the same
+/// dead connection. Instead, the connection is freed.
+void FreeOnError(bufferevent* stream) {
+  bufferevent_data_cb on_read = nullptr;
+  bufferevent_data_cb on_write = nullptr;
+  bufferevent_event_cb on_event = nullptr;
+  void* connection = nullptr;
+  bufferevent_getcb(stream, &on_read, &on_write, &on_event, &connection);
+  bufferevent_setcb(stream, on_read, on_write, &FreeConnection, connection);
+}
+
+}  // namespace
+
+evhttp_exchange::evhttp_exchange(event_loop& loop, evhttp_request* request)
+    : loop_(loop),
+      request_(request),
+      connection_(evhttp_request_get_connection(request)),
+      method_(MethodName(request)),
+      target_(evhttp_request_get_uri(request)),
+      path_(PathOf(request)),
+      body_(TakeAll(evhttp_request_get_input_buffer(request))),
+      headers_(CopyHeaders(evhttp_request_get_input_headers(request))) {
+  evhttp_connection_set_closecb(connection_, &evhttp_exchange::OnClosed, this);
+  watch_ = std::make_unique<caller_watch>(loop, bufferevent_getfd(stream()),
+                                          [this] { evhttp_connection_free(connection_); });
+}
+
+evhttp_exchange::~evhttp_exchange() {
+  on_gone_ = nullptr;
+  if (streaming_) {
+    AbortStream();
+  } else {
+    Reply(kInternalError, {}, {});
+  }
+}
+
+std::string evhttp_exchange::header(std::string_view name) const {
+  for (const auto& [key, value] : headers_) {
+    if (key.size() == name.size() && strncasecmp(key.data(), name.data(), name.size()) == 0) {
+      return value;
+    }
+  }
+  return {};
+}
+
+void evhttp_exchange::Reply(int status, const http_headers& headers, std::string_view body) {
+  if (request_ == nullptr || streaming_) {
+    return;
+  }
+  evhttp_request* request = request_;
+  bufferevent* output = stream();
+  Detach();
+  AddHeaders(evhttp_request_get_output_headers(request), headers);
+  const evbuffer_handle buffer = BufferOf(body);
+  evhttp_send_reply(request, status, nullptr, buffer.get());
+  FreeOnError(output);
+}
+
+void evhttp_exchange::StartStream(int status, const http_headers& headers) {
+  if (request_ == nullptr || streaming_) {
+    return;
+  }
+  streaming_ = true;
+  AddHeaders(evhttp_request_get_output_headers(request_), headers);
+  evhttp_send_reply_start(request_, status, nullptr);
+  FreeOnError(stream());
+}
+
+void evhttp_exchange::SendChunk(std::string_view text) {
+  if (request_ == nullptr || !streaming_ || text.empty()) {
+    return;
+  }
+  const evbuffer_handle buffer = BufferOf(text);
+  evhttp_send_reply_chunk(request_, buffer.get());
+  FreeOnError(stream());
+}
+
+void evhttp_exchange::EndStream() {
+  if (request_ == nullptr || !streaming_) {
+    return;
+  }
+  evhttp_request* request = request_;
+  bufferevent* output = stream();
+  // Without chunks, evhttp may free the connection before it returns.
+  const bool chunked = request->chunked != 0;
+  Detach();
+  evhttp_send_reply_end(request);
+  if (chunked) {
+    FreeOnError(output);
+  }
+}
+
+void evhttp_exchange::AbortStream() {
+  if (request_ == nullptr) {
+    return;
+  }
+  evhttp_connection* connection = connection_;
+  Detach();
+  // The caller of this function may stand inside a callback of the connection.
+  loop_.Post([connection] { evhttp_connection_free(connection); });
+}
+
+void evhttp_exchange::OnCallerGone(std::function<void()> action) { on_gone_ = std::move(action); }
+
+std::size_t evhttp_exchange::queued_bytes() const {
+  return request_ == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(stream()));
+}
+
+void evhttp_exchange::OnClosed(evhttp_connection* /*unused*/, void* context) {
+  auto* self = static_cast<evhttp_exchange*>(context);
+  self->Detach();
+  self->loop_.Post([weak = self->weak_from_this()] {
+    const auto exchange = weak.lock();
+    if (exchange != nullptr && exchange->on_gone_ != nullptr) {
+      std::exchange(exchange->on_gone_, nullptr)();
+    }
+  });
+}
+
+bufferevent* evhttp_exchange::stream() const {
+  return evhttp_connection_get_bufferevent(connection_);
+}
+
+void evhttp_exchange::Detach() {
+  evhttp_connection_set_closecb(connection_, nullptr, nullptr);
+  request_ = nullptr;
+  watch_.reset();
+}
+
+}  // namespace jacinthspool
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -2,6 +2,7 @@
 #define JACINTHSPOOL_TRANSPORT_HTTP_SERVER_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -67,6 +68,9 @@
   /// \brief Takes no new connections; exchanges in progress go on.
   void StopAccepting();
 
+  /// \returns The port it listens on, also when the address left the choice open (port 0).
+  [[nodiscard]] std::uint16_t port() const;
+
  private:
   struct state;
   explicit http_server(std::unique_ptr<state> initial);
--- a/src/transport/peer.h
+++ b/src/transport/peer.h
@@ -2,6 +2,7 @@
 #define JACINTHSPOOL_TRANSPORT_PEER_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -69,6 +70,9 @@
   /// \brief Takes no new connections; those that exist go on.
   void StopAccepting();
 
+  /// \returns The port it listens on, also when the address left the choice open (port 0).
+  [[nodiscard]] std::uint16_t port() const;
+
  private:
   struct state;
   explicit peer_server(std::unique_ptr<state> initial);
--- /dev/null
+++ b/src/transport/socket_address.cc
@@ -0,0 +1,106 @@
+#include "src/transport/socket_address.h"
+
+#include <arpa/inet.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <system_error>
+
+namespace jacinthspool {
+namespace {
+
+constexpr int kBacklog = 512;
+
+bool ParsePort(const std::string& text, std::uint16_t& port) {
+  const char* last = text.data() + text.size();
+  const auto [end, error] = std::from_chars(text.data(), last, port);
+  return error == std::errc{} && end == last && !text.empty();
+}
+
+}  // namespace
+
+const sockaddr* socket_address::get() const { return reinterpret_cast<const sockaddr*>(&storage); }
+
+std::string socket_address::host() const {
+  char text[INET6_ADDRSTRLEN] = {};
+  const void* address = nullptr;
+  if (storage.ss_family == AF_INET6) {
+    address = &reinterpret_cast<const sockaddr_in6*>(&storage)->sin6_addr;
+  } else {
+    address = &reinterpret_cast<const sockaddr_in*>(&storage)->sin_addr;
+  }
+  evutil_inet_ntop(storage.ss_family, address, text, sizeof(text));
+  return text;
+}
+
+std::uint16_t socket_address::port() const {
+  if (storage.ss_family == AF_INET6) {
+    return ntohs(reinterpret_cast<const sockaddr_in6*>(&storage)->sin6_port);
+  }
+  return ntohs(reinterpret_cast<const sockaddr_in*>(&storage)->sin_port);
+}
+
+bool ParseSocketAddress(const std::string& text, socket_address& result) {
+  const std::size_t colon = text.rfind(':');
+  std::uint16_t port = 0;
+  if (colon == std::string::npos || !ParsePort(text.substr(colon + 1), port)) {
+    return false;
+  }
+  // libevent's parser takes no port 0, so it gets the host alone.
+  socket_address parsed;
+  parsed.length = sizeof(parsed.storage);
+  auto* target = reinterpret_cast<sockaddr*>(&parsed.storage);
+  const std::string host = text.substr(0, colon);
+  if (host.empty() || evutil_parse_sockaddr_port(host.c_str(), target, &parsed.length) != 0) {
+    return false;
+  }
+  if (parsed.storage.ss_family == AF_INET6) {
+    reinterpret_cast<sockaddr_in6*>(&parsed.storage)->sin6_port = htons(port);
+  } else {
+    reinterpret_cast<sockaddr_in*>(&parsed.storage)->sin_port = htons(port);
+  }
+  result = parsed;
+  return true;
+}
+
+std::uint16_t LocalPort(int socket) {
+  socket_address bound;
+  socklen_t length = sizeof(bound.storage);
+  if (getsockname(socket, reinterpret_cast<sockaddr*>(&bound.storage), &length) != 0) {
+    return 0;
+  }
+  return bound.port();
+}
+
+void DisableDelay(int socket) {
+  const int on = 1;
+  setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+void listener_deleter::operator()(evconnlistener* listener) const { evconnlistener_free(listener); }
+
+listener_handle ListenOn(event_base* base, const std::string& address, std::string& error) {
+  socket_address bound;
+  if (!ParseSocketAddress(address, bound)) {
+    error = "not an address of the form IP:PORT: " + address;
+    return nullptr;
+  }
+  // On Linux SO_REUSEADDR passes over TIME_WAIT, but not over another listener.
+  constexpr unsigned kFlags = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE;
+  listener_handle listener(
+      evconnlistener_new_bind(base, nullptr, nullptr, kFlags, kBacklog, bound.get(), bound.length));
+  if (listener == nullptr) {
+    error = "cannot listen on " + address + ": " + std::strerror(errno);
+    return nullptr;
+  }
+  // Accepted sockets inherit it.
+  DisableDelay(evconnlistener_get_fd(listener.get()));
+  return listener;
+}
+
+}  // namespace jacinthspool
--- /dev/null
+++ b/tests/transport/http_test.cc
@@ -0,0 +1,328 @@
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "src/transport/event_loop.h"
+#include "src/transport/http_client.h"
+#include "src/transport/http_server.h"
+#include "tests/transport/loop_until.h"
+#include "tests/transport/raw_socket.h"
+
+namespace jacinthspool {
+namespace {
+
+constexpr std::size_t kMaxBody = 1000;
+
+/// A server that keeps its exchanges for the test, and a client.
+struct http_fixture {
+  event_loop loop;
+  std::vector<std::shared_ptr<http_exchange>> exchanges;
+  std::string error;
+  std::unique_ptr<http_server> server = http_server::Listen(
+      {.loop = loop,
+       .address = "127.0.0.1:0",
+       .on_request = [this](auto exchange) { exchanges.push_back(std::move(exchange)); },
+       .max_body_bytes = kMaxBody},
+      error);
+  http_client client{loop};
+  std::vector<std::string> chunks;
+  std::optional<http_response> response;
+
+  http_request To(const std::string& method, const std::string& body = {}) const {
+    return {.address = "127.0.0.1:" + std::to_string(server->port()),
+            .method = method,
+            .target = "/a/b?c=d",
+            .headers = {{"X-Kind", "test"}},
+            .body = body};
+  }
+
+  std::unique_ptr<http_call> Fetch(http_request request) {
+    response.reset();
+    return client.Fetch(std::move(request),
+                        {.on_done = [this](http_response r) { response = std::move(r); }});
+  }
+
+  std::unique_ptr<http_call> FetchChunks(http_request request) {
+    response.reset();
+    return client.Fetch(
+        std::move(request),
+        {.on_chunk = [this](int, std::string_view text) { chunks.emplace_back(text); },
+         .on_done = [this](http_response r) { response = std::move(r); }});
+  }
+
+  bool WaitForExchanges(std::size_t count) {
+    return RunUntil(loop, [&] { return exchanges.size() >= count; });
+  }
+  bool WaitForResponse() {
+    return RunUntil(loop, [&] { return response.has_value(); });
+  }
+};
+
+TEST_CASE("a server answers") {
+  http_fixture http;
+  REQUIRE(http.server != nullptr);
+
+  SUBCASE("each method of plain services") {
+    for (const std::string method : {"GET", "POST", "PUT", "DELETE", "PATCH", "OPTIONS", "HEAD"}) {
+      CAPTURE(method);
+      const bool has_body = method == "POST" || method == "PUT" || method == "PATCH";
+      const auto call = http.Fetch(http.To(method, has_body ? "question" : ""));
+      REQUIRE(http.WaitForExchanges(1));
+      http_exchange& exchange = *http.exchanges.front();
+      CHECK(exchange.method() == method);
+      CHECK(exchange.target() == "/a/b?c=d");
+      CHECK(exchange.path() == "/a/b");
+      CHECK(exchange.body() == (has_body ? "question" : ""));
+      CHECK(exchange.header("x-kind") == "test");
+      exchange.Reply(201, {{"X-Reply", "yes"}}, "answer");
+      http.exchanges.clear();
+      REQUIRE(http.WaitForResponse());
+      CHECK(http.response->status == 201);
+      CHECK(http.response->error == "");
+      CHECK(http.response->body == (method == "HEAD" ? "" : "answer"));
+    }
+  }
+
+  SUBCASE("piece by piece") {
+    const auto call = http.FetchChunks(http.To("POST", "q"));
+    REQUIRE(http.WaitForExchanges(1));
+    http_exchange& exchange = *http.exchanges.front();
+    exchange.StartStream(200, {{"Content-Type", "text/event-stream"}});
+    exchange.SendChunk("one");
+    REQUIRE(RunUntil(http.loop, [&] { return http.chunks.size() == 1; }));
+    exchange.SendChunk("two");
+    exchange.EndStream();
+    REQUIRE(http.WaitForResponse());
+    CHECK(http.chunks == std::vector<std::string>{"one", "two"});
+    CHECK(http.response->status == 200);
+    CHECK(http.response->error == "");
+  }
+
+  SUBCASE("a stream that is cut is an error for the client") {
+    const auto call = http.FetchChunks(http.To("GET"));
+    REQUIRE(http.WaitForExchanges(1));
+    http.exchanges.front()->StartStream(200, {});
+    http.exchanges.front()->SendChunk("one");
+    REQUIRE(RunUntil(http.loop, [&] { return http.chunks.size() == 1; }));
+    http.exchanges.front()->AbortStream();
+    REQUIRE(http.WaitForResponse());
+    CHECK(http.response->status == 0);
+    CHECK(http.response->error != "");
+    CHECK_FALSE(http.response->never_sent);
+  }
+
+  SUBCASE("413 to a body over the limit, and nothing reaches the handler") {
+    for (const std::size_t size : {kMaxBody + 1, kMaxBody * 1000}) {
+      CAPTURE(size);
+      const raw_socket caller = raw_socket::Connect(http.server->port());
+      caller.Write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(size) +
+                   "\r\n\r\n" + std::string(kMaxBody + 1, 'x'));
+      std::string received;
+      CHECK(RunUntil(http.loop, [&] {
+        caller.Read(received);
+        return received.starts_with("HTTP/1.1 413");
+      }));
+    }
+    CHECK(http.exchanges.empty());
+  }
+
+  SUBCASE("500 when the handler drops the exchange") {
+    const auto call = http.Fetch(http.To("GET"));
+    REQUIRE(http.WaitForExchanges(1));
+    http.exchanges.clear();
+    REQUIRE(http.WaitForResponse());
+    CHECK(http.response->status == 500);
+  }
+
+  SUBCASE("no new connection after StopAccepting, but the one in progress") {
+    const auto call = http.Fetch(http.To("GET"));
+    REQUIRE(http.WaitForExchanges(1));
+    http.server->StopAccepting();
+    CHECK_FALSE(raw_socket::Connect(http.server->port()).is_open());
+    http.exchanges.front()->Reply(200, {}, "late");
+    REQUIRE(http.WaitForResponse());
+    CHECK(http.response->body == "late");
+  }
+
+  SUBCASE("a port that is in use gives an error") {
+    std::string error;
+    CHECK(http_server::Listen({.loop = http.loop,
+                               .address = "127.0.0.1:" + std::to_string(http.server->port()),
+                               .on_request = {}},
+                              error) == nullptr);
+    CHECK(error != "");
+  }
+}
+
+TEST_CASE("a caller goes") {
+  http_fixture http;
+  int gone = 0;
+
+  SUBCASE("while the request waits") {
+    auto call = http.Fetch(http.To("POST", "q"));
+    REQUIRE(http.WaitForExchanges(1));
+    http.exchanges.front()->OnCallerGone([&] { ++gone; });
+    call.reset();
+    REQUIRE(RunUntil(http.loop, [&] { return gone == 1; }));
+    http.exchanges.front()->Reply(200, {}, "too late");
+    CHECK_FALSE(http.response.has_value());
+  }
+
+  SUBCASE("in the middle of a stream") {
+    auto call = http.FetchChunks(http.To("GET"));
+    REQUIRE(http.WaitForExchanges(1));
+    http.exchanges.front()->OnCallerGone([&] {
+      ++gone;
+      http.exchanges.clear();
+    });
+    http.exchanges.front()->StartStream(200, {});
+    http.exchanges.front()->SendChunk("one");
+    REQUIRE(RunUntil(http.loop, [&] { return http.chunks.size() == 1; }));
+    call->Cancel();
+    REQUIRE(RunUntil(http.loop, [&] { return gone == 1; }));
+    CHECK(http.exchanges.empty());
+  }
+
+  SUBCASE("with a reset, while much is being written to it") {
+    raw_socket caller = raw_socket::Connect(http.server->port());
+    caller.Write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(http.WaitForExchanges(1));
+    http.exchanges.front()->OnCallerGone([&] { ++gone; });
+    http.exchanges.front()->StartStream(200, {});
+    http.exchanges.front()->SendChunk(std::string(16U << 20U, 'x'));
+    CHECK(http.exchanges.front()->queued_bytes() > 0);
+    SUBCASE("in a stream that has not ended") {
+      caller.Reset();
+      REQUIRE(RunUntil(http.loop, [&] { return gone == 1; }));
+    }
+    SUBCASE("in an answer that has ended") {
+      http.exchanges.front()->EndStream();
+      caller.Reset();
+    }
+    // The server still serves others.
+    const auto call = http.Fetch(http.To("GET"));
+    REQUIRE(http.WaitForExchanges(2));
+    http.exchanges.back()->Reply(200, {}, "fine");
+    REQUIRE(http.WaitForResponse());
+    CHECK(http.response->body == "fine");
+  }
+
+  SUBCASE("after it has sent the next request too early") {
+    raw_socket caller = raw_socket::Connect(http.server->port());
+    const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    caller.Write(request + request);
+    REQUIRE(http.WaitForExchanges(1));
+    http.exchanges.front()->OnCallerGone([&] { ++gone; });
+    SUBCASE("its second request is answered after the first") {
+      http.exchanges.front()->Reply(200, {}, "first");
+      REQUIRE(http.WaitForExchanges(2));
+      CHECK(gone == 0);
+    }
+    SUBCASE("its end is noticed all the same") {
+      caller.Close();
+      REQUIRE(RunUntil(http.loop, [&] { return gone == 1; }));
+    }
+  }
+
+  SUBCASE("but not when its answer has ended") {
+    raw_socket caller = raw_socket::Connect(http.server->port());
+    caller.Write("GET / HTTP/1.0\r\n\r\n");
+    REQUIRE(http.WaitForExchanges(1));
+    http.exchanges.front()->OnCallerGone([&] { ++gone; });
+    http.exchanges.front()->StartStream(200, {});
+    http.exchanges.front()->SendChunk("all of it");
+    http.exchanges.front()->EndStream();
+    std::string received;
+    REQUIRE(RunUntil(http.loop, [&] { return !caller.Read(received); }));
+    CHECK(received.ends_with("all of it"));
+    CHECK(gone == 0);
+  }
+}
+
+TEST_CASE("a client meets bad servers") {
+  event_loop loop;
+  auto client = std::make_unique<http_client>(loop);
+  const raw_socket listener = raw_socket::Listen();
+  std::optional<http_response> response;
+  http_request request{.address = "127.0.0.1:" + std::to_string(listener.port())};
+  const http_callbacks callbacks{.on_done = [&](http_response r) { response = std::move(r); }};
+  const auto answered = [&] { return response.has_value(); };
+
+  SUBCASE("a body shorter than its length, cut between chunks, or without an end is an error") {
+    for (const std::string answer :
+         {"Content-Length: 10\r\n\r\nshort", "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+          "\r\nbody"}) {
+      CAPTURE(answer);
+      response.reset();
+      const auto call = client->Fetch(request, callbacks);
+      const raw_socket server = listener.Accept();
+      std::string received;
+      REQUIRE(RunUntil(loop, [&] {
+        server.Read(received);
+        return received.ends_with("\r\n\r\n");
+      }));
+      server.Write("HTTP/1.1 200 OK\r\n" + answer);
+      shutdown(server.descriptor(), SHUT_WR);
+      REQUIRE(RunUntil(loop, answered));
+      CHECK(response->status == 0);
+      CHECK(response->error != "");
+      CHECK_FALSE(response->never_sent);
+    }
+  }
+
+  SUBCASE("silence ends with a timeout") {
+    request.timeout = milliseconds(20);
+    const auto call = client->Fetch(request, callbacks);
+    REQUIRE(RunUntil(loop, answered));
+    CHECK(response->error == "timeout");
+    CHECK_FALSE(response->never_sent);
+  }
+
+  SUBCASE("nobody listens, so nothing was sent") {
+    request.address = "127.0.0.1:" + std::to_string(raw_socket::Listen().port());
+    const auto call = client->Fetch(request, callbacks);
+    REQUIRE(RunUntil(loop, answered));
+    CHECK(response->status == 0);
+    CHECK(response->never_sent);
+  }
+
+  SUBCASE("the address is not one") {
+    request.address = "somewhere";
+    const auto call = client->Fetch(request, callbacks);
+    REQUIRE(RunUntil(loop, answered));
+    CHECK(response->never_sent);
+  }
+
+  SUBCASE("the client may be destroyed inside a callback") {
+    const auto call =
+        client->Fetch(request, {.on_chunk = [&](int, std::string_view) { client.reset(); },
+                                .on_done = [&](http_response) { FAIL("was cancelled"); }});
+    const raw_socket server = listener.Accept();
+    server.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+    REQUIRE(RunUntil(loop, [&] { return client == nullptr; }));
+    std::string received;
+    CHECK(RunUntil(loop, [&] { return !server.Read(received); }));
+  }
+}
+
+TEST_CASE("a client keeps connections for reuse") {
+  http_fixture http;
+  for (std::size_t number = 1; number <= 2; ++number) {
+    const auto call = http.Fetch(http.To("GET"));
+    REQUIRE(http.WaitForExchanges(number));
+    http.exchanges.back()->Reply(200, {}, "x");
+    REQUIRE(http.WaitForResponse());
+  }
+  http.server->StopAccepting();
+  const auto call = http.Fetch(http.To("GET"));
+  REQUIRE(http.WaitForExchanges(3));
+  http.exchanges.back()->Reply(200, {}, "over the old connection");
+  REQUIRE(http.WaitForResponse());
+  CHECK(http.response->body == "over the old connection");
+}
+
+}  // namespace
+}  // namespace jacinthspool
--- /dev/null
+++ b/tests/transport/raw_socket.h
@@ -0,0 +1,91 @@
+#ifndef JACINTHSPOOL_TESTS_TRANSPORT_RAW_SOCKET_H_
+#define JACINTHSPOOL_TESTS_TRANSPORT_RAW_SOCKET_H_
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "src/transport/socket_address.h"
+
+namespace jacinthspool {
+
+/// \brief A plain socket, for bytes that no well-behaved peer would send.
+class raw_socket {
+ public:
+  explicit raw_socket(int descriptor) : descriptor_(descriptor) {}
+  raw_socket(raw_socket&& other) noexcept : descriptor_(other.descriptor_) {
+    other.descriptor_ = -1;
+  }
+  raw_socket& operator=(raw_socket&&) = delete;
+  ~raw_socket() { Close(); }
+
+  static raw_socket Connect(std::uint16_t port) {
+    socket_address target;
+    ParseSocketAddress("127.0.0.1:" + std::to_string(port), target);
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (connect(descriptor, target.get(), static_cast<socklen_t>(target.length)) != 0) {
+      close(descriptor);
+      return raw_socket(-1);
+    }
+    return raw_socket(descriptor);
+  }
+
+  /// \brief Listens on a free port of 127.0.0.1.
+  static raw_socket Listen() {
+    socket_address bound;
+    ParseSocketAddress("127.0.0.1:0", bound);
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    bind(descriptor, bound.get(), static_cast<socklen_t>(bound.length));
+    listen(descriptor, 8);
+    return raw_socket(descriptor);
+  }
+
+  /// \returns The next connection, if one waits.
+  [[nodiscard]] raw_socket Accept() const {
+    return raw_socket(accept(descriptor_, nullptr, nullptr));
+  }
+
+  [[nodiscard]] int descriptor() const { return descriptor_; }
+  [[nodiscard]] bool is_open() const { return descriptor_ >= 0; }
+  [[nodiscard]] std::uint16_t port() const { return LocalPort(descriptor_); }
+
+  void Write(std::string_view text) const {
+    (void)!send(descriptor_, text.data(), text.size(), MSG_NOSIGNAL);
+  }
+
+  /// \brief Adds what has arrived to `received`.
+  /// \returns false once the other side has closed.
+  bool Read(std::string& received) const {
+    char bytes[4096];
+    const ssize_t length = recv(descriptor_, bytes, sizeof(bytes), MSG_DONTWAIT);
+    if (length > 0) {
+      received.append(bytes, static_cast<std::size_t>(length));
+    }
+    return length > 0 || (length < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+  }
+
+  void Close() {
+    if (descriptor_ >= 0) {
+      close(descriptor_);
+      descriptor_ = -1;
+    }
+  }
+
+  /// \brief Closes so that the other side gets a reset.
+  void Reset() {
+    const linger at_once{.l_onoff = 1, .l_linger = 0};
+    setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+    Close();
+  }
+
+ private:
+  int descriptor_;
+};
+
+}  // namespace jacinthspool
+
+#endif  // JACINTHSPOOL_TESTS_TRANSPORT_RAW_SOCKET_H_
