Add authenticated peer connections over HTTP/2

Cause: entries and agents need one connection each way with a control stream and a stream for each request. Ruled out: bufferevent (its write waits for another turn of the loop); FlatBuffers read in place (frames are not aligned).

--- /dev/null
+++ b/src/transport/handshake.cc
@@ -0,0 +1,158 @@
+#include "src/transport/handshake.h"
+
+#include <sodium.h>
+
+#include <span>
+#include <string_view>
+
+namespace jacinthspool {
+namespace {
+
+constexpr std::size_t kNonceBytes = 32;
+constexpr std::uint32_t kProtocol = 1;
+// Different texts keep one side's proof from serving as the other's.
+constexpr std::string_view kClientPurpose = "jacinthspool peer handshake 1, client";
+constexpr std::string_view kServerPurpose = "jacinthspool peer handshake 1, server";
+
+std::vector<std::uint8_t> NewNonce() {
+  std::vector<std::uint8_t> nonce(kNonceBytes);
+  randombytes_buf(nonce.data(), nonce.size());
+  return nonce;
+}
+
+/// Collects the text of a proof; each field has its length before it.
+class proof_text {
+ public:
+  void Add(std::uint64_t number) {
+    constexpr unsigned kByteBits = 8;
+    for (unsigned index = 0; index < sizeof(number); ++index) {
+      bytes_.push_back(static_cast<std::uint8_t>(number >> (kByteBits * index)));
+    }
+  }
+  void Add(std::string_view text) {
+    Add(std::uint64_t{text.size()});
+    bytes_.insert(bytes_.end(), text.begin(), text.end());
+  }
+  void Add(std::span<const std::uint8_t> field) {
+    Add(std::uint64_t{field.size()});
+    bytes_.insert(bytes_.end(), field.begin(), field.end());
+  }
+  void Add(const peer_identity& identity) {
+    Add(identity.role);
+    Add(identity.name);
+    Add(identity.data_centre);
+    Add(identity.incarnation);
+  }
+  [[nodiscard]] const std::vector<std::uint8_t>& bytes() const { return bytes_; }
+
+ private:
+  std::vector<std::uint8_t> bytes_;
+};
+
+std::vector<std::uint8_t> TextOf(std::string_view purpose, const handshake_transcript& transcript) {
+  proof_text text;
+  text.Add(purpose);
+  text.Add(std::span(transcript.server_nonce));
+  text.Add(std::span(transcript.client_nonce));
+  text.Add(transcript.server);
+  text.Add(transcript.client);
+  return text.bytes();
+}
+
+hello HelloOf(const peer_identity& identity, const std::vector<std::uint8_t>& nonce) {
+  hello value;
+  value.role = identity.role;
+  value.name = identity.name;
+  value.data_centre = identity.data_centre;
+  value.incarnation = identity.incarnation;
+  value.nonce = nonce;
+  value.protocol = kProtocol;
+  return value;
+}
+
+peer_identity IdentityOf(const hello& value) {
+  return {.role = value.role,
+          .name = value.name,
+          .data_centre = value.data_centre,
+          .incarnation = value.incarnation};
+}
+
+/// \returns What is wrong with the form of a hello; nothing when it is right.
+std::optional<handshake_fault> FaultOf(const hello* value, std::string_view expected) {
+  if (value == nullptr) {
+    return handshake_fault{"expected " + std::string(expected)};
+  }
+  if (value->protocol != kProtocol) {
+    return handshake_fault{"unknown protocol version " + std::to_string(value->protocol)};
+  }
+  if (value->nonce.size() != kNonceBytes) {
+    return handshake_fault{"nonce of " + std::to_string(value->nonce.size()) + " bytes"};
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+server_handshake::server_handshake(const key_ring& keys, const peer_identity& self)
+    : keys_(keys),
+      transcript_{.server = self, .client = {}, .server_nonce = NewNonce(), .client_nonce = {}} {}
+
+message server_handshake::Begin() const {
+  return HelloOf(transcript_.server, transcript_.server_nonce);
+}
+
+handshake_step server_handshake::Receive(const message& received) {
+  const auto* answer = std::get_if<hello>(&received);
+  if (auto fault = FaultOf(answer, "hello")) {
+    return *fault;
+  }
+  transcript_.client = IdentityOf(*answer);
+  transcript_.client_nonce = answer->nonce;
+  if (!keys_.Verify(TextOf(kClientPurpose, transcript_), answer->proof)) {
+    return handshake_fault{"the client's proof does not verify"};
+  }
+  hello_accepted accepted;
+  accepted.incarnation = transcript_.server.incarnation;
+  accepted.proof = keys_.Sign(TextOf(kServerPurpose, transcript_));
+  return handshake_done{.peer = transcript_.client, .reply = std::move(accepted)};
+}
+
+client_handshake::client_handshake(const key_ring& keys, const peer_identity& self)
+    : keys_(keys),
+      transcript_{.server = {}, .client = self, .server_nonce = {}, .client_nonce = NewNonce()} {}
+
+handshake_step client_handshake::Receive(const message& received) {
+  if (!answered_) {
+    const auto* greeting = std::get_if<hello>(&received);
+    if (auto fault = FaultOf(greeting, "hello")) {
+      return *fault;
+    }
+    return Answer(*greeting);
+  }
+  const auto* accepted = std::get_if<hello_accepted>(&received);
+  if (accepted == nullptr) {
+    return handshake_fault{"expected hello_accepted"};
+  }
+  return Check(*accepted);
+}
+
+handshake_step client_handshake::Answer(const hello& received) {
+  answered_ = true;
+  transcript_.server = IdentityOf(received);
+  transcript_.server_nonce = received.nonce;
+  hello answer = HelloOf(transcript_.client, transcript_.client_nonce);
+  answer.proof = keys_.Sign(TextOf(kClientPurpose, transcript_));
+  return handshake_reply{std::move(answer)};
+}
+
+handshake_step client_handshake::Check(const hello_accepted& received) const {
+  if (received.incarnation != transcript_.server.incarnation) {
+    return handshake_fault{"hello_accepted names another incarnation"};
+  }
+  if (!keys_.Verify(TextOf(kServerPurpose, transcript_), received.proof)) {
+    return handshake_fault{"the server's proof does not verify"};
+  }
+  return handshake_done{.peer = transcript_.server};
+}
+
+}  // namespace jacinthspool
--- a/src/transport/peer.h
+++ b/src/transport/peer.h
@@ -42,10 +42,13 @@
 };
 
 /// \brief What the owner of connections is told. All run in the event loop.
+///
+/// Handlers may send, finish, close, and destroy the client or server.
 struct peer_handlers {
+  /// The handshake has succeeded.
   std::function<void(peer_connection&)> on_up;
   std::function<void(peer_connection&, message)> on_message;
-  /// Called once; the connection is gone afterwards.
+  /// Called once for each connection that was up, which is gone afterwards.
   std::function<void(peer_connection&, const std::string& reason)> on_down;
 };
 
--- a/src/transport/socket_address.cc
+++ b/src/transport/socket_address.cc
@@ -77,6 +77,15 @@
   return bound.port();
 }
 
+std::string RemoteAddress(int socket) {
+  socket_address remote;
+  socklen_t length = sizeof(remote.storage);
+  if (getpeername(socket, reinterpret_cast<sockaddr*>(&remote.storage), &length) != 0) {
+    return {};
+  }
+  return remote.host() + ":" + std::to_string(remote.port());
+}
+
 void DisableDelay(int socket) {
   const int on = 1;
   setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
--- a/src/transport/socket_address.h
+++ b/src/transport/socket_address.h
@@ -28,6 +28,9 @@
 /// \returns The port on which `socket` is bound; 0 when it is not.
 std::uint16_t LocalPort(int socket);
 
+/// \returns The other end of a connected socket as IP:PORT, for logs.
+std::string RemoteAddress(int socket);
+
 /// \brief Sends small writes at once (TCP_NODELAY).
 void DisableDelay(int socket);
 
--- /dev/null
+++ b/src/transport/tcp_stream.cc
@@ -0,0 +1,190 @@
+#include "src/transport/tcp_stream.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/util.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+
+#include "jacinthspool/impl/time.h"
+#include "src/transport/socket_address.h"
+
+namespace jacinthspool {
+namespace {
+
+constexpr std::size_t kReadBytes = 64U << 10U;
+/// One connection leaves the loop to the others after so many reads.
+constexpr int kReadsPerTurn = 16;
+/// A far end that acknowledges nothing for this long is taken for dead.
+constexpr milliseconds kUserTimeout = seconds(20);
+
+int OpenSocket(const socket_address& target) {
+  return socket(target.storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+}
+
+void Tune(int socket) {
+  DisableDelay(socket);
+  const auto timeout = static_cast<unsigned>(kUserTimeout.count());
+  setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+}
+
+bool IsTemporary(int error) { return error == EAGAIN || error == EWOULDBLOCK || error == EINTR; }
+
+}  // namespace
+
+struct tcp_stream::state {
+  event_loop& loop;
+  tcp_listener& listener;
+  int socket = -1;
+  event* readable = nullptr;
+  event* writable = nullptr;
+  evbuffer* output = evbuffer_new();
+  bool connecting = false;
+  bool broken = false;
+
+  state(event_loop& the_loop, tcp_listener& the_listener)
+      : loop(the_loop), listener(the_listener) {}
+  state(const state&) = delete;
+  state& operator=(const state&) = delete;
+
+  ~state() {
+    if (readable != nullptr) {
+      event_free(readable);
+      event_free(writable);
+    }
+    evbuffer_free(output);
+    if (socket >= 0) {
+      close(socket);
+    }
+  }
+
+  void Watch(int the_socket) {
+    socket = the_socket;
+    Tune(socket);
+    readable = event_new(loop.base(), socket, EV_READ | EV_PERSIST, &state::OnReadable, this);
+    writable = event_new(loop.base(), socket, EV_WRITE, &state::OnWritable, this);
+  }
+
+  void Break(const std::string& reason) {
+    if (broken) {
+      return;
+    }
+    broken = true;
+    if (readable != nullptr) {
+      event_del(readable);
+      event_del(writable);
+    }
+    listener.OnBroken(reason);
+  }
+
+  void FinishConnect() {
+    int error = 0;
+    socklen_t length = sizeof(error);
+    getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &length);
+    if (error != 0) {
+      Break(std::strerror(error));
+      return;
+    }
+    connecting = false;
+    event_add(readable, nullptr);
+    listener.OnConnected();
+  }
+
+  void Flush() {
+    if (connecting || broken) {
+      return;
+    }
+    while (evbuffer_get_length(output) > 0) {
+      const int written = evbuffer_write(output, socket);
+      if (written < 0 && IsTemporary(errno)) {
+        event_add(writable, nullptr);
+        return;
+      }
+      if (written < 0) {
+        Break(std::strerror(errno));
+        return;
+      }
+    }
+  }
+
+  void Read() {
+    static std::array<std::uint8_t, kReadBytes> buffer;
+    for (int reads = 0; reads < kReadsPerTurn && !broken; ++reads) {
+      const ssize_t length = recv(socket, buffer.data(), buffer.size(), 0);
+      if (length < 0 && IsTemporary(errno)) {
+        break;
+      }
+      if (length <= 0) {
+        Break(length == 0 ? "closed by the other side" : std::strerror(errno));
+        return;
+      }
+      const auto count = static_cast<std::size_t>(length);
+      listener.OnBytes(std::span(buffer).first(count));
+      if (count < buffer.size()) {
+        break;
+      }
+    }
+    if (!broken) {
+      listener.OnReadEnd();
+    }
+  }
+
+  static void OnReadable(evutil_socket_t /*unused*/, short /*unused*/, void* context) {
+    static_cast<state*>(context)->Read();
+  }
+
+  static void OnWritable(evutil_socket_t /*unused*/, short /*unused*/, void* context) {
+    auto* self = static_cast<state*>(context);
+    if (self->connecting) {
+      self->FinishConnect();
+      return;
+    }
+    self->Flush();
+    if (!self->broken && evbuffer_get_length(self->output) == 0) {
+      self->listener.OnDrained();
+    }
+  }
+};
+
+tcp_stream::tcp_stream(event_loop& loop, int socket, tcp_listener& listener)
+    : state_(std::make_unique<state>(loop, listener)) {
+  evutil_make_socket_nonblocking(socket);
+  state_->Watch(socket);
+  event_add(state_->readable, nullptr);
+}
+
+tcp_stream::tcp_stream(event_loop& loop, const std::string& address, tcp_listener& listener)
+    : state_(std::make_unique<state>(loop, listener)) {
+  state_->connecting = true;
+  socket_address target;
+  int descriptor = -1;
+  if (ParseSocketAddress(address, target)) {
+    descriptor = OpenSocket(target);
+  }
+  if (descriptor < 0) {
+    // The owner is still being built and hears of it by its own timeout.
+    return;
+  }
+  state_->Watch(descriptor);
+  connect(descriptor, target.get(), static_cast<socklen_t>(target.length));
+  // Also a connect that failed at once makes the socket writable.
+  event_add(state_->writable, nullptr);
+}
+
+tcp_stream::~tcp_stream() = default;
+
+void tcp_stream::Write(std::span<const std::uint8_t> bytes) {
+  evbuffer_add(state_->output, bytes.data(), bytes.size());
+}
+
+void tcp_stream::Flush() { state_->Flush(); }
+
+std::size_t tcp_stream::queued_bytes() const { return evbuffer_get_length(state_->output); }
+
+}  // namespace jacinthspool
--- /dev/null
+++ b/src/transport/tcp_stream.h
@@ -0,0 +1,56 @@
+#ifndef JACINTHSPOOL_TRANSPORT_TCP_STREAM_H_
+#define JACINTHSPOOL_TRANSPORT_TCP_STREAM_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+
+#include "src/transport/event_loop.h"
+
+namespace jacinthspool {
+
+/// \brief What the owner of a TCP stream is told.
+class tcp_listener {
+ public:
+  virtual ~tcp_listener() = default;
+  virtual void OnConnected() = 0;
+  virtual void OnBytes(std::span<const std::uint8_t> bytes) = 0;
+  /// \brief All bytes of one turn of the loop have been told.
+  virtual void OnReadEnd() = 0;
+  /// \brief The queue has been written.
+  virtual void OnDrained() = 0;
+  virtual void OnBroken(const std::string& reason) = 0;
+};
+
+/// \brief A non-blocking TCP connection; written bytes wait until Flush.
+///
+/// It may not be destroyed inside a call to its listener.
+class tcp_stream {
+ public:
+  /// \brief Takes over a connected socket.
+  tcp_stream(event_loop& loop, int socket, tcp_listener& listener);
+
+  /// \brief Connects; the listener is told of the result in a later turn.
+  tcp_stream(event_loop& loop, const std::string& address, tcp_listener& listener);
+
+  ~tcp_stream();
+  tcp_stream(const tcp_stream&) = delete;
+  tcp_stream& operator=(const tcp_stream&) = delete;
+
+  void Write(std::span<const std::uint8_t> bytes);
+
+  /// \brief Hands the queue to the kernel, as far as it takes it at once.
+  void Flush();
+
+  [[nodiscard]] std::size_t queued_bytes() const;
+
+ private:
+  struct state;
+  std::unique_ptr<state> state_;
+};
+
+}  // namespace jacinthspool
+
+#endif  // JACINTHSPOOL_TRANSPORT_TCP_STREAM_H_
--- /dev/null
+++ b/tests/transport/peer_test.cc
@@ -0,0 +1,442 @@
+#include "src/transport/peer.h"
+
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "src/transport/envelope_stream.h"
+#include "tests/transport/loop_until.h"
+#include "tests/transport/raw_socket.h"
+
+namespace jacinthspool {
+namespace {
+
+const std::string kOneKey(64, 'a');
+const std::string kOtherKey(64, 'b');
+
+/// A key file that lasts as long as the test.
+class key_file {
+ public:
+  explicit key_file(const std::string& text) : path_(NewPath()) { Write(text); }
+  ~key_file() { std::remove(path_.c_str()); }
+  key_file(const key_file&) = delete;
+  key_file& operator=(const key_file&) = delete;
+
+  void Write(const std::string& text) const { std::ofstream(path_) << text; }
+  [[nodiscard]] const std::string& path() const { return path_; }
+
+ private:
+  static std::string NewPath() {
+    std::string path = "/tmp/jacinthspool-keys-XXXXXX";
+    close(mkstemp(path.data()));
+    return path;
+  }
+  std::string path_;
+};
+
+key_ring RingOf(const std::string& text) {
+  const key_file file(text);
+  key_ring ring;
+  std::string error;
+  REQUIRE(ring.Load(file.path(), error));
+  return ring;
+}
+
+/// What one side of the connections was told.
+struct recorder {
+  peer_connection* up = nullptr;
+  int ups = 0;
+  std::vector<message> received;
+  std::vector<std::string> downs;
+
+  peer_handlers Handlers() {
+    return {.on_up =
+                [this](peer_connection& connection) {
+                  up = &connection;
+                  ++ups;
+                },
+            .on_message = [this](peer_connection&,
+                                 message value) { received.push_back(std::move(value)); },
+            .on_down =
+                [this](peer_connection& connection, const std::string& reason) {
+                  if (up == &connection) {
+                    up = nullptr;
+                  }
+                  downs.push_back(reason);
+                }};
+  }
+};
+
+struct peer_fixture {
+  event_loop loop;
+  timer_service timers{loop};
+  key_ring agent_keys = RingOf(kOneKey);
+  key_ring entry_keys = RingOf(kOneKey);
+  recorder agent;
+  recorder entry;
+  std::string error;
+  std::unique_ptr<peer_server> server;
+  std::unique_ptr<peer_client> client;
+
+  peer_fixture() { Listen("127.0.0.1:0", agent.Handlers()); }
+
+  void Listen(const std::string& address, peer_handlers handlers) {
+    server = peer_server::Listen({.loop = loop,
+                                  .timers = timers,
+                                  .keys = agent_keys,
+                                  .address = address,
+                                  .identity = {"agent", "a1", "north", 11},
+                                  .handlers = std::move(handlers),
+                                  .max_queued_bytes = 4U << 20U},
+                                 error);
+  }
+
+  [[nodiscard]] std::string address() const {
+    return "127.0.0.1:" + std::to_string(server->port());
+  }
+
+  std::unique_ptr<peer_client> Connect(peer_handlers handlers) {
+    return std::make_unique<peer_client>(
+        peer_client::options{.loop = loop,
+                             .timers = timers,
+                             .keys = entry_keys,
+                             .address = address(),
+                             .identity = {"entry", "e1", "south", 22},
+                             .handlers = std::move(handlers),
+                             .first_backoff = milliseconds(5),
+                             .last_backoff = milliseconds(20)});
+  }
+
+  bool Until(const std::function<bool()>& condition) { return RunUntil(loop, condition); }
+
+  void BringUp() {
+    client = Connect(entry.Handlers());
+    REQUIRE(Until([&] { return agent.up != nullptr && entry.up != nullptr; }));
+  }
+};
+
+piece PieceOf(request_id request, std::uint64_t offset, std::string text) {
+  piece value;
+  value.request = request;
+  value.attempt = 1;
+  value.offset = offset;
+  value.text = std::move(text);
+  return value;
+}
+
+started StartedOf(request_id request) {
+  started value;
+  value.request = request;
+  return value;
+}
+
+TEST_CASE("two processes prove who they are") {
+  peer_fixture peers;
+
+  SUBCASE("with the same key") {
+    peers.BringUp();
+    CHECK(peers.entry.up->peer().role == "agent");
+    CHECK(peers.entry.up->peer().name == "a1");
+    CHECK(peers.entry.up->peer().data_centre == "north");
+    CHECK(peers.entry.up->peer().incarnation == 11);
+    CHECK(peers.agent.up->peer().name == "e1");
+    CHECK(peers.agent.up->peer().incarnation == 22);
+    CHECK(peers.client->connection() == peers.entry.up);
+  }
+
+  SUBCASE("with different keys neither side comes up, until the agent knows both") {
+    peers.entry_keys = RingOf(kOtherKey);
+    peers.client = peers.Connect(peers.entry.Handlers());
+    int turns = 0;
+    const auto count = peers.timers.Every(milliseconds(1), [&](instant) { ++turns; });
+    REQUIRE(peers.Until([&] { return turns > 50; }));
+    CHECK(peers.entry.ups == 0);
+    CHECK(peers.agent.ups == 0);
+    CHECK(peers.client->connection() == nullptr);
+
+    // Rotation: the agent learns the new key, then signs with it.
+    peers.agent_keys = RingOf(kOneKey + "\n" + kOtherKey);
+    peers.entry_keys = RingOf(kOtherKey + "\n" + kOneKey);
+    REQUIRE(peers.Until([&] { return peers.entry.ups == 1; }));
+  }
+
+  SUBCASE("without any key nobody comes up") {
+    peers.agent_keys = key_ring();
+    peers.entry_keys = key_ring();
+    peers.client = peers.Connect(peers.entry.Handlers());
+    int turns = 0;
+    const auto count = peers.timers.Every(milliseconds(1), [&](instant) { ++turns; });
+    REQUIRE(peers.Until([&] { return turns > 50; }));
+    CHECK(peers.entry.ups + peers.agent.ups == 0);
+  }
+}
+
+TEST_CASE("a key file") {
+  const key_file file("# current\n" + kOneKey + "\n\n" + kOtherKey + "\n");
+  key_ring ring;
+  std::string error;
+  REQUIRE(ring.Load(file.path(), error));
+  const std::vector<std::uint8_t> text = {1, 2, 3};
+  const auto proof = ring.Sign(text);
+
+  SUBCASE("each key verifies, the first signs") {
+    CHECK(RingOf(kOneKey).Verify(text, proof));
+    CHECK_FALSE(RingOf(kOtherKey).Verify(text, proof));
+    CHECK(ring.Verify(text, RingOf(kOtherKey).Sign(text)));
+    CHECK_FALSE(ring.Verify(std::vector<std::uint8_t>{1, 2, 4}, proof));
+    CHECK_FALSE(ring.Verify(text, {}));
+  }
+
+  SUBCASE("with a fault leaves the old keys, and the fault shows no key") {
+    file.Write(kOtherKey + "\n" + kOneKey + "c\n");
+    CHECK_FALSE(ring.Load(file.path(), error));
+    CHECK(error.find(":2:") != std::string::npos);
+    CHECK(error.find("aaaa") == std::string::npos);
+    CHECK(ring.Sign(text) == proof);
+    CHECK_FALSE(ring.Load("/nowhere", error));
+    CHECK_FALSE(ring.empty());
+  }
+}
+
+TEST_CASE("messages go both ways") {
+  peer_fixture peers;
+  peers.BringUp();
+  constexpr std::uint64_t kRequests = 100;
+  constexpr std::uint64_t kPieces = 20;
+
+  SUBCASE("on many streams at once, each in its own order") {
+    for (std::uint64_t number = 1; number <= kRequests; ++number) {
+      peers.entry.up->Send(StartedOf({22, number}));
+    }
+    REQUIRE(peers.Until([&] { return peers.agent.received.size() == kRequests; }));
+    for (std::uint64_t offset = 0; offset < kPieces; ++offset) {
+      for (std::uint64_t number = 1; number <= kRequests; ++number) {
+        peers.agent.up->Send(PieceOf({22, number}, offset, "text"));
+      }
+    }
+    REQUIRE(peers.Until([&] { return peers.entry.received.size() == kRequests * kPieces; }));
+    std::vector<std::uint64_t> next(kRequests + 1, 0);
+    for (const message& value : peers.entry.received) {
+      const auto& part = std::get<piece>(value);
+      CHECK(part.offset == next.at(part.request.counter)++);
+    }
+  }
+
+  SUBCASE("a message larger than windows and frames arrives whole") {
+    const std::string text(3U << 20U, 'x');
+    peers.entry.up->Send(StartedOf({22, 1}));
+    REQUIRE(peers.Until([&] { return peers.agent.received.size() == 1; }));
+    peers.agent.up->Send(PieceOf({22, 1}, 0, text));
+    REQUIRE(peers.Until([&] { return peers.entry.received.size() == 1; }));
+    CHECK(std::get<piece>(peers.entry.received.front()).text == text);
+  }
+
+  SUBCASE("after Finish from either side, messages of the request still arrive") {
+    peers.entry.up->Send(StartedOf({22, 1}));
+    REQUIRE(peers.Until([&] { return peers.agent.received.size() == 1; }));
+    SUBCASE("the entry finishes") { peers.entry.up->Finish({22, 1}); }
+    SUBCASE("the agent finishes") { peers.agent.up->Finish({22, 1}); }
+    peers.entry.up->Send(heartbeat());
+    REQUIRE(peers.Until([&] { return peers.agent.received.size() == 2; }));
+    peers.agent.up->Send(PieceOf({22, 1}, 0, "late"));
+    peers.entry.up->Send(StartedOf({22, 1}));
+    REQUIRE(peers.Until(
+        [&] { return peers.entry.received.size() == 1 && peers.agent.received.size() == 3; }));
+    CHECK(std::get<piece>(peers.entry.received.front()).text == "late");
+  }
+
+  SUBCASE("the agent speaks first of a request that it knows from an earlier connection") {
+    peers.agent.up->Send(PieceOf({22, 5}, 3, "resumed"));
+    REQUIRE(peers.Until([&] { return peers.entry.received.size() == 1; }));
+    CHECK(peers.entry.downs.empty());
+  }
+
+  SUBCASE("what was sent before Close still arrives") {
+    peers.agent.up->Send(heartbeat());
+    peers.agent.up->Close("planned");
+    REQUIRE(peers.Until([&] { return peers.entry.downs.size() == 1; }));
+    CHECK(peers.entry.received.size() == 1);
+    CHECK(peers.agent.downs == std::vector<std::string>{"planned"});
+  }
+}
+
+TEST_CASE("a connection ends") {
+  peer_fixture peers;
+  peers.BringUp();
+
+  SUBCASE("and the client connects again") {
+    peers.agent.up->Close("test");
+    REQUIRE(peers.Until([&] { return peers.entry.ups == 2 && peers.agent.ups == 2; }));
+    CHECK(peers.entry.downs.size() == 1);
+    CHECK(peers.agent.downs == std::vector<std::string>{"test"});
+    peers.entry.up->Send(heartbeat());
+    CHECK(peers.Until([&] { return peers.agent.received.size() == 1; }));
+  }
+
+  SUBCASE("and the client connects again to a server that came back on the same port") {
+    const std::string address = peers.address();
+    peers.server.reset();
+    REQUIRE(peers.Until([&] { return peers.entry.downs.size() == 1; }));
+    peers.Listen(address, peers.agent.Handlers());
+    REQUIRE(peers.server != nullptr);
+    CHECK(peers.Until([&] { return peers.entry.ups == 2; }));
+  }
+
+  SUBCASE("by a handler that destroys the client") {
+    recorder second;
+    std::unique_ptr<peer_client> doomed;
+    peer_handlers handlers = second.Handlers();
+    SUBCASE("when it comes up") {
+      handlers.on_up = [&](peer_connection&) { doomed.reset(); };
+    }
+    SUBCASE("at a message") {
+      handlers.on_message = [&](peer_connection&, const message&) { doomed.reset(); };
+    }
+    SUBCASE("when it goes down") {
+      handlers.on_up = [](peer_connection& connection) { connection.Close("own wish"); };
+      handlers.on_down = [&](peer_connection&, const std::string&) { doomed.reset(); };
+    }
+    doomed = peers.Connect(handlers);
+    REQUIRE(peers.Until([&] { return peers.agent.ups == 2 || doomed == nullptr; }));
+    if (doomed != nullptr && peers.agent.up != nullptr) {
+      peers.agent.up->Send(heartbeat());
+    }
+    CHECK(peers.Until([&] { return doomed == nullptr && peers.agent.downs.size() == 1; }));
+  }
+
+  SUBCASE("by a handler that destroys the server") {
+    peers.server->StopAccepting();
+    peers.entry.up->Send(heartbeat());
+    const auto look = peers.timers.Every(milliseconds(1), [&](instant) {
+      if (!peers.agent.received.empty()) {
+        peers.server.reset();
+      }
+    });
+    CHECK(peers.Until([&] { return peers.entry.downs.size() == 1; }));
+    CHECK(peers.agent.downs.empty());
+  }
+
+  SUBCASE("when the other side takes nothing and the queue is over its bound") {
+    // A connection that is up, but whose far end is no longer read.
+    const std::string text(1U << 20U, 'x');
+    peers.entry.up->Send(StartedOf({22, 1}));
+    REQUIRE(peers.Until([&] { return peers.agent.received.size() == 1; }));
+    for (int number = 0; number < 8 && peers.agent.up != nullptr; ++number) {
+      peers.agent.up->Send(PieceOf({22, 1}, static_cast<std::uint64_t>(number), text));
+    }
+    REQUIRE(peers.Until([&] { return peers.agent.downs.size() == 1; }));
+    CHECK(peers.agent.downs.front().find("queue full") != std::string::npos);
+  }
+}
+
+/// Bytes of an HTTP/2 client up to the opened control stream.
+std::string ControlStreamBytes() {
+  const auto literal = [](const std::string& name, const std::string& value) {
+    return std::string(1, '\0') + static_cast<char>(name.size()) + name +
+           static_cast<char>(value.size()) + value;
+  };
+  const std::string fields = literal(":method", "POST") + literal(":scheme", "http") +
+                             literal(":authority", "a") +
+                             literal(":path", "/jacinthspool/v1/control");
+  const std::string settings("\0\0\0\4\0\0\0\0\0", 9);
+  std::string headers("\0\0\0\1\4\0\0\0\1", 9);
+  headers[2] = static_cast<char>(fields.size());
+  return "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + settings + headers + fields;
+}
+
+std::string DataFrame(const std::string& payload) {
+  std::string frame("\0\0\0\0\0\0\0\0\1", 9);
+  frame[1] = static_cast<char>(payload.size() >> 8U);
+  frame[2] = static_cast<char>(payload.size() & 0xFFU);
+  return frame + payload;
+}
+
+std::string Framed(const message& value) {
+  std::string text;
+  AppendEnvelope(text, Encode(value));
+  return text;
+}
+
+TEST_CASE("bad bytes close their own connection only") {
+  peer_fixture peers;
+  peers.BringUp();
+  std::string bytes;
+
+  SUBCASE("no HTTP/2 at all") { bytes = "GET / HTTP/1.1\r\n\r\n"; }
+  SUBCASE("another path") {
+    bytes = ControlStreamBytes();
+    bytes[bytes.size() - 1] = 'x';
+  }
+  SUBCASE("an envelope that does not verify") {
+    bytes = ControlStreamBytes() + DataFrame(std::string("\0\0\0\x10garbage garbage!", 20));
+  }
+  SUBCASE("an empty envelope") { bytes = ControlStreamBytes() + DataFrame(std::string(4, '\0')); }
+  SUBCASE("a length over the limit") {
+    bytes = ControlStreamBytes() + DataFrame("\x7F\xFF\xFF\xFF");
+  }
+  SUBCASE("a message before the handshake") {
+    bytes = ControlStreamBytes() + DataFrame(Framed(heartbeat()));
+  }
+  SUBCASE("a hello without a proof") {
+    hello greeting;
+    greeting.role = "entry";
+    greeting.name = "e9";
+    greeting.nonce.assign(32, 1);
+    bytes = ControlStreamBytes() + DataFrame(Framed(greeting));
+  }
+
+  const raw_socket stranger = raw_socket::Connect(peers.server->port());
+  stranger.Write(bytes);
+  std::string answer;
+  CHECK(peers.Until([&] { return !stranger.Read(answer); }));
+  CHECK(peers.agent.ups == 1);
+  CHECK(peers.agent.downs.empty());
+  peers.entry.up->Send(heartbeat());
+  CHECK(peers.Until([&] { return peers.agent.received.size() == 1; }));
+}
+
+TEST_CASE("messages in a wrong place from a proved peer") {
+  peer_fixture peers;
+  peers.BringUp();
+
+  SUBCASE("a second hello closes the connection") { peers.entry.up->Send(hello()); }
+  SUBCASE("a message over 16 MiB closes the connection") {
+    peers.entry.up->Send(PieceOf({22, 1}, 0, std::string(kMaxEnvelopeBytes, 'x')));
+  }
+  CHECK(peers.Until([&] { return peers.agent.downs.size() == 1; }));
+  CHECK(peers.agent.received.empty());
+}
+
+TEST_CASE("the agents' port is held by one process alone") {
+  peer_fixture peers;
+  const std::string address = peers.address();
+  recorder second;
+  std::string error;
+  const auto other = peer_server::Listen({.loop = peers.loop,
+                                          .timers = peers.timers,
+                                          .keys = peers.agent_keys,
+                                          .address = address,
+                                          .identity = {"agent", "a2", "north", 12},
+                                          .handlers = second.Handlers()},
+                                         error);
+  CHECK(other == nullptr);
+  CHECK(error.find(address) != std::string::npos);
+}
+
+TEST_CASE("a silent connection does not hold up others") {
+  peer_fixture peers;
+  const raw_socket silent = raw_socket::Connect(peers.server->port());
+  peers.BringUp();
+  std::string answer;
+  // The handshake's timeout ends it.
+  CHECK(peers.Until([&] { return !silent.Read(answer); }));
+  CHECK(peers.agent.downs.empty());
+}
+
+}  // namespace
+}  // namespace jacinthspool
