--- a/src/transport/caller_watch.cc
+++ b/src/transport/caller_watch.cc
@@ -3,6 +3,7 @@
 #include <event2/event.h>
 #include <poll.h>
 
+#include <cstdint>
 #include <utility>
 
 #include "src/transport/event_time.h"
@@ -56,7 +57,7 @@
     }
   }
 
-  static void Wake(evutil_socket_t /*unused*/, short /*unused*/, void* context) {
+  static void Wake(evutil_socket_t /*unused*/, std::int16_t /*unused*/, void* context) {
     static_cast<state*>(context)->Look();
   }
 };
--- a/src/transport/event_loop.cc
+++ b/src/transport/event_loop.cc
@@ -4,6 +4,7 @@
 #include <event2/util.h>
 
 #include <csignal>
+#include <cstdint>
 #include <utility>
 #include <vector>
 
@@ -31,7 +32,7 @@
   std::vector<std::function<void()>> posted;
   std::vector<std::unique_ptr<signal_subscription>> signals;
 
-  static void RunPosted(evutil_socket_t /*unused*/, short /*unused*/, void* context) {
+  static void RunPosted(evutil_socket_t /*unused*/, std::int16_t /*unused*/, void* context) {
     auto* self = static_cast<state*>(context);
     // What these actions post belongs to the next turn.
     std::vector<std::function<void()>> actions = std::exchange(self->posted, {});
@@ -40,7 +41,7 @@
     }
   }
 
-  static void RunSignal(evutil_socket_t /*unused*/, short /*unused*/, void* context) {
+  static void RunSignal(evutil_socket_t /*unused*/, std::int16_t /*unused*/, void* context) {
     static_cast<signal_subscription*>(context)->action();
   }
 };
--- a/src/transport/evhttp_exchange.cc
+++ b/src/transport/evhttp_exchange.cc
@@ -7,6 +7,7 @@
 #include <strings.h>
 #include <sys/queue.h>
 
+#include <cstdint>
 #include <utility>
 
 #include "src/transport/evhttp_handles.h"
@@ -36,7 +37,7 @@
   return buffer;
 }
 
-void FreeConnection(bufferevent* /*unused*/, short /*unused*/, void* connection) {
+void FreeConnection(bufferevent* /*unused*/, std::int16_t /*unused*/, void* connection) {
   evhttp_connection_free(static_cast<evhttp_connection*>(connection));
 }
 
--- a/src/transport/http2_session.cc
+++ b/src/transport/http2_session.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cstring>
 #include <string_view>
 #include <utility>
 
@@ -129,7 +128,7 @@
     }
     outgoing_stream& out = found->second;
     const std::size_t count = std::min(length, out.queue.size() - out.sent);
-    std::memcpy(target, out.queue.data() + out.sent, count);
+    std::copy_n(out.queue.data() + out.sent, count, target);
     out.sent += count;
     self.queued_ -= count;
     if (out.sent == out.queue.size()) {
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -59,10 +59,6 @@
   return answer->chunked != 0 || evhttp_find_header(fields, "Content-Length") != nullptr;
 }
 
-}  // namespace
-
-namespace {
-
 /// \brief One request from Fetch until its answer was handed over.
 struct running_call : std::enable_shared_from_this<running_call> {
   event_loop& loop;
@@ -214,7 +210,7 @@
 
 class owned_call : public http_call {
  public:
-  explicit owned_call(std::shared_ptr<running_call> call) : call_(std::move(call)) {}
+  explicit owned_call(const std::shared_ptr<running_call>& call) : call_(call) {}
   ~owned_call() override { owned_call::Cancel(); }
   owned_call(const owned_call&) = delete;
   owned_call& operator=(const owned_call&) = delete;
@@ -262,7 +258,7 @@
   };
   state_->calls.insert(call);
   call->Begin(state_->pool);
-  return std::make_unique<owned_call>(std::move(call));
+  return std::make_unique<owned_call>(call);
 }
 
 }  // namespace jacinthspool
--- a/src/transport/tcp_stream.cc
+++ b/src/transport/tcp_stream.cc
@@ -135,11 +135,11 @@
     }
   }
 
-  static void OnReadable(evutil_socket_t /*unused*/, short /*unused*/, void* context) {
+  static void OnReadable(evutil_socket_t /*unused*/, std::int16_t /*unused*/, void* context) {
     static_cast<state*>(context)->Read();
   }
 
-  static void OnWritable(evutil_socket_t /*unused*/, short /*unused*/, void* context) {
+  static void OnWritable(evutil_socket_t /*unused*/, std::int16_t /*unused*/, void* context) {
     auto* self = static_cast<state*>(context);
     if (self->connecting) {
       self->FinishConnect();
@@ -172,7 +172,7 @@
     return;
   }
   state_->Watch(descriptor);
-  connect(descriptor, target.get(), static_cast<socklen_t>(target.length));
+  (void)connect(descriptor, target.get(), static_cast<socklen_t>(target.length));
   // Also a connect that failed at once makes the socket writable.
   event_add(state_->writable, nullptr);
 }
--- a/src/transport/timer_service.cc
+++ b/src/transport/timer_service.cc
@@ -2,6 +2,7 @@
 
 #include <event2/event.h>
 
+#include <cstdint>
 #include <utility>
 
 #include "src/transport/event_time.h"
@@ -17,7 +18,7 @@
 
   ~state() { event_free(source); }
 
-  static void Fire(evutil_socket_t /*unused*/, short /*unused*/, void* context) {
+  static void Fire(evutil_socket_t /*unused*/, std::int16_t /*unused*/, void* context) {
     auto* self = static_cast<state*>(context);
     const auto action = self->action;
     self->active = self->repeats;
