Mend the abort of a stream, stale kept connections and test frozen peers

Cause: AbortStream freed a connection later that evhttp might have freed by then; a request on a kept connection that the server had closed failed with its fate unknown (seen in the new test: status 0 on the second request). Change: the pending free learns of an earlier one; a kept connection is examined before it is used again. Ruled out: sending such a request again, since it may have run.

--- a/bench/peer_cost.cc
+++ b/bench/peer_cost.cc
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <cstdio>
+#include <exception>
 #include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -129,7 +130,8 @@
        .address = "127.0.0.1:0",
        .identity = {"agent", "a1", "bench", 1},
        .handlers = {.on_up = {},
-                    .on_message = [](peer_connection& from, message value) { from.Send(value); },
+                    .on_message = [](peer_connection& from,
+                                     const message& value) { from.Send(value); },
                     .on_down = {}}},
       error);
   if (server == nullptr) {
@@ -155,7 +157,7 @@
 }  // namespace
 }  // namespace jacinthspool
 
-int main(int argc, char** argv) {
+int main(int argc, char** argv) try {
   TCLAP::CmdLine line("Measures the cost of a message between an entry and an agent.", ' ', "1");
   TCLAP::ValueArg<std::uint64_t> messages("n", "messages", "messages to send and return", false,
                                           200'000, "COUNT", line);
@@ -170,4 +172,7 @@
                             .in_flight = in_flight.getValue(),
                             .streams = streams.getValue(),
                             .text_bytes = text_bytes.getValue()});
+} catch (const std::exception& failure) {
+  std::cerr << failure.what() << '\n';
+  return 1;
 }
--- a/src/transport/caller_watch.cc
+++ b/src/transport/caller_watch.cc
@@ -1,12 +1,12 @@
 #include "src/transport/caller_watch.h"
 
 #include <event2/event.h>
-#include <poll.h>
 
 #include <cstdint>
 #include <utility>
 
 #include "src/transport/event_time.h"
+#include "src/transport/socket_condition.h"
 
 namespace jacinthspool {
 namespace {
@@ -14,19 +14,6 @@
 /// How often a socket with unread bytes is looked at.
 constexpr microseconds kPollPeriod = milliseconds(200);
 
-enum class socket_condition { kQuiet, kReadable, kGone };
-
-socket_condition Examine(int socket) {
-  pollfd look{.fd = socket, .events = POLLIN | POLLRDHUP, .revents = 0};
-  if (poll(&look, 1, 0) <= 0) {
-    return socket_condition::kQuiet;
-  }
-  if ((look.revents & (POLLERR | POLLHUP | POLLRDHUP | POLLNVAL)) != 0) {
-    return socket_condition::kGone;
-  }
-  return socket_condition::kReadable;
-}
-
 }  // namespace
 
 struct caller_watch::state {
--- a/src/transport/caller_watch.h
+++ b/src/transport/caller_watch.h
@@ -10,7 +10,8 @@
 
 /// \brief Notices that the far end of a socket has gone while nobody reads from it.
 ///
-/// `evhttp` does not read from a connection whose request is being answered.
+/// `evhttp` does not read from a connection whose request is being answered. A
+/// far end that has closed its sending half counts as gone.
 class caller_watch {
  public:
   /// \param on_gone Runs once; it may destroy this watch.
--- a/src/transport/connection_pool.cc
+++ b/src/transport/connection_pool.cc
@@ -1,10 +1,12 @@
 #include "src/transport/connection_pool.h"
 
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 
 #include <utility>
 
 #include "src/transport/socket_address.h"
+#include "src/transport/socket_condition.h"
 
 namespace jacinthspool {
 namespace {
@@ -14,16 +16,24 @@
 constexpr std::size_t kMaxIdlePerAddress = 64;
 constexpr ev_ssize_t kMaxHeaderBytes = 64 << 10;
 
+/// A request on a connection that the server has closed would fail, and
+/// nobody could tell whether it had run.
+bool IsUsable(const evhttp_connection_handle& connection) {
+  const int socket = bufferevent_getfd(evhttp_connection_get_bufferevent(connection.get()));
+  return socket >= 0 && Examine(socket) == socket_condition::kQuiet;
+}
+
 }  // namespace
 
 evhttp_connection_handle connection_pool::Take(const std::string& address) {
   std::vector<idle_connection>& idle = idle_[address];
-  if (!idle.empty() && boot_clock::now() - idle.back().since < kMaxIdle) {
-    evhttp_connection_handle connection = std::move(idle.back().connection);
+  while (!idle.empty()) {
+    const idle_connection candidate = std::move(idle.back());
     idle.pop_back();
-    return connection;
+    if (boot_clock::now() - candidate.since < kMaxIdle && IsUsable(candidate.connection)) {
+      return candidate.connection;
+    }
   }
-  idle.clear();
   socket_address parsed;
   if (!ParseSocketAddress(address, parsed)) {
     idle_.erase(address);
--- a/src/transport/evhttp_exchange.cc
+++ b/src/transport/evhttp_exchange.cc
@@ -37,6 +37,27 @@
   return buffer;
 }
 
+/// A connection to be freed in a later turn, unless evhttp frees it before.
+class closing_connection {
+ public:
+  explicit closing_connection(evhttp_connection* connection) : connection_(connection) {
+    evhttp_connection_set_closecb(connection, &closing_connection::OnClosed, this);
+  }
+
+  void Free() {
+    if (connection_ != nullptr) {
+      evhttp_connection_free(connection_);
+    }
+  }
+
+ private:
+  static void OnClosed(evhttp_connection* /*unused*/, void* context) {
+    static_cast<closing_connection*>(context)->connection_ = nullptr;
+  }
+
+  evhttp_connection* connection_;
+};
+
 void FreeConnection(bufferevent* /*unused*/, std::int16_t /*unused*/, void* connection) {
   evhttp_connection_free(static_cast<evhttp_connection*>(connection));
 }
@@ -137,10 +158,10 @@
   if (request_ == nullptr) {
     return;
   }
-  evhttp_connection* connection = connection_;
   Detach();
   // The caller of this function may stand inside a callback of the connection.
-  loop_.Post([connection] { evhttp_connection_free(connection); });
+  auto closing = std::make_shared<closing_connection>(connection_);
+  loop_.Post([closing] { closing->Free(); });
 }
 
 void evhttp_exchange::OnCallerGone(std::function<void()> action) { on_gone_ = std::move(action); }
--- a/tests/transport/http_test.cc
+++ b/tests/transport/http_test.cc
@@ -129,6 +129,30 @@
     CHECK(http.exchanges.empty());
   }
 
+  SUBCASE("requests with odd targets, without harm") {
+    for (const std::string line : {"OPTIONS *", "GET //", "GET http://h/x?y", "GET /%zz",
+                                   "CONNECT h:1", "GET", "BREW /pot", "GET \x01\xFF"}) {
+      CAPTURE(line);
+      const raw_socket caller = raw_socket::Connect(http.server->port());
+      caller.Write(line + " HTTP/1.1\r\nHost: h\r\n\r\n");
+      std::string received;
+      CHECK(RunUntil(http.loop, [&] {
+        http.exchanges.clear();
+        return !caller.Read(received) || received.starts_with("HTTP/1.");
+      }));
+    }
+  }
+
+  SUBCASE("and stops while a stream is being aborted") {
+    const auto call = http.Fetch(http.To("GET"));
+    REQUIRE(http.WaitForExchanges(1));
+    http.exchanges.front()->StartStream(200, {});
+    http.exchanges.front()->AbortStream();
+    http.server.reset();
+    REQUIRE(http.WaitForResponse());
+    CHECK(http.response->status == 0);
+  }
+
   SUBCASE("500 when the handler drops the exchange") {
     const auto call = http.Fetch(http.To("GET"));
     REQUIRE(http.WaitForExchanges(1));
@@ -289,6 +313,14 @@
     CHECK(response->never_sent);
   }
 
+  SUBCASE("the kernel refuses the address at once") {
+    request.address = "255.255.255.255:1";
+    const auto call = client->Fetch(request, callbacks);
+    REQUIRE(RunUntil(loop, answered));
+    CHECK(response->status == 0);
+    CHECK(response->never_sent);
+  }
+
   SUBCASE("the address is not one") {
     request.address = "somewhere";
     const auto call = client->Fetch(request, callbacks);
@@ -299,7 +331,7 @@
   SUBCASE("the client may be destroyed inside a callback") {
     const auto call =
         client->Fetch(request, {.on_chunk = [&](int, std::string_view) { client.reset(); },
-                                .on_done = [&](http_response) { FAIL("was cancelled"); }});
+                                .on_done = [&](const http_response&) { FAIL("was cancelled"); }});
     const raw_socket server = listener.Accept();
     server.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
     REQUIRE(RunUntil(loop, [&] { return client == nullptr; }));
@@ -308,6 +340,25 @@
   }
 }
 
+TEST_CASE("a client replaces a kept connection that the server has closed") {
+  http_fixture http;
+  const std::string address = "127.0.0.1:" + std::to_string(http.server->port());
+  for (std::size_t number = 1; number <= 2; ++number) {
+    const auto call = http.Fetch(http.To("GET"));
+    REQUIRE(http.WaitForExchanges(number));
+    http.exchanges.back()->Reply(200, {}, "x");
+    REQUIRE(http.WaitForResponse());
+    CHECK(http.response->status == 200);
+    http.server.reset();
+    http.server = http_server::Listen(
+        {.loop = http.loop,
+         .address = address,
+         .on_request = [&](auto exchange) { http.exchanges.push_back(std::move(exchange)); }},
+        http.error);
+    REQUIRE(http.server != nullptr);
+  }
+}
+
 TEST_CASE("a client keeps connections for reuse") {
   http_fixture http;
   for (std::size_t number = 1; number <= 2; ++number) {
--- a/tests/transport/peer_test.cc
+++ b/tests/transport/peer_test.cc
@@ -1,6 +1,7 @@
 #include "src/transport/peer.h"
 
 #include <doctest/doctest.h>
+#include <event2/event.h>
 #include <unistd.h>
 
 #include <cstdio>
@@ -320,18 +321,47 @@
     CHECK(peers.Until([&] { return peers.entry.downs.size() == 1; }));
     CHECK(peers.agent.downs.empty());
   }
+}
 
-  SUBCASE("when the other side takes nothing and the queue is over its bound") {
-    // A connection that is up, but whose far end is no longer read.
-    const std::string text(1U << 20U, 'x');
-    peers.entry.up->Send(StartedOf({22, 1}));
-    REQUIRE(peers.Until([&] { return peers.agent.received.size() == 1; }));
-    for (int number = 0; number < 8 && peers.agent.up != nullptr; ++number) {
-      peers.agent.up->Send(PieceOf({22, 1}, static_cast<std::uint64_t>(number), text));
-    }
-    REQUIRE(peers.Until([&] { return peers.agent.downs.size() == 1; }));
-    CHECK(peers.agent.downs.front().find("queue full") != std::string::npos);
+TEST_CASE("a frozen peer does not hold up others") {
+  peer_fixture peers;
+  peers.BringUp();
+  // The frozen entry has a loop of its own, which stands still once it is up.
+  event_loop frozen_loop;
+  timer_service frozen_timers(frozen_loop);
+  recorder frozen;
+  const peer_client frozen_client({.loop = frozen_loop,
+                                   .timers = frozen_timers,
+                                   .keys = peers.entry_keys,
+                                   .address = peers.address(),
+                                   .identity = {"entry", "e2", "south", 23},
+                                   .handlers = frozen.Handlers()});
+  REQUIRE(peers.Until([&] {
+    event_base_loop(frozen_loop.base(), EVLOOP_NONBLOCK);
+    return frozen.up != nullptr && peers.agent.ups == 2;
+  }));
+  peer_connection& to_frozen = *peers.agent.up;
+  REQUIRE(to_frozen.peer().name == "e2");
+  constexpr std::size_t kPieceBytes = 1U << 20U;
+  const std::string text(kPieceBytes, 'x');
+
+  // Much is on its way to the frozen entry; the other one is served.
+  for (std::uint64_t offset = 0; offset < 3; ++offset) {
+    to_frozen.Send(PieceOf({23, 1}, offset, text));
   }
+  peers.entry.up->Send(heartbeat());
+  REQUIRE(peers.Until([&] { return peers.agent.received.size() == 1; }));
+
+  // Over the bound, the frozen connection is closed, and only that.
+  std::uint64_t offset = 3;
+  REQUIRE(peers.Until([&] {
+    if (peers.agent.downs.empty()) {
+      to_frozen.Send(PieceOf({23, 1}, offset++, text));
+    }
+    return !peers.agent.downs.empty();
+  }));
+  CHECK(peers.agent.downs.front().find("queue full") != std::string::npos);
+  CHECK(peers.entry.downs.empty());
 }
 
 /// Bytes of an HTTP/2 client up to the opened control stream.
--- a/tests/transport/raw_socket.h
+++ b/tests/transport/raw_socket.h
@@ -39,8 +39,8 @@
     socket_address bound;
     ParseSocketAddress("127.0.0.1:0", bound);
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    bind(descriptor, bound.get(), static_cast<socklen_t>(bound.length));
-    listen(descriptor, 8);
+    (void)bind(descriptor, bound.get(), static_cast<socklen_t>(bound.length));
+    (void)listen(descriptor, 8);
     return raw_socket(descriptor);
   }
 
