Add the agent's coordination parts and agent_core

Cause: the agent decides over its backend server; the library had only the interface. Ruled out: one list of grants ordered by time for all teams, since one team's backlog would then stand before the other's; forgetting ended runs without a trace, since a late seal would then be told "not run" wrongly. Change: grant_table, run_ledger, memory_ledger, lease_clock, fair_share, prefill_queue, seat_plan, prefix_view and drain, one header each; agent_core over them in src/coordination/agent_*.cc. Additions to agent_core.h: the start of the incarnation on both clocks, clock_skew, unacknowledged().

--- a/include/jacinthspool/forward.h
+++ b/include/jacinthspool/forward.h
@@ -6,11 +6,32 @@
 
 namespace jacinthspool {
 
-struct attempt_id;
 struct boot_clock;
+
+struct attempt_hash;
+struct attempt_id;
 struct grant_id;
 struct request_id;
 
+struct decision;
+struct decision_candidate;
+
+class agent_core;
+class drain;
+class fair_share;
+class grant_table;
+class lease_clock;
+class memory_ledger;
+class prefill_queue;
+class prefix_view;
+class run_ledger;
+struct agent_policy;
+struct predicted_release;
+struct prefill_job;
+struct run_key;
+struct seat_room;
+struct waiting_seat;
+
 }  // namespace jacinthspool
 
 #endif  // JACINTHSPOOL_FORWARD_H_
--- a/include/jacinthspool/impl/agent_core.h
+++ b/include/jacinthspool/impl/agent_core.h
@@ -1,6 +1,7 @@
 #ifndef JACINTHSPOOL_IMPL_AGENT_CORE_H_
 #define JACINTHSPOOL_IMPL_AGENT_CORE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -11,6 +12,7 @@
 #include "jacinthspool/impl/decision.h"
 #include "jacinthspool/impl/ids.h"
 #include "jacinthspool/impl/messages.h"
+#include "jacinthspool/impl/run_ledger.h"
 #include "jacinthspool/impl/time.h"
 
 namespace jacinthspool {
@@ -36,13 +38,14 @@
     std::string team;
     std::uint32_t percent = 100;
   };
-  std::vector<team_share> shares;  ///< Teams that may use the pool; all others are refused.
+  microseconds clock_skew = seconds(5);  ///< Between the wall clocks of the fleet, for keys.
+  std::vector<team_share> shares;        ///< Teams that may use the pool; all others are refused.
 };
 
 /// \brief An entry's connection is up; its lease runs from now.
 struct entry_up {
   incarnation_id entry = 0;
-  std::string name;
+  std::string name = {};
 };
 /// \brief An entry's connection has ended; its lease runs on.
 struct entry_down {
@@ -54,25 +57,25 @@
 };
 struct engine_prefilled {
   attempt_id id;
-  kv_handle kv;
+  kv_handle kv = {};
   std::uint32_t prompt_tokens = 0;
   std::uint32_t cached_tokens = 0;
 };
 /// \brief The next piece of text of an attempt; the core counts the offsets.
 struct engine_piece {
   attempt_id id;
-  std::string text;
+  std::string text = {};
 };
 struct engine_finished {
   attempt_id id;
-  std::string finish_reason;
+  std::string finish_reason = {};
   std::uint32_t prompt_tokens = 0;
   std::uint32_t completion_tokens = 0;
 };
 struct engine_failed {
   attempt_id id;
   run_state ran = run_state::kUnknown;
-  std::string detail;
+  std::string detail = {};
 };
 /// \brief The engine confirms that it holds nothing of the attempt.
 struct engine_released {
@@ -81,8 +84,8 @@
 struct service_answered {
   attempt_id id;
   std::uint16_t status = 0;
-  std::vector<header_field> headers;
-  std::vector<std::uint8_t> body;
+  std::vector<header_field> headers = {};
+  std::vector<std::uint8_t> body = {};
 };
 /// \brief The backend server's own, lagging report.
 struct backend_report {
@@ -110,11 +113,11 @@
 };
 struct order_prefill {
   attempt_id id;
-  std::string engine_request;
+  std::string engine_request = {};
 };
 struct order_decode {
   attempt_id id;
-  std::string engine_request;
+  std::string engine_request = {};
   kv_handle kv;
   microseconds transfer_timeout{};
 };
@@ -150,6 +153,9 @@
     incarnation_id incarnation = 0;
     std::string backend;
     agent_policy policy;
+    std::optional<instant> started =
+        {};                    ///< Start of this incarnation; by default the first event.
+    wall_time started_wall{};  ///< The same moment on the wall clock.
   };
 
   explicit agent_core(options settings);
@@ -169,6 +175,9 @@
   /// \returns true when nothing is granted, queued, running or unconfirmed.
   [[nodiscard]] bool idle() const;
 
+  /// \returns Number of answers that are kept because their entry has not confirmed them.
+  [[nodiscard]] std::size_t unacknowledged() const;
+
  private:
   struct state;
   std::unique_ptr<state> state_;
--- a/include/jacinthspool/jacinthspool.h
+++ b/include/jacinthspool/jacinthspool.h
@@ -5,8 +5,20 @@
 /// \brief Includes the whole coordination library.
 
 #include "jacinthspool/forward.h"
+#include "jacinthspool/impl/agent_core.h"
+#include "jacinthspool/impl/attempt_hash.h"
+#include "jacinthspool/impl/decision.h"
+#include "jacinthspool/impl/drain.h"
+#include "jacinthspool/impl/fair_share.h"
+#include "jacinthspool/impl/grant_table.h"
 #include "jacinthspool/impl/ids.h"
+#include "jacinthspool/impl/lease_clock.h"
+#include "jacinthspool/impl/memory_ledger.h"
 #include "jacinthspool/impl/messages.h"
+#include "jacinthspool/impl/prefill_queue.h"
+#include "jacinthspool/impl/prefix_view.h"
+#include "jacinthspool/impl/run_ledger.h"
+#include "jacinthspool/impl/seat_plan.h"
 #include "jacinthspool/impl/time.h"
 
 #endif  // JACINTHSPOOL_JACINTHSPOOL_H_
--- /dev/null
+++ b/src/coordination/agent_lifecycle.cc
@@ -0,0 +1,253 @@
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "src/coordination/agent_state.h"
+
+/// \file
+/// \brief Expiry, cancelling and forgetting of attempts.
+
+namespace jacinthspool {
+namespace {
+
+constexpr double kPercent = 100.0;
+
+}  // namespace
+
+void agent_core::state::On(const policy_changed& event) {
+  policy = event.policy;
+  ApplyPolicy();
+  changed = true;
+}
+
+void agent_core::state::On(const leaving_changed& event) {
+  if (leaving == event.leaving) {
+    return;
+  }
+  leaving = event.leaving;
+  LogDecision("leaving", {}, "", leaving ? "takes no new work" : "takes new work", "");
+}
+
+void agent_core::state::On(const time_passed& /*event*/) {}
+
+void agent_core::state::ApplyPolicy() {
+  memory.set_total(policy.pieces);
+  leases.set_lease(policy.lease);
+  prefills.set_capacity(policy.max_queued);
+  ledger.set_retention(policy.key_retained);
+  prefills.shares().ClearWeights();
+  seat_shares.ClearWeights();
+  for (const agent_policy::team_share& share : policy.shares) {
+    prefills.shares().SetWeight(share.team, share.percent / kPercent);
+    seat_shares.SetWeight(share.team, share.percent / kPercent);
+  }
+}
+
+void agent_core::state::Expire() {
+  ledger.Expire(now);
+  for (const incarnation_id entry : leases.Expire(now)) {
+    LoseLease(entry);
+  }
+  for (const attempt_id& id : grants.Expire(now)) {
+    if (agent_attempt* const attempt = Find(id)) {
+      LogDecision("expired", id, attempt->terms.team, "drop", "the grant was not used in time");
+      LeaveQueues(*attempt);
+      Erase(id);
+    }
+  }
+  while (!timeouts.empty() && timeouts.begin()->first <= now) {
+    agent_attempt& attempt = attempts.at(timeouts.begin()->second);
+    SetDue(attempt, std::nullopt);
+    ExpireDue(attempt);
+  }
+}
+
+void agent_core::state::ExpireDue(agent_attempt& attempt) {
+  switch (attempt.stage) {
+    case attempt_stage::kQueued: {
+      const bool decode = policy.kind == work_kind::kDecode;
+      WithdrawQueued(attempt, decode ? "the KV cache expired before its room was free"
+                                     : "the deadline passed in the queue");
+      return;
+    }
+    case attempt_stage::kReleasing:
+      StartRelease(attempt);
+      return;
+    case attempt_stage::kEnded:
+      Erase(attempt.id);
+      return;
+    case attempt_stage::kGranted:
+    case attempt_stage::kRunning:
+      return;
+  }
+}
+
+void agent_core::state::LoseLease(incarnation_id entry) {
+  connected.erase(entry);
+  const auto position = owned.find(entry);
+  if (position == owned.end()) {
+    return;
+  }
+  const attempt_set lost = position->second;
+  for (const attempt_id& id : lost) {
+    agent_attempt& attempt = attempts.at(id);
+    LogDecision("lease_lost", id, attempt.terms.team, "cancel", "the entry has been silent");
+    attempt.acknowledged = true;
+    Stop(attempt);
+  }
+}
+
+void agent_core::state::Stop(agent_attempt& attempt) {
+  const attempt_id id = attempt.id;
+  switch (attempt.stage) {
+    case attempt_stage::kGranted:
+      DropGrant(attempt, refusal_reason::kSealed);
+      break;
+    case attempt_stage::kQueued:
+      ledger.Withdraw(now, id);
+      LeaveQueues(attempt);
+      break;
+    case attempt_stage::kRunning:
+      attempt.ended = run_state::kUnknown;
+      attempt.closing.reset();
+      StartRelease(attempt);
+      return;
+    case attempt_stage::kReleasing:
+      return;
+    case attempt_stage::kEnded:
+      if (policy.kind == work_kind::kPrefill && attempt.kv_expires != instant::max() &&
+          attempt.kv_expires > now) {
+        StartRelease(attempt);
+        return;
+      }
+      break;
+  }
+  if (agent_attempt* const left = Find(id)) {
+    if (left->cancel_asked) {
+      Send(left->owner, MakeCancelled(id));
+    }
+    Erase(id);
+  }
+}
+
+void agent_core::state::WithdrawQueued(agent_attempt& attempt, const std::string& why) {
+  const attempt_id id = attempt.id;
+  ledger.Withdraw(now, id);
+  LeaveQueues(attempt);
+  Send(attempt.owner, MakeFailed(id, run_state::kNotRun, why, RetryAfterFull()));
+  LogDecision("withdraw", id, attempt.terms.team, "", why);
+  Erase(id);
+}
+
+void agent_core::state::WithdrawAllQueued(const std::string& why) {
+  std::vector<attempt_id> queued;
+  for (const auto& [id, attempt] : attempts) {
+    if (attempt.stage == attempt_stage::kQueued) {
+      queued.push_back(id);
+    }
+  }
+  std::sort(queued.begin(), queued.end());
+  for (const attempt_id& id : queued) {
+    WithdrawQueued(attempts.at(id), why);
+  }
+}
+
+void agent_core::state::StartRelease(agent_attempt& attempt) {
+  attempt.stage = attempt_stage::kReleasing;
+  running.insert(attempt.id);
+  memory.StartRelease(attempt.id);
+  SetDue(attempt, now + policy.cancel_repeat);
+  effects.emplace_back(order_release{.id = attempt.id});
+}
+
+void agent_core::state::Released(agent_attempt& attempt) {
+  const attempt_id id = attempt.id;
+  ledger.End(now, id, attempt.ended);
+  memory.Confirm(id);
+  running.erase(id);
+  changed = true;
+  if (attempt.cancel_asked) {
+    Send(attempt.owner, MakeCancelled(id));
+    Erase(id);
+    return;
+  }
+  if (attempt.acknowledged || !attempt.closing) {
+    Erase(id);
+    return;
+  }
+  attempt.stage = attempt_stage::kEnded;
+  SetDue(attempt, now + policy.answer_retained);
+}
+
+void agent_core::state::DropGrant(agent_attempt& attempt, refusal_reason reason) {
+  const attempt_id id = attempt.id;
+  const bool cancel_asked = attempt.cancel_asked;
+  const incarnation_id owner = attempt.owner;
+  grants.Drop(id);
+  ledger.Seal(now, id, reason);
+  LeaveQueues(attempt);
+  Erase(id);
+  if (cancel_asked) {
+    Send(owner, MakeCancelled(id));
+  }
+}
+
+void agent_core::state::LeaveQueues(const agent_attempt& attempt) {
+  if (seats.contains({attempt.virtual_start, attempt.id})) {
+    seat_shares.Refund(attempt.terms.team, SeatWork(attempt.terms, attempt.run_for));
+  }
+  RemoveSeat(attempt);
+  prefills.Remove(attempt.id);
+  memory.Withdraw(attempt.id);
+  changed = true;
+}
+
+void agent_core::state::Own(agent_attempt& attempt, incarnation_id entry) {
+  if (attempt.owner == entry) {
+    owned[entry].insert(attempt.id);
+    return;
+  }
+  const auto earlier = owned.find(attempt.owner);
+  if (earlier != owned.end()) {
+    earlier->second.erase(attempt.id);
+    if (earlier->second.empty()) {
+      owned.erase(earlier);
+    }
+  }
+  attempt.owner = entry;
+  owned[entry].insert(attempt.id);
+}
+
+void agent_core::state::SetDue(agent_attempt& attempt, std::optional<instant> at) {
+  if (attempt.due) {
+    timeouts.erase({*attempt.due, attempt.id});
+  }
+  attempt.due = at;
+  if (at) {
+    timeouts.emplace(*at, attempt.id);
+  }
+}
+
+agent_attempt* agent_core::state::Find(attempt_id id) {
+  const auto position = attempts.find(id);
+  return position == attempts.end() ? nullptr : &position->second;
+}
+
+void agent_core::state::Erase(attempt_id id) {
+  const auto position = attempts.find(id);
+  if (position == attempts.end()) {
+    return;
+  }
+  agent_attempt& attempt = position->second;
+  SetDue(attempt, std::nullopt);
+  const auto mine = owned.find(attempt.owner);
+  if (mine != owned.end()) {
+    mine->second.erase(id);
+    if (mine->second.empty()) {
+      owned.erase(mine);
+    }
+  }
+  attempts.erase(position);
+}
+
+}  // namespace jacinthspool
--- /dev/null
+++ b/src/coordination/agent_state.h
@@ -0,0 +1,182 @@
+#ifndef JACINTHSPOOL_COORDINATION_AGENT_STATE_H_
+#define JACINTHSPOOL_COORDINATION_AGENT_STATE_H_
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+#include "jacinthspool/impl/agent_core.h"
+#include "jacinthspool/impl/attempt_hash.h"
+#include "jacinthspool/impl/fair_share.h"
+#include "jacinthspool/impl/grant_table.h"
+#include "jacinthspool/impl/lease_clock.h"
+#include "jacinthspool/impl/memory_ledger.h"
+#include "jacinthspool/impl/prefill_queue.h"
+#include "jacinthspool/impl/prefix_view.h"
+#include "jacinthspool/impl/run_ledger.h"
+#include "jacinthspool/impl/seat_plan.h"
+#include "src/coordination/agent_attempt.h"
+
+namespace jacinthspool {
+
+/// \brief When work could start, and how long it would take.
+struct agent_quote {
+  microseconds start_in{};
+  microseconds run_for{};
+  std::uint32_t cached_tokens = 0;
+};
+
+/// \brief Why a request is turned down, and when to come back.
+struct agent_refusal {
+  refusal_reason reason = refusal_reason::kNone;
+  microseconds retry_after{};
+};
+
+[[nodiscard]] message MakeStarted(attempt_id id);
+[[nodiscard]] message MakeCancelled(attempt_id id);
+[[nodiscard]] message MakeFailed(attempt_id id, run_state ran, const std::string& detail,
+                                 microseconds retry_after = {});
+
+/// \returns The duration, brought into the range that the agent counts with.
+[[nodiscard]] inline microseconds Bounded(microseconds value) {
+  constexpr microseconds kLongest = std::chrono::hours(24);
+  return std::clamp(value, microseconds::zero(), kLongest);
+}
+
+/// \brief The state behind agent_core; its parts are spread over agent_*.cc.
+struct agent_core::state {
+  explicit state(options initial);
+
+  // agent_core.cc
+  void Advance(instant time);
+  void Take(const agent_event& event);
+  [[nodiscard]] std::optional<instant> NextWakeup() const;
+
+  // agent_messages.cc: what entries send
+  void On(const entry_up& event);
+  void On(const entry_down& event);
+  void On(const entry_message& event);
+  void OnMessage(incarnation_id entry, const grant_request& request);
+  void OnMessage(incarnation_id entry, const grant_release& release);
+  void OnMessage(incarnation_id entry, const start_order& order);
+  void OnMessage(incarnation_id entry, const seat_update& update);
+  void OnMessage(incarnation_id entry, const cancel_order& order);
+  void OnMessage(incarnation_id entry, const seal& request);
+  void OnMessage(incarnation_id entry, const answer_ack& ack);
+  void OnMessage(incarnation_id entry, const resume& request);
+  void Enqueue(agent_attempt& attempt);
+  template <typename Other>
+  void OnMessage(incarnation_id /*entry*/, const Other& /*control*/) {}
+
+  // agent_grants.cc: quotes, grants, refusals
+  [[nodiscard]] agent_quote QuotePrefill(const grant_request& request) const;
+  [[nodiscard]] std::uint32_t PiecesOf(const grant_request& request) const;
+  [[nodiscard]] agent_quote QuoteSeat(const grant_request& request) const;
+  [[nodiscard]] agent_refusal Admission(const grant_request& request) const;
+  [[nodiscard]] agent_refusal PlaceLeft(const grant_request& request) const;
+  [[nodiscard]] agent_refusal InTime(const grant_request& request, const agent_quote& quote) const;
+  [[nodiscard]] microseconds RetryAfterFull() const;
+  void Grant(incarnation_id entry, const grant_request& request, const agent_quote& quote);
+  void Offer(const agent_attempt& attempt, const agent_quote& quote, microseconds lifetime);
+  void Refuse(incarnation_id entry, attempt_id id, const std::string& team,
+              const agent_refusal& refusal);
+  [[nodiscard]] microseconds LifetimeOf(const agent_attempt& attempt,
+                                        const agent_quote& quote) const;
+
+  // agent_dispatch.cc: what goes to the backend server, and when
+  void Dispatch();
+  void DispatchPrefills();
+  void DispatchSeats();
+  void OrderPrefill(agent_attempt& attempt);
+  void OrderSeat(agent_attempt& attempt);
+  void Run(agent_attempt& attempt);
+  void InsertSeat(agent_attempt& attempt);
+  void RemoveSeat(const agent_attempt& attempt);
+  [[nodiscard]] double SeatWork(const grant_request& request, microseconds run_for) const;
+  [[nodiscard]] seat_room RoomNow() const;
+  [[nodiscard]] std::vector<predicted_release> Releases() const;
+  [[nodiscard]] std::vector<waiting_seat> Seats() const;
+  void TellSeats();
+  [[nodiscard]] std::optional<instant> EarliestPrefill(const agent_attempt& attempt) const;
+  [[nodiscard]] microseconds TransferTime(std::uint32_t tokens) const;
+
+  // agent_engine.cc: what the backend server says
+  void On(const engine_prefilled& event);
+  void On(const engine_piece& event);
+  void On(const engine_finished& event);
+  void On(const engine_failed& event);
+  void On(const engine_released& event);
+  void On(const service_answered& event);
+  void On(const backend_report& event);
+  void End(agent_attempt& attempt, run_state how, message closing);
+
+  // agent_lifecycle.cc: expiry, cancelling, forgetting
+  void On(const policy_changed& event);
+  void On(const leaving_changed& event);
+  void On(const time_passed& event);
+  void ApplyPolicy();
+  void WithdrawAllQueued(const std::string& why);
+  void Expire();
+  void ExpireDue(agent_attempt& attempt);
+  void LoseLease(incarnation_id entry);
+  void Stop(agent_attempt& attempt);
+  void WithdrawQueued(agent_attempt& attempt, const std::string& why);
+  void StartRelease(agent_attempt& attempt);
+  void Released(agent_attempt& attempt);
+  void DropGrant(agent_attempt& attempt, refusal_reason reason);
+  void LeaveQueues(const agent_attempt& attempt);
+  void Own(agent_attempt& attempt, incarnation_id entry);
+  void SetDue(agent_attempt& attempt, std::optional<instant> at);
+  void Erase(attempt_id id);
+
+  // agent_answers.cc: what goes to the entries
+  void Send(incarnation_id entry, message body);
+  void SendPiece(const agent_attempt& attempt, std::uint64_t offset);
+  void SendAnswerFrom(const agent_attempt& attempt, std::uint64_t offset);
+  void SendFate(incarnation_id entry, attempt_id id, run_state ran, const std::string& detail);
+  void SendClosing(const agent_attempt& attempt);
+  void LogDecision(const std::string& event, attempt_id id, const std::string& team,
+                   const std::string& choice, const std::string& reason,
+                   const agent_quote& quote = {});
+
+  [[nodiscard]] agent_attempt* Find(attempt_id id);
+  [[nodiscard]] bool Allowed(const std::string& team) const;
+  [[nodiscard]] agent_load Load() const;
+
+  options config;
+  agent_policy policy;
+  instant now;
+  bool begun = false;
+  agent_effects effects;
+
+  grant_table grants;
+  run_ledger ledger;
+  memory_ledger memory;
+  lease_clock leases;
+  prefill_queue prefills;
+  prefix_view prefixes;
+  fair_share seat_shares;
+
+  attempt_map<agent_attempt> attempts;
+  std::unordered_map<incarnation_id, attempt_set> owned;
+  std::unordered_set<incarnation_id> connected;
+  std::set<std::pair<instant, attempt_id>> timeouts;
+
+  attempt_set running;                            ///< Ordered or in release.
+  std::set<std::pair<double, attempt_id>> seats;  ///< Granted or queued, in order of service.
+  std::unordered_map<std::string, std::size_t> seats_of_team;
+  instant engine_free;                        ///< Predicted end of the ordered prefills.
+  microseconds call_time = milliseconds(50);  ///< Average of the service's answers.
+  std::optional<instant> next_replan;
+  bool backend_up = true;
+  bool leaving = false;
+  bool changed = false;  ///< Room or queues have changed.
+};
+
+}  // namespace jacinthspool
+
+#endif  // JACINTHSPOOL_COORDINATION_AGENT_STATE_H_
--- /dev/null
+++ b/tests/coordination/resources_test.cc
@@ -0,0 +1,127 @@
+#include <doctest/doctest.h>
+
+#include "jacinthspool/impl/drain.h"
+#include "jacinthspool/impl/lease_clock.h"
+#include "jacinthspool/impl/memory_ledger.h"
+#include "jacinthspool/impl/prefix_view.h"
+#include "jacinthspool/impl/seat_plan.h"
+
+namespace jacinthspool {
+namespace {
+
+const instant kNow{seconds(100)};
+
+attempt_id Attempt(std::uint64_t counter) {
+  return {.request = {.incarnation = 1, .counter = counter}, .attempt = 1};
+}
+
+TEST_CASE("pieces are free only when the engine has confirmed it") {
+  memory_ledger memory(10);
+  memory.Grant(Attempt(1), 6);
+  CHECK(memory.granted() == 6);
+  CHECK(memory.free() == 10);
+  SUBCASE("a promise is taken back") {
+    memory.Withdraw(Attempt(1));
+    CHECK(memory.granted() == 0);
+  }
+  SUBCASE("a promise is kept") {
+    REQUIRE(memory.Hold(Attempt(1)));
+    CHECK(memory.free() == 4);
+    SUBCASE("and no second one that does not fit") {
+      memory.Grant(Attempt(2), 6);
+      CHECK_FALSE(memory.Hold(Attempt(2)));
+    }
+    SUBCASE("a withdrawal frees nothing that is held") {
+      memory.Withdraw(Attempt(1));
+      CHECK(memory.free() == 4);
+    }
+    SUBCASE("a release counts as held until it is confirmed") {
+      memory.StartRelease(Attempt(1));
+      CHECK(memory.releasing() == 6);
+      CHECK(memory.free() == 4);
+      memory.Confirm(Attempt(1));
+      CHECK(memory.free() == 10);
+      memory.Confirm(Attempt(1));
+      CHECK(memory.free() == 10);
+    }
+    SUBCASE("a smaller total leaves nothing free") {
+      memory.set_total(4);
+      CHECK(memory.free() == 0);
+    }
+  }
+}
+
+TEST_CASE("a process that is silent for its lease is lost") {
+  lease_clock leases(seconds(4));
+  leases.Touch(kNow, 1);
+  leases.Touch(kNow, 2);
+  leases.Touch(kNow + seconds(3), 1);
+  CHECK(leases.Expire(kNow + seconds(4)) == std::vector<incarnation_id>{2});
+  CHECK(leases.Holds(1));
+  SUBCASE("also when the clock has jumped") {
+    CHECK(leases.Expire(kNow + seconds(500)) == std::vector<incarnation_id>{1});
+    CHECK_FALSE(leases.next_check().has_value());
+  }
+  SUBCASE("a shorter lease holds for those that run") {
+    leases.set_lease(seconds(1));
+    CHECK(leases.Expire(kNow + seconds(4)) == std::vector<incarnation_id>{1});
+  }
+}
+
+TEST_CASE("a backend server leaves while any source says so") {
+  drain leaving;
+  CHECK(leaving.Set(drain_reason::kVmList, true));
+  CHECK_FALSE(leaving.Set(drain_reason::kSettings, true));
+  CHECK_FALSE(leaving.Set(drain_reason::kVmList, false));
+  CHECK(leaving.leaving());
+  CHECK(leaving.Set(drain_reason::kSettings, false));
+  SUBCASE("and a planned stop is not taken back") {
+    CHECK(leaving.Set(drain_reason::kPlannedStop, true));
+    CHECK_FALSE(leaving.Set(drain_reason::kPlannedStop, false));
+    CHECK(leaving.stopping());
+    CHECK(leaving.leaving());
+  }
+}
+
+TEST_CASE("seats are planned from predicted releases") {
+  const std::vector<predicted_release> releases = {{.at = kNow + seconds(3), .pieces = 4},
+                                                   {.at = kNow + seconds(1), .pieces = 2}};
+  const auto seat = [](std::uint64_t counter, std::uint32_t pieces) {
+    return waiting_seat{
+        .id = Attempt(counter), .pieces = pieces, .earliest = kNow, .run_for = seconds(1)};
+  };
+  SUBCASE("what fits begins now") {
+    CHECK(PlanSeats(kNow, {.free_pieces = 2, .free_places = 1}, releases, {seat(1, 2)}) ==
+          std::vector<instant>{kNow});
+  }
+  SUBCASE("others wait in order, and a seat that begins gives its room back") {
+    CHECK(PlanSeats(kNow, {.free_pieces = 0, .free_places = 8}, releases,
+                    {seat(1, 2), seat(2, 2), seat(3, 4)}) ==
+          std::vector<instant>{kNow + seconds(1), kNow + seconds(2), kNow + seconds(3)});
+  }
+  SUBCASE("without a place in the batch memory does not help") {
+    CHECK(PlanSeats(kNow, {.free_pieces = 9, .free_places = 0}, releases, {seat(1, 2)}) ==
+          std::vector<instant>{kNow + seconds(1)});
+  }
+  SUBCASE("what never fits is never planned") {
+    CHECK(PlanSeats(kNow, {.free_pieces = 1, .free_places = 8}, releases, {seat(1, 50)}) ==
+          std::vector<instant>{instant::max()});
+  }
+}
+
+TEST_CASE("the agent estimates what the engine has cached") {
+  prefix_view prefixes(3);
+  CHECK(prefixes.CachedTokens({1, 2}, 600) == 0);
+  prefixes.Served({1, 2}, 0);
+  CHECK(prefixes.CachedTokens({1, 2, 3}, 600) == 512);
+  CHECK(prefixes.CachedTokens({1, 2, 3}, 300) == 300);
+  SUBCASE("a gap ends the shared head") { CHECK(prefixes.CachedTokens({9, 1, 2}, 600) == 0); }
+  SUBCASE("what has not been used for long goes first, the tail before the head") {
+    prefixes.Served({7, 8}, 0);
+    CHECK(prefixes.CachedTokens({7, 8}, 600) == 512);
+    CHECK(prefixes.CachedTokens({1, 2}, 600) == 256);
+  }
+}
+
+}  // namespace
+}  // namespace jacinthspool
