--- a/include/jacinthspool/jacinthspool.h
+++ b/include/jacinthspool/jacinthspool.h
@@ -15,6 +15,7 @@
 #include "jacinthspool/impl/lease_clock.h"
 #include "jacinthspool/impl/memory_ledger.h"
 #include "jacinthspool/impl/messages.h"
+#include "jacinthspool/impl/overloaded.h"
 #include "jacinthspool/impl/prefill_queue.h"
 #include "jacinthspool/impl/prefix_view.h"
 #include "jacinthspool/impl/run_ledger.h"
