Count the prefill engine's memory until the KV cache has been read

Cause: the prefill engine keeps pieces for a KV cache until it is read or its life is over; orders sent without counting them would get 429 there. Ruled out: freeing at prefill_done, since the engine still holds them. Change: prefills hold pieces from the order to answer_ack(whole), the end of the KV cache's life, or a confirmed release; the queue's next job waits for room. Conclusion: both kinds of engine are accounted in the same ledger.

--- a/include/jacinthspool/impl/prefill_queue.h
+++ b/include/jacinthspool/impl/prefill_queue.h
@@ -60,6 +60,9 @@
   /// \brief Takes a job out, whatever its state.
   void Remove(attempt_id id);
 
+  /// \returns The next eligible job, which stays in the queue, or null.
+  [[nodiscard]] const prefill_job* Peek(instant now) const;
+
   /// \returns The next eligible job; it leaves the queue.
   [[nodiscard]] std::optional<prefill_job> Pop(instant now);
 
--- a/src/coordination/agent_attempt.h
+++ b/src/coordination/agent_attempt.h
@@ -74,11 +74,12 @@
   instant told_seat;                ///< The seat that the entry was told last.
 
   start_order order;
-  instant kv_expires = instant::max();
-  instant began;  ///< When it was ordered.
+  instant kv_expires = instant::max();  ///< Of the KV cache that it takes, or that it made.
+  instant began;                        ///< When it was ordered.
   retained_text text;
   std::optional<message> closing;  ///< The last message of the answer.
   run_state ended = run_state::kUnknown;
+  instant retained_until;      ///< The answer is kept until then.
   bool cancel_asked = false;   ///< The owner waits for `cancelled`.
   bool acknowledged = false;   ///< The owner has the whole answer.
   std::optional<instant> due;  ///< Next timeout; its meaning depends on the stage.
--- a/src/coordination/agent_dispatch.cc
+++ b/src/coordination/agent_dispatch.cc
@@ -41,10 +41,12 @@
 void agent_core::state::DispatchPrefills() {
   const std::size_t most = std::min<std::size_t>(policy.max_running, kPrefillsInHand);
   while (running.size() < most && (running.empty() || engine_free - now <= kEngineBacklog)) {
-    const std::optional<prefill_job> job = prefills.Pop(now);
-    if (!job) {
+    // The next in order has the first claim on memory that becomes free.
+    const prefill_job* const next = prefills.Peek(now);
+    if (next == nullptr || !memory.Hold(next->id)) {
       return;
     }
+    const std::optional<prefill_job> job = prefills.Pop(now);
     OrderPrefill(attempts.at(job->id));
   }
   if (running.size() < most && prefills.size() > 0) {
--- a/src/coordination/agent_engine.cc
+++ b/src/coordination/agent_engine.cc
@@ -122,12 +122,17 @@
 
 void agent_core::state::End(agent_attempt& attempt, run_state how, message closing) {
   ledger.End(now, attempt.id, how);
-  memory.Confirm(attempt.id);
   running.erase(attempt.id);
   attempt.stage = attempt_stage::kEnded;
   attempt.ended = how;
   attempt.closing = std::move(closing);
-  SetDue(attempt, now + policy.answer_retained);
+  attempt.retained_until = now + policy.answer_retained;
+  if (policy.kind == work_kind::kPrefill) {
+    SetDue(attempt, attempt.kv_expires);
+  } else {
+    memory.Confirm(attempt.id);
+    SetDue(attempt, attempt.retained_until);
+  }
   SendClosing(attempt);
   changed = true;
 }
--- a/src/coordination/agent_grants.cc
+++ b/src/coordination/agent_grants.cc
@@ -41,7 +41,7 @@
 }
 
 std::uint32_t agent_core::state::PiecesOf(const grant_request& request) const {
-  return policy.kind == work_kind::kDecode ? std::max(request.pieces, 1U) : 0;
+  return policy.kind == work_kind::kCall ? 0 : std::max(request.pieces, 1U);
 }
 
 agent_quote agent_core::state::QuoteSeat(const grant_request& request) const {
@@ -77,7 +77,7 @@
   if (!backend_up) {
     return {.reason = refusal_reason::kBackendDown, .retry_after = kRetryElsewhere};
   }
-  if (policy.kind == work_kind::kDecode && request.pieces > memory.total()) {
+  if (PiecesOf(request) > memory.total()) {
     return {.reason = refusal_reason::kTooLarge};
   }
   const attempt_id id{.request = request.request, .attempt = request.attempt};
@@ -157,6 +157,7 @@
     attempt.deadline = now + Bounded(request.deadline_in);
   }
   Own(attempt, entry);
+  memory.Grant(id, PiecesOf(request));
   if (policy.kind == work_kind::kPrefill) {
     prefills.Reserve({.id = id,
                       .team = request.team,
@@ -165,7 +166,6 @@
                       .work = quote.run_for,
                       .not_before = {}});
   } else {
-    memory.Grant(id, PiecesOf(request));
     InsertSeat(attempt);
   }
   changed = true;
--- a/src/coordination/agent_lifecycle.cc
+++ b/src/coordination/agent_lifecycle.cc
@@ -74,7 +74,7 @@
       StartRelease(attempt);
       return;
     case attempt_stage::kEnded:
-      Erase(attempt.id);
+      ExpireEnded(attempt);
       return;
     case attempt_stage::kGranted:
     case attempt_stage::kRunning:
@@ -82,6 +82,17 @@
   }
 }
 
+void agent_core::state::ExpireEnded(agent_attempt& attempt) {
+  // The engine drops a KV cache by itself when its life is over.
+  memory.Confirm(attempt.id);
+  changed = true;
+  if (attempt.acknowledged || attempt.retained_until <= now) {
+    Erase(attempt.id);
+    return;
+  }
+  SetDue(attempt, attempt.retained_until);
+}
+
 void agent_core::state::LoseLease(incarnation_id entry) {
   connected.erase(entry);
   const auto position = owned.find(entry);
@@ -115,8 +126,8 @@
     case attempt_stage::kReleasing:
       return;
     case attempt_stage::kEnded:
-      if (policy.kind == work_kind::kPrefill && attempt.kv_expires != instant::max() &&
-          attempt.kv_expires > now) {
+      if (attempt.kv_expires != instant::max() && attempt.kv_expires > now &&
+          policy.kind == work_kind::kPrefill) {
         StartRelease(attempt);
         return;
       }
@@ -176,7 +187,9 @@
     return;
   }
   attempt.stage = attempt_stage::kEnded;
-  SetDue(attempt, now + policy.answer_retained);
+  attempt.kv_expires = instant::max();
+  attempt.retained_until = now + policy.answer_retained;
+  SetDue(attempt, attempt.retained_until);
 }
 
 void agent_core::state::DropGrant(agent_attempt& attempt, refusal_reason reason) {
--- a/src/coordination/agent_messages.cc
+++ b/src/coordination/agent_messages.cc
@@ -207,12 +207,9 @@
   if (attempt->stage != attempt_stage::kEnded) {
     return;
   }
-  const bool kv_alive = attempt->kv_expires != instant::max() && attempt->kv_expires > now &&
-                        policy.kind == work_kind::kPrefill;
-  if (kv_alive) {
-    SetDue(*attempt, attempt->kv_expires);
-    return;
-  }
+  // For a prefill this says that the KV cache has been read, so the engine has dropped it.
+  memory.Confirm(attempt->id);
+  changed = true;
   Erase(attempt->id);
 }
 
--- a/src/coordination/agent_state.h
+++ b/src/coordination/agent_state.h
@@ -122,6 +122,7 @@
   void WithdrawAllQueued(const std::string& why);
   void Expire();
   void ExpireDue(agent_attempt& attempt);
+  void ExpireEnded(agent_attempt& attempt);
   void LoseLease(incarnation_id entry);
   void Stop(agent_attempt& attempt);
   void WithdrawQueued(agent_attempt& attempt, const std::string& why);
--- a/src/coordination/prefill_queue.cc
+++ b/src/coordination/prefill_queue.cc
@@ -71,7 +71,7 @@
   }
 }
 
-std::optional<prefill_job> prefill_queue::Pop(instant now) {
+const prefill_job* prefill_queue::Peek(instant now) const {
   const queued_job* best = nullptr;
   double best_start = 0;
   for (const auto& [team, queue] : teams_) {
@@ -82,10 +82,15 @@
       best_start = start;
     }
   }
-  if (best == nullptr) {
+  return best == nullptr ? nullptr : &best->job;
+}
+
+std::optional<prefill_job> prefill_queue::Pop(instant now) {
+  const prefill_job* const next = Peek(now);
+  if (next == nullptr) {
     return std::nullopt;
   }
-  prefill_job job = best->job;
+  prefill_job job = *next;
   Remove(job.id);
   shares_.Serve(shares_.Charge(job.team, InSeconds(job.work)));
   return job;
--- a/tests/coordination/agent_core_test.cc
+++ b/tests/coordination/agent_core_test.cc
@@ -365,6 +365,18 @@
       story.Say(For<resume>(Attempt(1)));
       CHECK(story.Sent<prefill_done>().at(0).kv->expires_in == milliseconds(400));
     }
+    SUBCASE("the engine's memory is held until the KV cache was read") {
+      CHECK(story.core.load(story.now).pieces_held == 2);
+      auto ack = For<answer_ack>(Attempt(1));
+      ack.whole = true;
+      story.Say(ack);
+      CHECK(story.core.load(story.now).pieces_held == 0);
+    }
+    SUBCASE("or until its life is over") {
+      story.Wait(milliseconds(700));
+      CHECK(story.core.load(story.now).pieces_held == 0);
+      CHECK(story.core.unacknowledged() == 1);
+    }
     SUBCASE("a caller that leaves now frees it") {
       story.Say(For<cancel_order>(Attempt(1)));
       CHECK(story.All<order_release>().size() == 1);
