Add the entry's coordination parts and entry_core

An entry needs its state machine apart from sockets and clocks, so that failures can be driven in tests.

- stream_assembler, retry_budget, backoff, rendezvous and subset are parts of their own with a header each.
- entry_core takes a completion through seat, prefill and decode, and a call through one grant and one start.
A retry is a new attempt; a decode that fails before its first piece takes another seat with the same KV cache.
- Weighed: waiting for every candidate's reply.
One frozen agent would then cost the whole reply timeout, so after a first offer the others get 5 ms.
- "Not run" is told only when no start is unproven; a prefill that ran makes the outcome "failed".
A key that may have run is "unknown".
- ids.h: clang-tidy's use-nullptr mistakes the rewritten comparison.

--- a/include/jacinthspool/forward.h
+++ b/include/jacinthspool/forward.h
@@ -6,9 +6,18 @@
 
 namespace jacinthspool {
 
+class backoff;
+class entry_core;
+class retry_budget;
+class stream_assembler;
 struct attempt_id;
 struct boot_clock;
+struct caller_request;
+struct decision;
+struct entry_policy;
 struct grant_id;
+struct pool_member;
+struct pool_view;
 struct request_id;
 
 }  // namespace jacinthspool
--- a/include/jacinthspool/impl/ids.h
+++ b/include/jacinthspool/impl/ids.h
@@ -16,6 +16,7 @@
   incarnation_id incarnation = 0;  ///< The entry that accepted the request.
   std::uint64_t counter = 0;       ///< Counts that entry's requests.
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): the check mistakes the rewritten comparison.
   friend auto operator<=>(const request_id&, const request_id&) = default;
 };
 
@@ -24,6 +25,7 @@
   incarnation_id incarnation = 0;  ///< The agent that issued the grant.
   std::uint64_t counter = 0;       ///< Counts that agent's grants.
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): the check mistakes the rewritten comparison.
   friend auto operator<=>(const grant_id&, const grant_id&) = default;
 };
 
@@ -35,6 +37,7 @@
   request_id request;
   attempt_number attempt = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): the check mistakes the rewritten comparison.
   friend auto operator<=>(const attempt_id&, const attempt_id&) = default;
 };
 
--- a/include/jacinthspool/jacinthspool.h
+++ b/include/jacinthspool/jacinthspool.h
@@ -5,8 +5,15 @@
 /// \brief Includes the whole coordination library.
 
 #include "jacinthspool/forward.h"
+#include "jacinthspool/impl/backoff.h"
+#include "jacinthspool/impl/decision.h"
+#include "jacinthspool/impl/entry_core.h"
 #include "jacinthspool/impl/ids.h"
 #include "jacinthspool/impl/messages.h"
+#include "jacinthspool/impl/rendezvous.h"
+#include "jacinthspool/impl/retry_budget.h"
+#include "jacinthspool/impl/stream_assembler.h"
+#include "jacinthspool/impl/subset.h"
 #include "jacinthspool/impl/time.h"
 
 #endif  // JACINTHSPOOL_JACINTHSPOOL_H_
--- /dev/null
+++ b/src/coordination/entry_core.cc
@@ -0,0 +1,272 @@
+#include "jacinthspool/impl/entry_core.h"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+
+#include "src/coordination/entry_state.h"
+
+namespace jacinthspool {
+namespace {
+
+/// When a caller may come back to an entry that has all the requests it may hold.
+constexpr microseconds kFullEntryRetry = seconds(1);
+/// Longest time that another process may tell.
+constexpr microseconds kLongestTold = std::chrono::hours(1);
+
+template <typename... Visitors>
+struct overloaded : Visitors... {
+  using Visitors::operator()...;
+};
+template <typename... Visitors>
+overloaded(Visitors...) -> overloaded<Visitors...>;
+
+}  // namespace
+
+namespace entry_detail {
+
+microseconds Sane(microseconds told) {
+  return std::clamp(told, microseconds::zero(), kLongestTold);
+}
+
+std::string ReasonName(refusal_reason reason) { return wire::EnumNamerefusal_reason(reason); }
+
+}  // namespace entry_detail
+
+entry_core::state::state(options initial)
+    : policy(std::move(initial.policy)),
+      random(initial.random_seed ^ initial.incarnation),
+      budget({.percent = policy.retry_percent}) {}
+
+entry_core::entry_core(options settings) : state_(std::make_unique<state>(std::move(settings))) {}
+entry_core::~entry_core() = default;
+entry_core::entry_core(entry_core&&) noexcept = default;
+entry_core& entry_core::operator=(entry_core&&) noexcept = default;
+
+entry_effects entry_core::Handle(instant now, entry_event event) {
+  state& self = *state_;
+  self.now = std::max(self.now, now);
+  self.FireTimers();
+  std::visit(overloaded{
+                 [&](caller_request& asked) { self.Accept(std::move(asked)); },
+                 [&](const caller_gone& gone) { self.LeaveCaller(gone.id); },
+                 [&](const agent_up& up) { self.TakeUp(up); },
+                 [&](const agent_down& down) { self.TakeDown(down); },
+                 [&](const agent_message& received) { self.Take(received); },
+                 [&](entry_policy_changed& changed) {
+                   self.policy = std::move(changed.policy);
+                   self.budget.set_percent(self.policy.retry_percent);
+                 },
+                 [](const entry_time_passed&) {},
+             },
+             event);
+  return std::exchange(self.effects, {});
+}
+
+std::optional<instant> entry_core::next_wakeup() const {
+  std::optional<instant> next = state_->repeat_cancels_at;
+  if (!state_->timers.empty()) {
+    const instant first = state_->timers.begin()->first;
+    next = std::min(next.value_or(first), first);
+  }
+  return next;
+}
+
+std::size_t entry_core::in_progress() const { return state_->requests.size(); }
+
+bool entry_core::idle() const {
+  return state_->requests.empty() &&
+         std::all_of(state_->agents.begin(), state_->agents.end(),
+                     [](const auto& agent) { return agent.second.uncancelled.empty(); });
+}
+
+void entry_core::state::FireTimers() {
+  while (!timers.empty() && timers.begin()->first <= now) {
+    const request_id id = timers.begin()->second;
+    timers.erase(timers.begin());
+    request* r = Find(id);
+    if (r == nullptr) {
+      continue;
+    }
+    r->armed.reset();
+    Fire(*r);
+  }
+  if (repeat_cancels_at.has_value() && *repeat_cancels_at <= now) {
+    RepeatCancels();
+  }
+}
+
+/// Deals with the first thing that is due; Arm makes the next one fire soon after.
+void entry_core::state::Fire(request& r) {
+  const request_id id = r.asked.id;
+  if (r.retry_at.has_value() && *r.retry_at <= now) {
+    r.retry_at.reset();
+    Advance(r);
+  } else if (r.seeking.has_value() && r.seeking->answer_by <= now) {
+    Settle(r);
+  } else {
+    for (std::optional<part>* held : {&r.seat, &r.prefill}) {
+      if (!held->has_value()) {
+        continue;
+      }
+      part& p = **held;
+      const std::optional<instant> due = DueOf(r, p);
+      if (!due.has_value() || *due > now) {
+        continue;
+      }
+      if (!p.ordered()) {
+        RefreshSeat(r);
+      } else if (p.lost_at.has_value()) {
+        PartLost(r, p.kind, "agent not back within its lease");
+      } else {
+        Probe(r, p);
+      }
+      break;
+    }
+  }
+  if (request* left = Find(id)) {
+    Arm(*left);
+  }
+}
+
+std::optional<instant> entry_core::state::DueOf(const request& r, const part& p) const {
+  if (!p.ordered()) {
+    return p.refresh_at;
+  }
+  if (p.kind == work_kind::kPrefill && r.kv.has_value()) {
+    return std::nullopt;
+  }
+  return p.lost_at.value_or(p.heard) + policy.lease;
+}
+
+std::optional<instant> entry_core::state::DueOf(const request& r) const {
+  std::optional<instant> due = r.retry_at;
+  const auto take = [&due](std::optional<instant> other) {
+    if (other.has_value()) {
+      due = std::min(due.value_or(*other), *other);
+    }
+  };
+  if (r.seeking.has_value()) {
+    take(r.seeking->answer_by);
+  }
+  if (r.seat.has_value()) {
+    take(DueOf(r, *r.seat));
+  }
+  if (r.prefill.has_value()) {
+    take(DueOf(r, *r.prefill));
+  }
+  return due;
+}
+
+/// A timer that is too early stays: it finds nothing due and arms anew. So a
+/// stream's pieces leave the timers alone.
+void entry_core::state::Arm(request& r) {
+  std::optional<instant> due = DueOf(r);
+  if (!due.has_value() || (r.armed.has_value() && *r.armed <= *due)) {
+    return;
+  }
+  due = std::max(*due, now + microseconds(1));
+  if (r.armed.has_value()) {
+    timers.erase({*r.armed, r.asked.id});
+  }
+  r.armed = due;
+  timers.emplace(*due, r.asked.id);
+}
+
+void entry_core::state::Accept(caller_request asked) {
+  const request_id id = asked.id;
+  if (requests.contains(id)) {
+    return;
+  }
+  if (requests.size() >= policy.max_requests) {
+    request refused_one(std::move(asked), now);
+    Log(refused_one, "refuse", "", "too many requests in progress");
+    Deliver(deliver_not_run{
+        .id = id, .reason = refusal_reason::kQueueFull, .retry_after = kFullEntryRetry});
+    return;
+  }
+  request& r = requests.emplace(id, request(std::move(asked), now)).first->second;
+  const bool known = FindPool(r.asked.pool) != nullptr &&
+                     (r.is_call() || FindPool(r.asked.prefill_pool) != nullptr);
+  if (!known) {
+    GiveUp(r, "unknown pool", {.reason = refusal_reason::kNotAllowed});
+    return;
+  }
+  Advance(r);
+  if (request* left = Find(id)) {
+    Arm(*left);
+  }
+}
+
+void entry_core::state::LeaveCaller(const request_id& id) {
+  request* r = Find(id);
+  if (r == nullptr) {
+    return;
+  }
+  Log(*r, "cancel", "", "caller has gone");
+  DropParts(*r);
+  Erase(*r);
+}
+
+entry_core::state::request* entry_core::state::Find(const request_id& id) {
+  const auto found = requests.find(id);
+  return found == requests.end() ? nullptr : &found->second;
+}
+
+const pool_view* entry_core::state::FindPool(const std::string& name) const {
+  const auto found = std::find_if(policy.pools.begin(), policy.pools.end(),
+                                  [&](const pool_view& pool) { return pool.name == name; });
+  return found == policy.pools.end() ? nullptr : &*found;
+}
+
+const pool_view* entry_core::state::PoolFor(const request& r, work_kind kind) const {
+  return FindPool(kind == work_kind::kPrefill ? r.asked.prefill_pool : r.asked.pool);
+}
+
+bool entry_core::state::IsUp(const std::string& backend, incarnation_id incarnation) const {
+  const auto found = agents.find(backend);
+  return found != agents.end() && found->second.up && found->second.incarnation == incarnation;
+}
+
+bool entry_core::state::SeatFirst() const {
+  return !std::holds_alternative<prefill_first_policy>(policy.routing);
+}
+
+void entry_core::state::Send(const std::string& backend, message body) {
+  const auto found = agents.find(backend);
+  if (found != agents.end() && found->second.up) {
+    effects.emplace_back(send_to_agent{.backend = backend, .body = std::move(body)});
+  }
+}
+
+void entry_core::state::Log(const request& r, std::string event, std::string choice,
+                            std::string reason, std::vector<decision_candidate> candidates) {
+  effects.emplace_back(log_entry_decision{.made = {.event = std::move(event),
+                                                   .request = r.asked.id,
+                                                   .attempt = r.attempt,
+                                                   .team = r.asked.team,
+                                                   .candidates = std::move(candidates),
+                                                   .choice = std::move(choice),
+                                                   .reason = std::move(reason)}});
+}
+
+void entry_core::state::Uses(const request& r, const std::string& backend) {
+  agents[backend].users.insert(r.asked.id);
+}
+
+/// Called after a part or a quote at the agent has ended.
+void entry_core::state::Unuses(const request& r, const std::string& backend) {
+  const auto still = [&backend](const std::optional<part>& p) {
+    return p.has_value() && p->backend == backend;
+  };
+  const auto found = agents.find(backend);
+  if (found != agents.end() && !still(r.seat) && !still(r.prefill)) {
+    found->second.users.erase(r.asked.id);
+  }
+}
+
+microseconds entry_core::state::Until(instant then) const {
+  return std::max(microseconds::zero(), then - now);
+}
+
+}  // namespace jacinthspool
--- /dev/null
+++ b/tests/coordination/retry_budget_test.cc
@@ -0,0 +1,52 @@
+#include "jacinthspool/impl/retry_budget.h"
+
+#include <doctest/doctest.h>
+
+#include "jacinthspool/impl/backoff.h"
+
+namespace jacinthspool {
+namespace {
+
+TEST_CASE("retries draw on the team's budget") {
+  const instant now{};
+  retry_budget budget({.percent = 10, .floor = 2, .floor_every = seconds(5), .limit = 3});
+
+  SUBCASE("a quiet team has the floor") {
+    CHECK(budget.Draw(now, "turnevo"));
+    CHECK(budget.Draw(now, "turnevo"));
+    CHECK_FALSE(budget.Draw(now, "turnevo"));
+
+    SUBCASE("which another team does not use up") { CHECK(budget.Draw(now, "lumanara")); }
+    SUBCASE("and which comes back with time") {
+      CHECK_FALSE(budget.Draw(now + seconds(4), "turnevo"));
+      CHECK(budget.Draw(now + seconds(5), "turnevo"));
+    }
+    SUBCASE("or with successes") {
+      for (int success = 0; success < 11; ++success) {
+        budget.Earn(now, "turnevo");
+      }
+      CHECK(budget.Draw(now, "turnevo"));
+      CHECK_FALSE(budget.Draw(now, "turnevo"));
+    }
+  }
+  SUBCASE("only so many can be saved up") {
+    for (int success = 0; success < 1000; ++success) {
+      budget.Earn(now, "turnevo");
+    }
+    CHECK(budget.left(now, "turnevo") == doctest::Approx(3));
+  }
+}
+
+TEST_CASE("delays double up to a limit, with jitter") {
+  const backoff delays({.first = milliseconds(10), .last = milliseconds(100)});
+  CHECK(delays.Delay(1, 0) == milliseconds(10));
+  CHECK(delays.Delay(2, 0) == milliseconds(20));
+  CHECK(delays.Delay(60, 0) == milliseconds(100));
+  for (std::uint64_t random = 0; random < 50000; random += 997) {
+    CHECK(delays.Delay(3, random) >= milliseconds(20));
+    CHECK(delays.Delay(3, random) <= milliseconds(40));
+  }
+}
+
+}  // namespace
+}  // namespace jacinthspool
