--- a/include/jacinthspool/jacinthspool.h
+++ b/include/jacinthspool/jacinthspool.h
@@ -7,8 +7,10 @@
 #include "jacinthspool/forward.h"
 #include "jacinthspool/impl/agent_core.h"
 #include "jacinthspool/impl/attempt_hash.h"
+#include "jacinthspool/impl/backoff.h"
 #include "jacinthspool/impl/decision.h"
 #include "jacinthspool/impl/drain.h"
+#include "jacinthspool/impl/entry_core.h"
 #include "jacinthspool/impl/fair_share.h"
 #include "jacinthspool/impl/grant_table.h"
 #include "jacinthspool/impl/ids.h"
@@ -18,8 +20,12 @@
 #include "jacinthspool/impl/overloaded.h"
 #include "jacinthspool/impl/prefill_queue.h"
 #include "jacinthspool/impl/prefix_view.h"
+#include "jacinthspool/impl/rendezvous.h"
+#include "jacinthspool/impl/retry_budget.h"
 #include "jacinthspool/impl/run_ledger.h"
 #include "jacinthspool/impl/seat_plan.h"
+#include "jacinthspool/impl/stream_assembler.h"
+#include "jacinthspool/impl/subset.h"
 #include "jacinthspool/impl/time.h"
 
 #endif  // JACINTHSPOOL_JACINTHSPOOL_H_
