--- a/tests/standins/engine.cc
+++ b/tests/standins/engine.cc
@@ -54,9 +54,15 @@
     Admit(exchange);
     return;
   }
-  delayed_.remove_if([](const timer_subscription& each) { return !each.active(); });
-  delayed_.push_back(PostAfter(around_, milliseconds(parts_.faults.slow_ms),
-                               [this, exchange] { Admit(exchange); }));
+  delayed_.push_back({.request = exchange->header("X-Request-Id"), .exchange = exchange});
+  const auto added = std::prev(delayed_.end());
+  added->timer = PostAfter(around_, milliseconds(parts_.faults.slow_ms), [this, exchange] {
+    const auto removed = std::erase_if(
+        delayed_, [&](const delayed_order& each) { return each.exchange == exchange; });
+    if (removed > 0) {
+      Admit(exchange);
+    }
+  });
 }
 
 void engine::Admit(const exchange_ptr& exchange) {
@@ -90,6 +96,7 @@
   const std::string request = BodyOf(*exchange).value("request_id", "");
   ++parts_.counters.aborts;
   if (!TakeOne(parts_.faults.ignore_cancels)) {
+    std::erase_if(delayed_, [&](const delayed_order& each) { return each.request == request; });
     prefills_.Abort(request);
     decodes_.Abort(request);
   }
--- a/tests/standins/engine.h
+++ b/tests/standins/engine.h
@@ -29,6 +29,12 @@
     std::uint32_t pieces_held = 0;
   };
 
+  struct delayed_order {
+    std::string request;
+    exchange_ptr exchange;
+    timer_subscription timer = {};
+  };
+
   void HandleOrder(const exchange_ptr& exchange);
   void Admit(const exchange_ptr& exchange);
   void Abort(const exchange_ptr& exchange);
@@ -44,7 +50,7 @@
   decode_batch decodes_;
   load_report reported_;
   timer_subscription report_timer_;
-  std::list<timer_subscription> delayed_;
+  std::list<delayed_order> delayed_;
 };
 
 }  // namespace jacinthspool::standins
--- a/tests/standins/engine_options.h
+++ b/tests/standins/engine_options.h
@@ -31,7 +31,8 @@
   double time_scale = 1;
 
   [[nodiscard]] microseconds Scaled(microseconds value) const {
-    return microseconds(static_cast<microseconds::rep>(value.count() * time_scale));
+    return microseconds(
+        static_cast<microseconds::rep>(static_cast<double>(value.count()) * time_scale));
   }
   [[nodiscard]] microseconds ScaledSeconds(double value) const {
     constexpr double kMicrosecondsPerSecond = 1e6;
