Report what the libraries throw in the stand-ins' main

Cause: lint (an exception could leave main). Change: main prints it and returns 1. Conclusion: none open.

--- a/tests/standins/main.cc
+++ b/tests/standins/main.cc
@@ -3,6 +3,7 @@
 
 #include <csignal>
 #include <cstdio>
+#include <exception>
 #include <functional>
 #include <memory>
 #include <string>
@@ -146,4 +147,14 @@
 }  // namespace
 }  // namespace jacinthspool::standins
 
-int main(int count, char** values) { return jacinthspool::standins::Run({values, values + count}); }
+int main(int count, char** values) {
+  try {
+    return jacinthspool::standins::Run(std::vector<std::string>(values, values + count));
+  } catch (const std::exception& fault) {
+    // From TCLAP and the JSON library.
+    std::fputs(fault.what(), stderr);
+  } catch (...) {
+    std::fputs("standins: unknown fault", stderr);
+  }
+  return 1;
+}
