--- a/tests/fuzz/fleet_fuzz_test.cc
+++ b/tests/fuzz/fleet_fuzz_test.cc
@@ -2,7 +2,7 @@
 #include <rapidcheck.h>
 #include <rapidcheck/state.h>
 
-#include <cstdlib>
+#include <map>
 #include <ostream>
 #include <string>
 
@@ -212,14 +212,25 @@
 }
 
 TEST_CASE("what must always hold, holds under any order of faults") {
-  const bool held = rc::check("fleet", [] {
+  std::map<std::string, std::size_t> outcomes;
+  const bool held = rc::check("fleet", [&outcomes] {
     const auto seed = *rc::gen::arbitrary<std::uint32_t>();
     fleet sut({.seed = seed});
     rc::state::check(fleet_model{}, sut, [](const fleet_model& /*model*/) { return AnyCommand(); });
     sut.Settle();
+    for (const auto& [outcome, count] : sut.truth().outcomes()) {
+      outcomes[outcome] += count;
+    }
     Report(sut);
   });
   CHECK(held);
+  // A search that ends no request, or ends them in one way only, would prove nothing.
+  for (const auto& [outcome, count] : outcomes) {
+    MESSAGE(outcome << ": " << count);
+  }
+  for (const char* outcome : {"done", "not run", "unknown", "failed", "caller gone"}) {
+    CHECK(outcomes[outcome] > 0);
+  }
 }
 
 }  // namespace
