Parse and check settings, and run entry, agent and check from one binary

Sources: the process file and Consul's KV protocol; the second has not run against a service yet, the transport being on its way.

--- /dev/null
+++ b/src/cli/arguments.cc
@@ -0,0 +1,85 @@
+#include "src/cli/arguments.h"
+
+#include <cerrno>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <system_error>
+
+#include "src/cli/exit_code.h"
+
+namespace jacinthspool {
+namespace {
+
+bool IsKnownOption(TCLAP::CmdLine& line, const std::string& argument) {
+  for (const TCLAP::Arg* known : line.getArgList()) {
+    if (argument == "-" + known->getFlag() || argument == "--" + known->getName()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+/// \returns The first argument that looks like an option and is none; TCLAP
+/// would take it for a file.
+std::optional<std::string> FindUnknownOption(TCLAP::CmdLine& line,
+                                             const std::vector<std::string>& arguments) {
+  for (const std::string& argument : arguments) {
+    if (argument == "--") {
+      return std::nullopt;
+    }
+    if (argument.size() > 1 && argument.front() == '-' && !IsKnownOption(line, argument)) {
+      return argument;
+    }
+  }
+  return std::nullopt;
+}
+
+int PrintUsageError(const std::string& command, const std::string& text) {
+  PrintError(command + ": " + text + " (see 'jacinthspool " + command + " --help')");
+  return kExitUsage;
+}
+
+}  // namespace
+
+std::optional<int> ParseArguments(TCLAP::CmdLine& line, const std::string& command,
+                                  const std::vector<std::string>& arguments) {
+  if (const auto unknown = FindUnknownOption(line, arguments)) {
+    return PrintUsageError(command, "unknown option '" + *unknown + "'");
+  }
+  std::vector<std::string> all{"jacinthspool " + command};
+  all.insert(all.end(), arguments.begin(), arguments.end());
+  line.setExceptionHandling(false);
+  try {
+    line.parse(all);
+  } catch (const TCLAP::ArgException& error) {
+    const bool names_argument = error.argId().find_first_not_of(' ') != std::string::npos &&
+                                error.argId() != "Argument: undefined";
+    return PrintUsageError(command, (names_argument ? error.argId() + ": " : "") + error.error());
+  } catch (const TCLAP::ExitException& end) {
+    return end.getExitStatus();
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string> ReadFile(const std::string& path, std::string& error) {
+  std::error_code status;
+  if (std::filesystem::is_directory(path, status)) {
+    error = "cannot read " + path + ": is a directory";
+    return std::nullopt;
+  }
+  errno = 0;
+  std::ifstream file(path, std::ios::binary);
+  std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+  if (!file) {
+    error = "cannot read " + path + ": " + std::strerror(errno);
+    return std::nullopt;
+  }
+  return text;
+}
+
+void PrintError(const std::string& text) { std::cerr << "jacinthspool: " << text << '\n'; }
+
+}  // namespace jacinthspool
--- /dev/null
+++ b/src/cli/daemon_commands.cc
@@ -0,0 +1,80 @@
+#include "src/cli/daemon_commands.h"
+
+#include <iostream>
+#include <memory>
+#include <optional>
+
+#include "src/agent/agent_daemon.h"
+#include "src/cli/arguments.h"
+#include "src/cli/exit_code.h"
+#include "src/entry/entry_daemon.h"
+#include "src/settings/settings.h"
+
+namespace jacinthspool {
+namespace {
+
+constexpr const char* kEntrySummary =
+    "Serves callers: takes their requests, routes them to backend servers and streams the "
+    "answers.\n"
+    "SIGTERM starts a planned stop: no new requests, those in progress end whole. SIGHUP reads "
+    "the settings file and the keys again.\n"
+    "Exit code: 0 stopped as planned, 2 usage, 3 cannot start.";
+
+constexpr const char* kAgentSummary =
+    "Runs beside one backend server, decides what it runs and gives it all orders.\n"
+    "SIGTERM starts a planned stop: no new grants, work in progress ends whole. SIGHUP reads the "
+    "settings file and the keys again.\n"
+    "Exit code: 0 stopped as planned, 2 usage, 3 cannot start.";
+
+struct daemon_command {
+  const char* name;
+  const char* summary;
+  process_role role;
+  int (*run)(std::shared_ptr<const process_settings>, const std::string&);
+};
+
+/// Reads the process settings; each finding is a line on standard error.
+std::shared_ptr<const process_settings> LoadProcess(const std::string& file,
+                                                    const daemon_command& command) {
+  std::string error;
+  const std::optional<std::string> text = ReadFile(file, error);
+  if (!text) {
+    PrintError(std::string(command.name) + ": " + error);
+    return nullptr;
+  }
+  findings found;
+  auto process = ParseProcess(*text, file, found);
+  if (process) {
+    CheckRole(*process, command.role, file, found);
+  }
+  for (const finding& each : found) {
+    PrintError(std::string(command.name) + ": " + each.place + ": " + each.text);
+  }
+  return found.empty() ? process : nullptr;
+}
+
+int RunDaemon(const daemon_command& command, const std::vector<std::string>& arguments) {
+  TCLAP::CmdLine line(command.summary, ' ', JACINTHSPOOL_VERSION);
+  TCLAP::ValueArg<std::string> config(
+      "c", "config", "Settings of this process (JSON with comments)", true, "", "FILE", line);
+  if (const auto code = ParseArguments(line, command.name, arguments)) {
+    return *code;
+  }
+  auto process = LoadProcess(config.getValue(), command);
+  if (!process) {
+    return kExitCannotStart;
+  }
+  return command.run(std::move(process), config.getValue());
+}
+
+}  // namespace
+
+int RunEntryCommand(const std::vector<std::string>& arguments) {
+  return RunDaemon({"entry", kEntrySummary, process_role::kEntry, &RunEntry}, arguments);
+}
+
+int RunAgentCommand(const std::vector<std::string>& arguments) {
+  return RunDaemon({"agent", kAgentSummary, process_role::kAgent, &RunAgent}, arguments);
+}
+
+}  // namespace jacinthspool
--- /dev/null
+++ b/src/cli/daemon_commands.h
@@ -0,0 +1,17 @@
+#ifndef JACINTHSPOOL_CLI_DAEMON_COMMANDS_H_
+#define JACINTHSPOOL_CLI_DAEMON_COMMANDS_H_
+
+#include <string>
+#include <vector>
+
+namespace jacinthspool {
+
+/// \brief `entry --config FILE`: serves callers until a planned stop.
+int RunEntryCommand(const std::vector<std::string>& arguments);
+
+/// \brief `agent --config FILE`: runs beside one backend server until a planned stop.
+int RunAgentCommand(const std::vector<std::string>& arguments);
+
+}  // namespace jacinthspool
+
+#endif  // JACINTHSPOOL_CLI_DAEMON_COMMANDS_H_
--- /dev/null
+++ b/src/settings/consul_source.h
@@ -0,0 +1,54 @@
+#ifndef JACINTHSPOOL_SETTINGS_CONSUL_SOURCE_H_
+#define JACINTHSPOOL_SETTINGS_CONSUL_SOURCE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "src/settings/settings_source.h"
+#include "src/settings/watch_policy.h"
+
+namespace jacinthspool {
+
+/// \brief Reads documents from a service that speaks Consul's KV protocol.
+///
+/// A watcher keeps one blocking query waiting. Every other process reads now
+/// and then, in case that no peer tells it of a change.
+class consul_source {
+ public:
+  explicit consul_source(settings_source::options settings);
+  consul_source(const consul_source&) = delete;
+  consul_source& operator=(const consul_source&) = delete;
+
+  /// \brief Reads at once.
+  void Reload();
+
+  /// \returns Calls made to the service, a waiting one included.
+  [[nodiscard]] std::uint64_t calls() const { return calls_; }
+
+ private:
+  enum class outcome { kTaken, kFailed };
+
+  void ReadAfter(microseconds delay);
+  void Read();
+  void OnReply(const http_response& response);
+  outcome Take(const http_response& response);
+  void TakeIndex(std::uint64_t index);
+  void ScheduleNext(outcome last);
+  [[nodiscard]] bool IsWatching() const;
+  [[nodiscard]] std::string Target() const;
+
+  settings_source::options settings_;
+  std::string root_;
+  std::size_t next_address_ = 0;
+  std::uint64_t index_ = 0;
+  std::uint64_t calls_ = 0;
+  backoff retry_;
+  std::unique_ptr<http_call> call_;
+  timer_subscription timer_;
+};
+
+}  // namespace jacinthspool
+
+#endif  // JACINTHSPOOL_SETTINGS_CONSUL_SOURCE_H_
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -39,6 +39,24 @@
 std::shared_ptr<const team_settings> ParseTeam(std::string_view text, std::string_view place,
                                                findings& found);
 
+enum class process_role { kEntry, kAgent };
+
+/// \brief Adds a finding for each setting that a process of this role lacks or can't use.
+void CheckRole(const process_settings& process, process_role role, std::string_view place,
+               findings& found);
+
+/// \brief Checks a team's references to pools against the operators' document.
+///
+/// Such a fault does not make the team's document invalid: the operators may
+/// give the pool later. Until then requests that need it are refused.
+void CheckTeamReferences(std::string_view name, const team_settings& team,
+                         const operator_settings& operators, std::string_view place,
+                         findings& found);
+
+/// \brief Checks the references between the documents that process settings embed.
+void CheckEmbeddedReferences(const process_settings& process, std::string_view place,
+                             findings& found);
+
 /// \brief The settings in force in one process: the last good version of each subtree.
 struct settings_snapshot {
   std::shared_ptr<const operator_settings> operators;  ///< Never null; timing and limits neither.
--- a/src/settings/settings_source.h
+++ b/src/settings/settings_source.h
@@ -1,6 +1,7 @@
 #ifndef JACINTHSPOOL_SETTINGS_SETTINGS_SOURCE_H_
 #define JACINTHSPOOL_SETTINGS_SETTINGS_SOURCE_H_
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -27,9 +28,12 @@
   explicit settings_source(options settings);
   ~settings_source();
 
-  /// \brief Reads a file source again (SIGHUP).
+  /// \brief Reads the source again (SIGHUP).
   void Reload();
 
+  /// \returns Calls made to the configuration service so far.
+  [[nodiscard]] std::uint64_t calls() const;
+
  private:
   struct state;
   std::unique_ptr<state> state_;
