--- a/src/cli/check_command.cc
+++ b/src/cli/check_command.cc
@@ -18,7 +18,7 @@
     "Checks settings documents and prints every finding with its place.\n"
     "A file holds process settings, the operators' document or a team's document; which one is "
     "told by its members, or by --kind. A team's name is the name of its file without the "
-    "extension. When the operators' document is among the files, the teams' references to pools "
+    "extension. When one operators' document is among the files, the teams' references to pools "
     "are checked against it.\n"
     "Exit code: 0 no findings, 1 findings or an unreadable file, 2 usage.";
 
@@ -49,7 +49,7 @@
 
   /// \returns true when nothing was wrong.
   bool Finish() {
-    if (operators_) {
+    if (operators_ && operator_files_ == 1) {
       for (const team_document& team : teams_) {
         CheckTeamReferences(team.name, *team.settings, *operators_, team.file, found_);
       }
@@ -67,9 +67,8 @@
         ParseProcessFile(file, text);
         break;
       case document_kind::kOperators:
-        if (auto operators = ParseOperators(text, file, found_)) {
-          operators_ = std::move(operators);
-        }
+        ++operator_files_;
+        operators_ = ParseOperators(text, file, found_);
         break;
       case document_kind::kTeam:
         if (auto team = ParseTeam(text, file, found_)) {
@@ -93,6 +92,7 @@
   findings found_;
   bool unreadable_ = false;
   std::shared_ptr<const operator_settings> operators_;
+  int operator_files_ = 0;
   std::vector<team_document> teams_;
 };
 
--- /dev/null
+++ b/tests/cli/command_line_test.cc
@@ -0,0 +1,129 @@
+#include "src/cli/command_line.h"
+
+#include <doctest/doctest.h>
+
+#include <filesystem>
+#include <iostream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "src/cli/exit_code.h"
+
+namespace jacinthspool {
+namespace {
+
+/// Catches what is written to a stream while this object lives.
+class captured_stream {
+ public:
+  explicit captured_stream(std::ostream& stream) : stream_(stream) {
+    previous_ = stream_.rdbuf(buffer_.rdbuf());
+  }
+  ~captured_stream() { stream_.rdbuf(previous_); }
+  captured_stream(const captured_stream&) = delete;
+  captured_stream& operator=(const captured_stream&) = delete;
+  [[nodiscard]] std::string text() const { return buffer_.str(); }
+
+ private:
+  std::ostream& stream_;
+  std::streambuf* previous_;
+  std::ostringstream buffer_;
+};
+
+struct command_result {
+  int code;
+  std::string out;
+  std::string error;
+};
+
+command_result Run(const std::vector<std::string>& arguments) {
+  const captured_stream out(std::cout);
+  const captured_stream error(std::cerr);
+  const int code = RunCommandLine(arguments);
+  return {code, out.text(), error.text()};
+}
+
+bool IsOneLine(const std::string& text) {
+  return !text.empty() && text.find('\n') == text.size() - 1;
+}
+
+std::vector<std::string> ExampleFiles(const std::string& folder) {
+  std::vector<std::string> files;
+  for (const auto& entry : std::filesystem::recursive_directory_iterator(
+           std::filesystem::path(JACINTHSPOOL_EXAMPLES) / folder)) {
+    if (entry.path().extension() == ".json") {
+      files.push_back(entry.path().string());
+    }
+  }
+  return files;
+}
+
+TEST_CASE("a wrong command line gets one clear line and the usage code") {
+  for (const std::vector<std::string>& arguments :
+       std::vector<std::vector<std::string>>{{},
+                                             {"bogus"},
+                                             {"--bogus"},
+                                             {"entry"},
+                                             {"entry", "--bogus"},
+                                             {"entry", "--config"},
+                                             {"agent", "--config", "a", "b"},
+                                             {"check"},
+                                             {"check", "--bogus", "file"},
+                                             {"check", "--kind", "bogus", "file"},
+                                             {"status"},
+                                             {"status", "not-an-address"},
+                                             {"explain", "file"},
+                                             {"explain", "file", "not-an-id"}}) {
+    const command_result result = Run(arguments);
+    CAPTURE(result.error);
+    CHECK(result.code == kExitUsage);
+    CHECK(IsOneLine(result.error));
+    CHECK(result.error.find("--help") != std::string::npos);
+  }
+}
+
+TEST_CASE("help and version are printed") {
+  CHECK(Run({"--version"}).out.starts_with("jacinthspool "));
+  const command_result help = Run({"--help"});
+  CHECK(help.code == kExitOk);
+  for (const std::string command : {"entry", "agent", "check", "status", "explain"}) {
+    CHECK(help.out.find(command) != std::string::npos);
+    const command_result own = Run({command, "--help"});
+    CHECK(own.code == kExitOk);
+    CHECK(own.out.find("Exit code") != std::string::npos);
+  }
+}
+
+TEST_CASE("a daemon does not start with a faulty file") {
+  const command_result missing = Run({"entry", "--config", "/nonexistent/entry.json"});
+  CHECK(missing.code == kExitCannotStart);
+  CHECK(IsOneLine(missing.error));
+  const command_result wrong_role =
+      Run({"agent", "--config", std::string(JACINTHSPOOL_EXAMPLES) + "/turnevo/entry.json"});
+  CHECK(wrong_role.code == kExitCannotStart);
+  CHECK(wrong_role.error.find("backend: is missing") != std::string::npos);
+}
+
+TEST_CASE("check prints every finding") {
+  SUBCASE("and the examples have none") {
+    for (const std::string folder : {"turnevo", "lumanara", "."}) {
+      std::vector<std::string> arguments = ExampleFiles(folder);
+      REQUIRE(!arguments.empty());
+      arguments.insert(arguments.begin(), "check");
+      const command_result result = Run(arguments);
+      CHECK_MESSAGE(result.code == kExitOk, result.out);
+      CHECK(result.out.empty());
+    }
+  }
+  SUBCASE("and reads the other files when one can't be read") {
+    const command_result result =
+        Run({"check", "/nonexistent", std::string(JACINTHSPOOL_EXAMPLES) + "/one-file.json",
+             "--kind", "team"});
+    CHECK(result.code == kExitFailed);
+    CHECK(IsOneLine(result.error));
+    CHECK(result.out.find("one-file.json:listen: is not a known setting") != std::string::npos);
+  }
+}
+
+}  // namespace
+}  // namespace jacinthspool
