Add the agent's daemon shell

Cause: agent_core needs a process that carries its effects to the engine or service and to the entries. Ruled out: believing an abort's "nothing held" alone, since an order may still be on its way; the engine's exact list is read every second and what this incarnation does not know is aborted, which also clears what an earlier incarnation left. Change: src/agent: engine and service clients, event stream reader, effect queue with the check for sleep before each order, entry links with the settings exchange, VM list, metrics, status, planned stop.

--- /dev/null
+++ b/src/agent/agent_process.cc
@@ -0,0 +1,308 @@
+#include "src/agent/agent_process.h"
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <utility>
+#include <variant>
+
+#include "src/agent/agent_settings.h"
+#include "src/telemetry/log.h"
+
+namespace jacinthspool {
+namespace {
+
+/// A longer pause between the core's look at the clock and an order counts as sleep.
+constexpr microseconds kLongestPause = milliseconds(50);
+/// What was sent last gets so long to leave before the process ends.
+constexpr microseconds kFlushTime = milliseconds(200);
+
+/// A restarted process gets the larger number.
+incarnation_id NewIncarnation() {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<incarnation_id>(std::chrono::duration_cast<microseconds>(since_epoch).count());
+}
+
+agent_core::options CoreOptions(const process_settings& process, incarnation_id incarnation) {
+  return {
+      .incarnation = incarnation,
+      .backend = process.backend->name,
+      .policy = {},
+      .started = boot_clock::now(),
+      .started_wall = std::chrono::time_point_cast<milliseconds>(std::chrono::system_clock::now())};
+}
+
+void LogFindings(const findings& found) {
+  for (const finding& each : found) {
+    Log(log_level::kWarning, "finding", {{"place", each.place}, {"text", each.text}});
+  }
+}
+
+}  // namespace
+
+agent_process::agent_process(std::shared_ptr<const process_settings> process,
+                             std::string process_file)
+    : process_(std::move(process)),
+      process_file_(std::move(process_file)),
+      incarnation_(NewIncarnation()),
+      timers_(loop_),
+      client_(loop_),
+      core_(CoreOptions(*process_, incarnation_)),
+      handled_(boot_clock::now()),
+      store_({.on_change =
+                  [this](const std::shared_ptr<const settings_snapshot>& settings) {
+                    ApplySettings(*settings);
+                  },
+              .on_findings = LogFindings}),
+      links_({.store = store_, .on_event = [this](const agent_event& event) { Take(event); }}) {}
+
+bool agent_process::Start(std::string& error) {
+  if (!keys_.Load(process_->key_file, error)) {
+    return false;
+  }
+  // Nothing is granted before the backend server is known to run nothing of an earlier process.
+  Take(backend_report{.up = false});
+  peers_ = peer_server::Listen({.loop = loop_,
+                                .timers = timers_,
+                                .keys = keys_,
+                                .address = process_->peer_listen,
+                                .identity = {.role = "agent",
+                                             .name = process_->backend->name,
+                                             .data_centre = process_->data_centre,
+                                             .incarnation = incarnation_},
+                                .handlers = links_.Handlers()},
+                               error);
+  if (peers_ == nullptr) {
+    return false;
+  }
+  if (!process_->listen.empty()) {
+    http_ = http_server::Listen(
+        {.loop = loop_,
+         .address = process_->listen,
+         .on_request = [this](const std::shared_ptr<http_exchange>& exchange) { Serve(exchange); }},
+        error);
+    if (http_ == nullptr) {
+      return false;
+    }
+  }
+  loop_.OnSignal(SIGTERM, [this] { StopPlanned(); });
+  loop_.OnSignal(SIGINT, [this] { StopPlanned(); });
+  loop_.OnSignal(SIGHUP, [this] { Reload(); });
+  source_ =
+      std::make_unique<settings_source>(settings_source::options{.loop = loop_,
+                                                                 .timers = timers_,
+                                                                 .client = client_,
+                                                                 .store = store_,
+                                                                 .process = process_,
+                                                                 .process_file = process_file_});
+  vms_ = std::make_unique<vm_watch>(vm_watch::options{
+      .timers = timers_,
+      .client = client_,
+      .address = process_->vm_list,
+      .names = {process_->name, process_->backend->name},
+      .on_state = [this](bool leaving) { Drain(drain_reason::kVmList, leaving); }});
+  Log(log_level::kInfo, "agent_started",
+      {{"backend", process_->backend->name},
+       {"incarnation", incarnation_},
+       {"peer_listen", process_->peer_listen}});
+  return true;
+}
+
+void agent_process::Run() { loop_.Run(); }
+
+void agent_process::Take(const agent_event& event) {
+  handled_ = boot_clock::now();
+  metrics_.Take(handled_, event);
+  effects_.Add(core_.Handle(handled_, event));
+  if (carrying_) {
+    return;
+  }
+  carrying_ = true;
+  CarryAll();
+  carrying_ = false;
+  Arm();
+  StopWhenIdle();
+}
+
+void agent_process::CarryAll() {
+  while (!effects_.empty()) {
+    if (SleptBefore(effects_.front())) {
+      // Expiry first: the core may take back orders that wait.
+      handled_ = boot_clock::now();
+      effects_.Add(core_.Handle(handled_, time_passed{}));
+      continue;
+    }
+    const agent_effect effect = effects_.Pop();
+    std::visit([this](const auto& chosen) { Carry(chosen); }, effect);
+  }
+}
+
+bool agent_process::SleptBefore(const agent_effect& effect) const {
+  return WorkOf(effect).has_value() && boot_clock::now() - handled_ > kLongestPause;
+}
+
+void agent_process::Carry(const send_to_entry& effect) { links_.Send(effect.entry, effect.body); }
+
+void agent_process::Carry(const order_prefill& order) {
+  metrics_.Ordered(handled_, order.id);
+  std::visit([&](const auto& client) { client->Prefill(order); }, *backend_);
+}
+
+void agent_process::Carry(const order_decode& order) {
+  metrics_.Ordered(handled_, order.id);
+  std::visit([&](const auto& client) { client->Decode(order); }, *backend_);
+}
+
+void agent_process::Carry(const order_call& order) {
+  metrics_.Ordered(handled_, order.id);
+  std::visit([&](const auto& client) { client->Call(order); }, *backend_);
+}
+
+void agent_process::Carry(const order_release& order) {
+  std::visit([&](const auto& client) { client->Release(order); }, *backend_);
+}
+
+void agent_process::Carry(const log_decision& effect) {
+  const decision& made = effect.made;
+  metrics_.Count(made);
+  nlohmann::json fields = {{"decision", made.event},
+                           {"request", ToString(made.request)},
+                           {"attempt", made.attempt},
+                           {"team", made.team},
+                           {"choice", made.choice},
+                           {"reason", made.reason},
+                           {"candidates", nlohmann::json::array()}};
+  for (const decision_candidate& candidate : made.candidates) {
+    nlohmann::json quote = {{"backend", candidate.backend},
+                            {"cached_tokens", candidate.cached_tokens}};
+    if (candidate.start_in) {
+      quote["start_in_us"] = candidate.start_in->count();
+    }
+    if (!candidate.refusal.empty()) {
+      quote["refusal"] = candidate.refusal;
+    }
+    fields["candidates"].push_back(std::move(quote));
+  }
+  Log(log_level::kInfo, "decision", std::move(fields));
+}
+
+void agent_process::Arm() {
+  const std::optional<instant> next = core_.next_wakeup();
+  if (next == armed_) {
+    return;
+  }
+  armed_ = next;
+  if (!next) {
+    wake_.Cancel();
+    return;
+  }
+  const microseconds delay = std::max(*next - boot_clock::now(), microseconds::zero());
+  wake_ = timers_.After(delay, [this](instant) {
+    armed_.reset();
+    Take(time_passed{});
+  });
+}
+
+void agent_process::ApplySettings(const settings_snapshot& settings) {
+  const std::string& backend = process_->backend->name;
+  const timing_settings& timing = *settings.operators->timing;
+  const pool_settings* const pool = settings.FindPoolOfBackend(backend);
+  agent_policy policy = PolicyFor(settings, backend);
+  engine_timeout_ = milliseconds(timing.engine_timeout_ms);
+  links_.set_resync(milliseconds(timing.resync_ms));
+  if (pool == nullptr) {
+    Log(log_level::kWarning, "finding",
+        {{"place", "operators:pools"}, {"text", "no pool holds backend server " + backend}});
+  } else if (!kind_) {
+    OpenBackend(KindOf(*pool));
+  }
+  if (kind_ && policy.kind != *kind_) {
+    // What runs belongs to the old kind of work; a restart takes up the new one.
+    Log(log_level::kWarning, "finding",
+        {{"place", "operators:pools"}, {"text", "the pool's kind needs a restart of the agent"}});
+    policy.kind = *kind_;
+    policy.shares.clear();
+  }
+  if (backend_) {
+    std::visit([&](const auto& client) { client->set_timeout(engine_timeout_); }, *backend_);
+  }
+  Take(policy_changed{.policy = std::move(policy)});
+  Drain(drain_reason::kSettings, IsLeaving(settings, backend));
+  const microseconds beat_every = milliseconds(timing.heartbeat_ms);
+  if (beat_every != beat_every_) {
+    beat_every_ = beat_every;
+    beat_ = timers_.Every(beat_every_, [this](instant) { Beat(); });
+  }
+}
+
+void agent_process::OpenBackend(work_kind kind) {
+  kind_ = kind;
+  backend_options options{.loop = loop_,
+                          .timers = timers_,
+                          .client = client_,
+                          .address = process_->backend->address,
+                          .incarnation = incarnation_,
+                          .timeout = engine_timeout_,
+                          .on_event =
+                              [this](const agent_event& event) {
+                                const bool report = std::holds_alternative<backend_report>(event);
+                                if (!superseded_ || !report) {
+                                  Take(event);
+                                }
+                              },
+                          .on_superseded = [this] { Superseded(); }};
+  if (kind == work_kind::kCall) {
+    backend_.emplace(std::make_unique<service_client>(std::move(options)));
+  } else {
+    backend_.emplace(std::make_unique<engine_client>(std::move(options)));
+  }
+}
+
+void agent_process::Superseded() {
+  if (std::exchange(superseded_, true)) {
+    return;
+  }
+  Log(log_level::kError, "superseded",
+      {{"text", "a later agent gives orders to this backend server; this one takes no new work"}});
+  loop_.Post([this] { Take(backend_report{.up = false}); });
+}
+
+void agent_process::Drain(drain_reason reason, bool leaving) {
+  if (!drain_.Set(reason, leaving)) {
+    return;
+  }
+  Take(leaving_changed{.leaving = drain_.leaving()});
+  Beat();
+}
+
+void agent_process::StopPlanned() {
+  Log(log_level::kInfo, "stop_requested", {});
+  Drain(drain_reason::kPlannedStop, true);
+  StopWhenIdle();
+}
+
+void agent_process::StopWhenIdle() {
+  const bool over = drain_.stopping() && core_.idle() && core_.unacknowledged() == 0;
+  if (!over) {
+    stop_.Cancel();
+    return;
+  }
+  if (!stop_.active()) {
+    stop_ = timers_.After(kFlushTime, [this](instant) {
+      Log(log_level::kInfo, "stopped", {});
+      loop_.Stop();
+    });
+  }
+}
+
+void agent_process::Reload() {
+  std::string error;
+  if (!keys_.Load(process_->key_file, error)) {
+    Log(log_level::kWarning, "finding", {{"place", process_->key_file}, {"text", error}});
+  }
+  source_->Reload();
+}
+
+void agent_process::Beat() { links_.Beat(core_.load(boot_clock::now())); }
+
+}  // namespace jacinthspool
--- /dev/null
+++ b/src/agent/engine_client.cc
@@ -0,0 +1,299 @@
+#include "src/agent/engine_client.h"
+
+#include <utility>
+#include <vector>
+
+#include "src/agent/json_fields.h"
+
+namespace jacinthspool {
+namespace {
+
+constexpr microseconds kLoadEvery = milliseconds(500);
+constexpr microseconds kListEvery = seconds(1);
+constexpr microseconds kQuestionTimeout = seconds(2);
+/// A KV cache may be listed for so long after its end.
+constexpr microseconds kListLag = seconds(1);
+constexpr std::uint32_t kFailuresUntilDown = 2;
+
+constexpr int kOk = 200;
+constexpr int kConflict = 409;
+constexpr int kClientErrors = 400;
+constexpr int kServerErrors = 500;
+
+constexpr std::string_view kTransferParams = "kv_transfer_params";
+
+std::string TargetOf(const nlohmann::json& body) {
+  return body.contains("messages") ? "/v1/chat/completions" : "/v1/completions";
+}
+
+/// \returns How far an order came that ended without a whole answer.
+run_state RanOf(const http_response& response, bool streamed) {
+  if (streamed) {
+    return run_state::kRunning;
+  }
+  const bool refused_whole = response.status >= kClientErrors && response.status < kServerErrors;
+  return response.never_sent || refused_whole ? run_state::kNotRun : run_state::kUnknown;
+}
+
+std::string DetailOf(const http_response& response) {
+  if (!response.error.empty()) {
+    return response.error;
+  }
+  return "the engine answered " + std::to_string(response.status);
+}
+
+}  // namespace
+
+engine_client::engine_client(backend_options options) : options_(std::move(options)) {
+  load_timer_ = options_.timers.Every(kLoadEvery, [this](instant) { PollLoad(); });
+  list_timer_ = options_.timers.Every(kListEvery, [this](instant) { ListRequests(); });
+  PollLoad();
+  ListRequests();
+}
+
+http_request engine_client::Order(const std::string& request, std::string target,
+                                  const nlohmann::json& body) const {
+  http_headers headers = OrderHeaders(options_, request);
+  headers.emplace_back("Content-Type", "application/json");
+  return {.address = options_.address,
+          .method = "POST",
+          .target = std::move(target),
+          .headers = std::move(headers),
+          .body = Dump(body),
+          .timeout = options_.timeout};
+}
+
+void engine_client::Send(attempt_id id, nlohmann::json body, http_callbacks callbacks) {
+  const std::string request = NameOf(id);
+  known_[request] = instant::max();
+  orders_[id].call =
+      options_.client.Fetch(Order(request, TargetOf(body), body), std::move(callbacks));
+}
+
+void engine_client::Prefill(const order_prefill& order) {
+  nlohmann::json body = ParseJson(order.engine_request);
+  if (!body.is_object()) {
+    FailLater(order.id, "the request is no JSON object");
+    return;
+  }
+  body["max_tokens"] = 1;
+  body["stream"] = false;
+  body.erase("stream_options");
+  body[kTransferParams] = {{"do_remote_decode", true}};
+  Send(order.id, std::move(body), {.on_done = [this, id = order.id](const http_response& response) {
+         TakePrefill(id, response);
+       }});
+}
+
+void engine_client::Decode(const order_decode& order) {
+  nlohmann::json body = ParseJson(order.engine_request);
+  nlohmann::json params = ParseJson(order.kv.params);
+  if (!body.is_object() || !params.is_object()) {
+    FailLater(order.id, "the request or its KV cache's parameters are no JSON object");
+    return;
+  }
+  params["do_remote_prefill"] = true;
+  body["stream"] = true;
+  body["stream_options"] = {{"include_usage", true}};
+  body[kTransferParams] = std::move(params);
+  body["kv_transfer_timeout_ms"] =
+      std::chrono::duration_cast<milliseconds>(order.transfer_timeout).count();
+  Send(order.id, std::move(body),
+       {.on_chunk = [this, id = order.id](int status,
+                                          std::string_view bytes) { TakeChunk(id, status, bytes); },
+        .on_done =
+            [this, id = order.id](const http_response& response) { TakeDecodeEnd(id, response); }});
+}
+
+void engine_client::Call(const order_call& order) {
+  FailLater(order.id, "a model engine takes no calls");
+}
+
+void engine_client::Release(const order_release& order) {
+  const attempt_id id = order.id;
+  orders_.erase(id);
+  if (aborts_.contains(id)) {
+    return;
+  }
+  const std::string request = NameOf(id);
+  http_request question = Order(request, "/abort", {{"request_id", request}});
+  question.timeout = kQuestionTimeout;
+  aborts_[id] = options_.client.Fetch(
+      std::move(question),
+      {.on_done = [this, id](const http_response& response) { TakeAbort(id, response); }});
+}
+
+void engine_client::TakeAbort(attempt_id id, const http_response& response) {
+  aborts_.erase(id);
+  CheckFencing(response.status);
+  const nlohmann::json answer = ParseJson(response.body);
+  const bool free = response.status == kOk && answer.is_object() &&
+                    answer.contains("held_pieces") && answer["held_pieces"] == 0;
+  if (free) {
+    known_.erase(NameOf(id));
+    options_.on_event(engine_released{.id = id});
+  }
+}
+
+void engine_client::TakePrefill(attempt_id id, const http_response& response) {
+  CheckFencing(response.status);
+  const nlohmann::json answer = ParseJson(response.body);
+  const nlohmann::json& params = MemberOf(answer, std::string(kTransferParams));
+  if (response.status != kOk || !params.is_object()) {
+    Fail(id, RanOf(response, false), DetailOf(response));
+    return;
+  }
+  orders_.erase(id);
+  const nlohmann::json& usage = MemberOf(answer, "usage");
+  engine_prefilled done{.id = id};
+  done.kv.params = Dump(params);
+  done.kv.bytes = CountOf(params, "bytes");
+  done.kv.expires_in = milliseconds(SmallCountOf(params, "expires_ms"));
+  done.prompt_tokens = SmallCountOf(usage, "prompt_tokens");
+  done.cached_tokens = SmallCountOf(MemberOf(usage, "prompt_tokens_details"), "cached_tokens");
+  known_[NameOf(id)] = timer_service::now() + done.kv.expires_in + kListLag;
+  options_.on_event(std::move(done));
+}
+
+void engine_client::TakeChunk(attempt_id id, int status, std::string_view bytes) {
+  const auto position = orders_.find(id);
+  if (position == orders_.end() || status != kOk || position->second.told) {
+    return;
+  }
+  position->second.streamed = true;
+  for (std::string& text : position->second.answer.Read(bytes)) {
+    options_.on_event(engine_piece{.id = id, .text = std::move(text)});
+    if (!orders_.contains(id)) {
+      return;
+    }
+  }
+  order_state& order = orders_.at(id);
+  if (order.answer.whole()) {
+    order.told = true;
+    FinishDecode(id, order);
+  }
+}
+
+void engine_client::FinishDecode(attempt_id id, const order_state& order) {
+  known_[NameOf(id)] = timer_service::now() + kListLag;
+  options_.on_event(engine_finished{.id = id,
+                                    .finish_reason = order.answer.finish_reason(),
+                                    .prompt_tokens = order.answer.prompt_tokens(),
+                                    .completion_tokens = order.answer.completion_tokens()});
+}
+
+void engine_client::TakeDecodeEnd(attempt_id id, const http_response& response) {
+  CheckFencing(response.status);
+  const auto position = orders_.find(id);
+  if (position == orders_.end()) {
+    return;
+  }
+  if (position->second.told) {
+    orders_.erase(position);
+    return;
+  }
+  const bool streamed = position->second.streamed;
+  const std::string error = position->second.answer.error();
+  const bool ended_early = response.status == kOk && error.empty();
+  const std::string detail = ended_early ? "the answer ended before its proper end"
+                                         : (error.empty() ? DetailOf(response) : error);
+  Fail(id, RanOf(response, streamed), detail);
+}
+
+void engine_client::Fail(attempt_id id, run_state ran, const std::string& detail) {
+  orders_.erase(id);
+  options_.on_event(engine_failed{.id = id, .ran = ran, .detail = detail});
+}
+
+void engine_client::FailLater(attempt_id id, const std::string& detail) {
+  options_.loop.Post([this, id, detail] { Fail(id, run_state::kNotRun, detail); });
+}
+
+void engine_client::PollLoad() {
+  if (load_call_ != nullptr) {
+    return;
+  }
+  load_call_ = options_.client.Fetch(
+      {.address = options_.address, .target = "/load", .timeout = kQuestionTimeout},
+      {.on_done = [this](const http_response& response) { TakeLoad(response); }});
+}
+
+void engine_client::TakeLoad(const http_response& response) {
+  load_call_.reset();
+  if (response.status == kOk) {
+    failures_ = 0;
+    pieces_held_ = SmallCountOf(ParseJson(response.body), "pieces_held");
+    Reachable(true);
+    return;
+  }
+  ++failures_;
+  if (response.never_sent || failures_ >= kFailuresUntilDown) {
+    Reachable(false);
+  }
+}
+
+void engine_client::ListRequests() {
+  if (list_call_ != nullptr) {
+    return;
+  }
+  const instant now = timer_service::now();
+  std::erase_if(known_, [now](const auto& entry) { return entry.second <= now; });
+  list_call_ = options_.client.Fetch(
+      {.address = options_.address, .target = "/requests", .timeout = kQuestionTimeout},
+      {.on_done = [this](const http_response& response) { TakeList(response); }});
+}
+
+void engine_client::TakeList(const http_response& response) {
+  list_call_.reset();
+  const nlohmann::json answer = ParseJson(response.body);
+  const nlohmann::json& requests = MemberOf(answer, "requests");
+  if (response.status != kOk || !requests.is_array()) {
+    return;
+  }
+  bool clean = true;
+  for (const nlohmann::json& entry : requests) {
+    const std::string request = TextOf(entry, "request_id");
+    if (!request.empty() && !known_.contains(request)) {
+      clean = false;
+      AbortOrphan(request);
+    }
+  }
+  clean_ = clean_ || clean;
+  Report();
+}
+
+void engine_client::AbortOrphan(const std::string& request) {
+  if (orphans_.contains(request)) {
+    return;
+  }
+  http_request question = Order(request, "/abort", {{"request_id", request}});
+  question.timeout = kQuestionTimeout;
+  orphans_[request] = options_.client.Fetch(
+      std::move(question), {.on_done = [this, request](const http_response& response) {
+        CheckFencing(response.status);
+        orphans_.erase(request);
+        if (!clean_ && orphans_.empty()) {
+          ListRequests();
+        }
+      }});
+}
+
+void engine_client::Reachable(bool reachable) {
+  reachable_ = reachable;
+  if (!reachable) {
+    clean_ = false;
+  }
+  Report();
+}
+
+void engine_client::Report() {
+  options_.on_event(backend_report{.up = reachable_ && clean_, .pieces_held = pieces_held_});
+}
+
+void engine_client::CheckFencing(int status) const {
+  if (status == kConflict) {
+    options_.on_superseded();
+  }
+}
+
+}  // namespace jacinthspool
--- /dev/null
+++ b/src/agent/service_client.cc
@@ -0,0 +1,112 @@
+#include "src/agent/service_client.h"
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+#include <utility>
+
+namespace jacinthspool {
+namespace {
+
+constexpr microseconds kHealthEvery = milliseconds(500);
+constexpr microseconds kQuestionTimeout = seconds(2);
+
+/// Fields that belong to one connection and not to the message.
+constexpr std::array<std::string_view, 8> kConnectionFields = {
+    "connection", "keep-alive", "transfer-encoding", "content-length",
+    "host",       "te",         "upgrade",           "proxy-connection"};
+
+char Lower(char letter) {
+  return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
+}
+
+bool BelongsToConnection(const std::string& name) {
+  std::string lower = name;
+  std::transform(lower.begin(), lower.end(), lower.begin(), Lower);
+  return std::find(kConnectionFields.begin(), kConnectionFields.end(), lower) !=
+         kConnectionFields.end();
+}
+
+}  // namespace
+
+service_client::service_client(backend_options options) : options_(std::move(options)) {
+  health_timer_ = options_.timers.Every(kHealthEvery, [this](instant) { Poll(); });
+  Poll();
+}
+
+void service_client::Prefill(const order_prefill& order) {
+  TellLater(engine_failed{
+      .id = order.id, .ran = run_state::kNotRun, .detail = "a plain service computes no prompts"});
+}
+
+void service_client::Decode(const order_decode& order) {
+  TellLater(engine_failed{
+      .id = order.id, .ran = run_state::kNotRun, .detail = "a plain service generates no tokens"});
+}
+
+void service_client::Call(const order_call& order) {
+  http_headers headers = OrderHeaders(options_, NameOf(order.id));
+  for (const auto& field : order.call.headers) {
+    if (field != nullptr && !BelongsToConnection(field->name)) {
+      headers.emplace_back(field->name, field->value);
+    }
+  }
+  const bool limited = order.deadline_in > microseconds::zero();
+  http_request request{
+      .address = options_.address,
+      .method = order.call.method,
+      .target = order.call.target,
+      .headers = std::move(headers),
+      .body = std::string(order.call.body.begin(), order.call.body.end()),
+      .timeout = limited ? std::max(order.deadline_in, options_.timeout) : options_.timeout};
+  calls_[order.id] = options_.client.Fetch(
+      std::move(request), {.on_done = [this, id = order.id](http_response response) {
+        TakeAnswer(id, std::move(response));
+      }});
+}
+
+void service_client::Release(const order_release& order) {
+  calls_.erase(order.id);
+  TellLater(engine_released{.id = order.id});
+}
+
+void service_client::TakeAnswer(attempt_id id, http_response response) {
+  calls_.erase(id);
+  if (response.status == 0) {
+    const run_state ran = response.never_sent ? run_state::kNotRun : run_state::kUnknown;
+    options_.on_event(engine_failed{.id = id, .ran = ran, .detail = response.error});
+    return;
+  }
+  service_answered answer{.id = id, .status = static_cast<std::uint16_t>(response.status)};
+  for (const auto& [name, value] : response.headers) {
+    if (!BelongsToConnection(name)) {
+      header_field field;
+      field.name = name;
+      field.value = value;
+      answer.headers.push_back(std::move(field));
+    }
+  }
+  answer.body.assign(response.body.begin(), response.body.end());
+  options_.on_event(std::move(answer));
+}
+
+void service_client::TellLater(agent_event event) {
+  options_.loop.Post([this, event = std::move(event)] { options_.on_event(event); });
+}
+
+void service_client::Poll() {
+  if (health_call_ != nullptr) {
+    return;
+  }
+  health_call_ = options_.client.Fetch(
+      {.address = options_.address, .target = "/health", .timeout = kQuestionTimeout},
+      {.on_done = [this](const http_response& response) { TakeHealth(response); }});
+}
+
+void service_client::TakeHealth(const http_response& response) {
+  health_call_.reset();
+  // Any answer shows that it is there; not every service knows this path.
+  options_.on_event(backend_report{.up = response.status != 0});
+}
+
+}  // namespace jacinthspool
