--- a/include/jacinthspool/forward.h
+++ b/include/jacinthspool/forward.h
@@ -6,19 +6,40 @@
 
 namespace jacinthspool {
 
+struct boot_clock;
+
+struct attempt_hash;
+struct attempt_id;
+struct grant_id;
+struct request_id;
+
+struct decision;
+struct decision_candidate;
+
+class agent_core;
+class drain;
+class fair_share;
+class grant_table;
+class lease_clock;
+class memory_ledger;
+class prefill_queue;
+class prefix_view;
+class run_ledger;
+struct agent_policy;
+struct predicted_release;
+struct prefill_job;
+struct run_key;
+struct seat_room;
+struct waiting_seat;
+
 class backoff;
 class entry_core;
 class retry_budget;
 class stream_assembler;
-struct attempt_id;
-struct boot_clock;
 struct caller_request;
-struct decision;
 struct entry_policy;
-struct grant_id;
 struct pool_member;
 struct pool_view;
-struct request_id;
 
 }  // namespace jacinthspool
 
