--- a/src/entry/agent_links.cc
+++ b/src/entry/agent_links.cc
@@ -46,14 +46,11 @@
       .keys = settings_.keys,
       .address = address,
       .identity = settings_.identity,
-      .handlers = {.on_up = [this, self](
-                                peer_connection& connection) { TakeUp(*self, connection); },
-                   .on_message =
-                       [this, self](peer_connection& connection, message body) {
-                         Take(*self, connection, std::move(body));
-                       },
-                   .on_down = [this, self](peer_connection&,
-                                           const std::string&) { TakeDown(*self); }},
+      .handlers = {
+          .on_up = [this, self](peer_connection& connection) { TakeUp(*self, connection); },
+          .on_message = [this, self](peer_connection& connection,
+                                     message body) { Take(*self, connection, std::move(body)); },
+          .on_down = [this, self](peer_connection&, const std::string&) { TakeDown(*self); }},
       .connect_timeout = times_.connect_timeout});
   return opened;
 }
--- a/src/entry/completion_format.cc
+++ b/src/entry/completion_format.cc
@@ -63,7 +63,8 @@
   const std::string reason = Dump(json(end.finish_reason.empty() ? "stop" : end.finish_reason));
   const std::string rest = ",\"logprobs\":null,\"finish_reason\":" + reason + "}";
   const bool text = shape_.kind == completion_kind::kText;
-  std::string events = Event((text ? R"({"index":0,"text":"")" : R"({"index":0,"delta":{})") + rest);
+  std::string events =
+      Event((text ? R"({"index":0,"text":"")" : R"({"index":0,"delta":{})") + rest);
   if (shape_.include_usage) {
     events += head_ + "],\"usage\":" + Dump(Usage(end)) + "}\n\n";
   }
--- a/src/entry/completion_format.h
+++ b/src/entry/completion_format.h
@@ -13,7 +13,8 @@
 /// \brief Writes one completion in the published JSON shapes.
 class completion_format {
  public:
-  completion_format(completion_shape shape, request_id id, std::chrono::system_clock::time_point created);
+  completion_format(completion_shape shape, request_id id,
+                    std::chrono::system_clock::time_point created);
 
   /// \returns The events that begin a stream; none for plain text.
   [[nodiscard]] std::string Begin() const;
--- a/src/entry/completion_request.cc
+++ b/src/entry/completion_request.cc
@@ -65,7 +65,8 @@
 
   std::string Text(const char* name) {
     const auto field = body_.find(name);
-    if (field == body_.end() || !field->is_string() || field->get_ref<const std::string&>().empty()) {
+    if (field == body_.end() || !field->is_string() ||
+        field->get_ref<const std::string&>().empty()) {
       Report(name, "must be a string that is not empty");
       return {};
     }
@@ -201,9 +202,8 @@
 std::optional<api_error> SizeError(const completion_context& context,
                                    const model_route_settings& route, const caller_request& asked) {
   const std::uint64_t whole = std::uint64_t{asked.prompt_tokens} + asked.output_tokens;
-  const std::uint64_t room =
-      std::min(MemoryTokens(*context.settings.FindPool(route.prefill_pool)),
-               MemoryTokens(*context.settings.FindPool(route.decode_pool)));
+  const std::uint64_t room = std::min(MemoryTokens(*context.settings.FindPool(route.prefill_pool)),
+                                      MemoryTokens(*context.settings.FindPool(route.decode_pool)));
   if (whole <= room) {
     return std::nullopt;
   }
--- a/src/entry/entry_settings.cc
+++ b/src/entry/entry_settings.cc
@@ -90,9 +90,8 @@
     const pool_settings* pool = settings.FindPool(view.name);
     for (const auto& backend : pool->backends) {
       const bool chosen =
-          std::any_of(view.members.begin(), view.members.end(), [&](const pool_member& member) {
-            return member.backend == backend->name;
-          });
+          std::any_of(view.members.begin(), view.members.end(),
+                      [&](const pool_member& member) { return member.backend == backend->name; });
       if (chosen) {
         agents.emplace(backend->name, backend->address);
       }
--- a/src/entry/service_call.cc
+++ b/src/entry/service_call.cc
@@ -16,11 +16,22 @@
 constexpr std::size_t kLongestKey = 255;
 
 /// Headers that concern one connection only, or that the entry writes itself.
-constexpr const char* kOwnHeaders[] = {
-    "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-    "TE",         "Trailer",    "Transfer-Encoding",  "Upgrade",             "Content-Length",
-    "Host",       "Expect",     "Authorization",      "X-Request-Id",        "X-Fencing-Token",
-    "Idempotency-Key"};
+constexpr const char* kOwnHeaders[] = {"Connection",
+                                       "Keep-Alive",
+                                       "Proxy-Authenticate",
+                                       "Proxy-Authorization",
+                                       "Proxy-Connection",
+                                       "TE",
+                                       "Trailer",
+                                       "Transfer-Encoding",
+                                       "Upgrade",
+                                       "Content-Length",
+                                       "Host",
+                                       "Expect",
+                                       "Authorization",
+                                       "X-Request-Id",
+                                       "X-Fencing-Token",
+                                       "Idempotency-Key"};
 
 bool IsOwn(const std::string& name) {
   return std::any_of(std::begin(kOwnHeaders), std::end(kOwnHeaders),
