--- a/src/coordination/entry_core.cc
+++ b/src/coordination/entry_core.cc
@@ -1,9 +1,9 @@
 #include "jacinthspool/impl/entry_core.h"
 
 #include <algorithm>
-#include <type_traits>
 #include <utility>
 
+#include "jacinthspool/impl/overloaded.h"
 #include "src/coordination/entry_state.h"
 
 namespace jacinthspool {
@@ -14,13 +14,6 @@
 /// Longest time that another process may tell.
 constexpr microseconds kLongestTold = std::chrono::hours(1);
 
-template <typename... Visitors>
-struct overloaded : Visitors... {
-  using Visitors::operator()...;
-};
-template <typename... Visitors>
-overloaded(Visitors...) -> overloaded<Visitors...>;
-
 }  // namespace
 
 namespace entry_detail {
