--- /dev/null
+++ b/tests/fuzz/oracle.cc
@@ -0,0 +1,124 @@
+#include "tests/fuzz/oracle.h"
+
+namespace jacinthspool::fuzz {
+
+void oracle::Violation(const std::string& text) { violations_.push_back(text); }
+
+oracle::accepted_request* oracle::Open(request_id id, const std::string& what) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end()) {
+    Violation("answered twice: " + what + " for unknown request " + ToString(id));
+    return nullptr;
+  }
+  if (!found->second.final_outcome.empty()) {
+    Violation("answered twice: " + what + " after " + found->second.final_outcome + " of " +
+              ToString(id));
+    return nullptr;
+  }
+  return &found->second;
+}
+
+void oracle::CallerGone(request_id id, instant now) { requests_.at(id).caller_gone = now; }
+
+void oracle::EntryLost(incarnation_id entry, instant now) {
+  for (auto& [id, request] : requests_) {
+    if (id.incarnation == entry && !request.caller_gone) {
+      request.caller_gone = now;
+      request.entry_lost = true;
+    }
+  }
+}
+
+void oracle::Executed(request_id id) {
+  accepted_request& request = requests_.at(id);
+  ++request.executions;
+  if (request.final_outcome == "not run") {
+    Violation("not run: " + ToString(id) + " ran after it was refused");
+  }
+  if (request.repeatable) {
+    return;
+  }
+  if (request.executions > 1) {
+    Violation("at most once: " + ToString(id) + " ran again");
+  }
+  if (!request.key.empty() && ++key_executions_[request.key] > 1) {
+    Violation("at most once: key " + request.key + " ran again as " + ToString(id));
+  }
+}
+
+void oracle::Delivered(request_id id, const std::string& text) {
+  accepted_request* request = Open(id, "piece");
+  if (request == nullptr) {
+    return;
+  }
+  request->delivered += text;
+  if (request->expected.compare(0, request->delivered.size(), request->delivered) != 0) {
+    Violation("whole answer: " + ToString(id) + " got '" + request->delivered + "'");
+  }
+}
+
+void oracle::Done(request_id id) {
+  accepted_request* request = Open(id, "end");
+  if (request == nullptr) {
+    return;
+  }
+  if (request->delivered != request->expected) {
+    Violation("whole answer: " + ToString(id) + " ended with '" + request->delivered +
+              "' in place of '" + request->expected + "'");
+  }
+  request->final_outcome = "done";
+}
+
+void oracle::CallDone(request_id id, const std::string& body) {
+  accepted_request* request = Open(id, "call answer");
+  if (request == nullptr) {
+    return;
+  }
+  if (body != "answer to " + ToString(id) && request->key.empty()) {
+    Violation("whole answer: " + ToString(id) + " got '" + body + "'");
+  }
+  request->final_outcome = "done";
+}
+
+void oracle::NotRun(request_id id) {
+  accepted_request* request = Open(id, "not run");
+  if (request == nullptr) {
+    return;
+  }
+  if (request->executions > 0) {
+    Violation("not run: " + ToString(id) + " was refused as not run, but had run");
+  }
+  request->final_outcome = "not run";
+}
+
+void oracle::Ended(request_id id, const std::string& outcome) {
+  if (accepted_request* request = Open(id, outcome)) {
+    request->final_outcome = outcome;
+  }
+}
+
+void oracle::Holding(request_id id, const std::string& backend, instant now, microseconds limit) {
+  const accepted_request& request = requests_.at(id);
+  if (request.caller_gone && now - *request.caller_gone > limit) {
+    Violation("memory: " + backend + " holds memory for " + ToString(id) +
+              ", whose caller has gone");
+  }
+}
+
+void oracle::CheckAllAnswered() {
+  for (const auto& [id, request] : requests_) {
+    if (!request.caller_gone && request.final_outcome.empty()) {
+      Violation("whole answer: " + ToString(id) + " never got a final answer");
+    }
+  }
+}
+
+std::map<std::string, std::size_t> oracle::outcomes() const {
+  std::map<std::string, std::size_t> counts;
+  for (const auto& [id, request] : requests_) {
+    ++counts[request.caller_gone ? "caller gone" : request.final_outcome];
+  }
+  return counts;
+}
+
+}  // namespace jacinthspool::fuzz
