Add the commands status and explain

Cause: operators need one process's state and one request's decisions in readable form, without other tools.

--- a/src/cli/arguments.cc
+++ b/src/cli/arguments.cc
@@ -37,13 +37,13 @@
   return std::nullopt;
 }
 
+}  // namespace
+
 int PrintUsageError(const std::string& command, const std::string& text) {
   PrintError(command + ": " + text + " (see 'jacinthspool " + command + " --help')");
   return kExitUsage;
 }
 
-}  // namespace
-
 std::optional<int> ParseArguments(TCLAP::CmdLine& line, const std::string& command,
                                   const std::vector<std::string>& arguments) {
   if (const auto unknown = FindUnknownOption(line, arguments)) {
@@ -64,20 +64,27 @@
   return std::nullopt;
 }
 
-std::optional<std::string> ReadFile(const std::string& path, std::string& error) {
+bool OpenFile(const std::string& path, std::ifstream& file, std::string& error) {
   std::error_code status;
   if (std::filesystem::is_directory(path, status)) {
     error = "cannot read " + path + ": is a directory";
-    return std::nullopt;
+    return false;
   }
   errno = 0;
-  std::ifstream file(path, std::ios::binary);
-  std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+  file.open(path, std::ios::binary);
   if (!file) {
     error = "cannot read " + path + ": " + std::strerror(errno);
+    return false;
+  }
+  return true;
+}
+
+std::optional<std::string> ReadFile(const std::string& path, std::string& error) {
+  std::ifstream file;
+  if (!OpenFile(path, file, error)) {
     return std::nullopt;
   }
-  return text;
+  return std::string{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
 }
 
 void PrintError(const std::string& text) { std::cerr << "jacinthspool: " << text << '\n'; }
--- a/src/cli/arguments.h
+++ b/src/cli/arguments.h
@@ -3,6 +3,7 @@
 
 #include <tclap/CmdLine.h>
 
+#include <iosfwd>
 #include <optional>
 #include <string>
 #include <vector>
@@ -16,6 +17,14 @@
 std::optional<int> ParseArguments(TCLAP::CmdLine& line, const std::string& command,
                                   const std::vector<std::string>& arguments);
 
+/// \brief Tells of a wrong argument in one line on standard error.
+/// \returns kExitUsage.
+int PrintUsageError(const std::string& command, const std::string& text);
+
+/// \brief Opens a file for reading.
+/// \returns false, and the reason in `error`, when it can't be read.
+bool OpenFile(const std::string& path, std::ifstream& file, std::string& error);
+
 /// \brief Reads a whole file.
 /// \returns Nothing, and the reason in `error`, when it can't be read.
 std::optional<std::string> ReadFile(const std::string& path, std::string& error);
--- a/src/cli/command_line.cc
+++ b/src/cli/command_line.cc
@@ -1,11 +1,15 @@
 #include "src/cli/command_line.h"
 
+#include <iomanip>
 #include <iostream>
+#include <string_view>
 
 #include "src/cli/arguments.h"
 #include "src/cli/check_command.h"
 #include "src/cli/daemon_commands.h"
 #include "src/cli/exit_code.h"
+#include "src/cli/explain_command.h"
+#include "src/cli/status_command.h"
 
 namespace jacinthspool {
 namespace {
@@ -20,6 +24,8 @@
     {"entry", "serve callers and route their requests", &RunEntryCommand},
     {"agent", "run beside one backend server", &RunAgentCommand},
     {"check", "check settings documents and print every finding", &RunCheck},
+    {"status", "print what a running process says of itself", &RunStatus},
+    {"explain", "tell from its log lines what was decided about a request", &RunExplain},
 };
 
 void PrintHelp() {
--- /dev/null
+++ b/src/cli/explain_command.cc
@@ -0,0 +1,176 @@
+#include "src/cli/explain_command.h"
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <string_view>
+
+#include "jacinthspool/impl/time.h"
+#include "src/cli/arguments.h"
+#include "src/cli/exit_code.h"
+#include "src/cli/text_table.h"
+
+namespace jacinthspool {
+namespace {
+
+constexpr const char* kSummary =
+    "Tells what was decided about one request: each decision in the order of time, with the "
+    "backend servers that were weighed, their quotes or refusals, the choice and its reason.\n"
+    "LOGFILE holds JSON log lines, of one process or of several put together; '-' is standard "
+    "input.\n"
+    "Exit code: 0 done, 1 unreadable file or nothing about the request in it, 2 usage.";
+
+constexpr const char* kIndent = "    ";
+
+std::string TextOf(const nlohmann::json& line, const char* field) {
+  const auto found = line.find(field);
+  return found != line.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+/// \returns Milliseconds with one decimal.
+std::string Milliseconds(microseconds value) {
+  constexpr std::int64_t kTenthsPerMillisecond = 10;
+  const std::int64_t tenths =
+      std::chrono::duration_cast<std::chrono::duration<std::int64_t, std::ratio<1, 10000>>>(value)
+          .count();
+  return std::to_string(tenths / kTenthsPerMillisecond) + "." +
+         std::to_string(tenths % kTenthsPerMillisecond) + " ms";
+}
+
+/// "can start in 12.0 ms, 2048 tokens cached", or why it declined.
+std::string QuoteOf(const nlohmann::json& candidate) {
+  const std::string refusal = TextOf(candidate, "refusal");
+  if (!refusal.empty()) {
+    return "refused: " + refusal;
+  }
+  std::string quote = "no quote";
+  const auto start = candidate.find("start_in_us");
+  if (start != candidate.end() && start->is_number_integer()) {
+    quote = "can start in " + Milliseconds(microseconds(start->get<std::int64_t>()));
+  }
+  const auto cached = candidate.find("cached_tokens");
+  if (cached != candidate.end() && cached->is_number_unsigned() && *cached > 0) {
+    quote += ", " + cached->dump() + " tokens cached";
+  }
+  return quote;
+}
+
+void PrintCandidates(const nlohmann::json& line, std::ostream& out) {
+  const auto candidates = line.find("candidates");
+  if (candidates == line.end() || !candidates->is_array()) {
+    return;
+  }
+  text_table table;
+  for (const nlohmann::json& candidate : *candidates) {
+    if (candidate.is_object()) {
+      table.Add({kIndent + TextOf(candidate, "backend"), QuoteOf(candidate)});
+    }
+  }
+  table.Print(out);
+}
+
+/// Fields that the headline of a line already tells.
+bool IsInHeadline(std::string_view field) {
+  constexpr std::string_view kFields[] = {"time",    "level",    "process",   "event",
+                                          "request", "decision", "attempt",   "team",
+                                          "choice",  "reason",   "candidates"};
+  return std::find(std::begin(kFields), std::end(kFields), field) != std::end(kFields);
+}
+
+std::string Headline(const nlohmann::json& line) {
+  const std::string decision = TextOf(line, "decision");
+  std::string text = TextOf(line, "time") + "  " + TextOf(line, "process") + "  " +
+                     (decision.empty() ? TextOf(line, "event") : decision);
+  const auto attempt = line.find("attempt");
+  if (attempt != line.end() && attempt->is_number()) {
+    text += " (attempt " + attempt->dump() + ")";
+  }
+  const std::string choice = TextOf(line, "choice");
+  const std::string reason = TextOf(line, "reason");
+  text += choice.empty() ? "" : ": " + choice;
+  text += reason.empty() ? "" : " because " + reason;
+  return text;
+}
+
+void PrintLine(const nlohmann::json& line, std::ostream& out) {
+  out << Headline(line) << '\n';
+  PrintCandidates(line, out);
+  for (const auto& [field, value] : line.items()) {
+    if (!IsInHeadline(field)) {
+      out << kIndent << field << " = "
+          << (value.is_string() ? value.get<std::string>() : value.dump()) << '\n';
+    }
+  }
+}
+
+std::vector<nlohmann::json> LinesOf(std::istream& log, const std::string& request) {
+  std::vector<nlohmann::json> lines;
+  std::string text;
+  while (std::getline(log, text)) {
+    if (text.find(request) == std::string::npos) {
+      continue;
+    }
+    nlohmann::json line = nlohmann::json::parse(text, nullptr, /*allow_exceptions=*/false);
+    if (line.is_object() && TextOf(line, "request") == request) {
+      lines.push_back(std::move(line));
+    }
+  }
+  return lines;
+}
+
+std::string FirstTeam(const std::vector<nlohmann::json>& lines) {
+  for (const nlohmann::json& line : lines) {
+    if (const std::string team = TextOf(line, "team"); !team.empty()) {
+      return team;
+    }
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+std::size_t ExplainRequest(std::istream& log, request_id request, std::ostream& out) {
+  std::vector<nlohmann::json> lines = LinesOf(log, ToString(request));
+  if (lines.empty()) {
+    return 0;
+  }
+  std::stable_sort(lines.begin(), lines.end(),
+                   [](const nlohmann::json& left, const nlohmann::json& right) {
+                     return TextOf(left, "time") < TextOf(right, "time");
+                   });
+  out << "request " << ToString(request) << " of team " << FirstTeam(lines) << '\n';
+  for (const nlohmann::json& line : lines) {
+    PrintLine(line, out);
+  }
+  return lines.size();
+}
+
+int RunExplain(const std::vector<std::string>& arguments) {
+  TCLAP::CmdLine line(kSummary, ' ', JACINTHSPOOL_VERSION);
+  TCLAP::UnlabeledValueArg<std::string> file("logfile", "JSON log lines, or '-'", true, "",
+                                             "LOGFILE", line);
+  TCLAP::UnlabeledValueArg<std::string> id("request", "As in the field \"request\" of log lines",
+                                           true, "", "REQUEST-ID", line);
+  if (const auto code = ParseArguments(line, "explain", arguments)) {
+    return *code;
+  }
+  request_id request;
+  if (!ParseRequestId(id.getValue(), request)) {
+    return PrintUsageError("explain", "'" + id.getValue() + "' is not a request id");
+  }
+  std::ifstream opened;
+  std::string error;
+  if (file.getValue() != "-" && !OpenFile(file.getValue(), opened, error)) {
+    PrintError("explain: " + error);
+    return kExitFailed;
+  }
+  std::istream& log = file.getValue() == "-" ? std::cin : opened;
+  if (ExplainRequest(log, request, std::cout) == 0) {
+    PrintError("explain: nothing about request " + id.getValue() + " in " + file.getValue());
+    return kExitFailed;
+  }
+  return kExitOk;
+}
+
+}  // namespace jacinthspool
--- a/src/settings/settings_source.cc
+++ b/src/settings/settings_source.cc
@@ -3,6 +3,7 @@
 #include <utility>
 #include <variant>
 
+#include "jacinthspool/impl/overloaded.h"
 #include "src/settings/consul_source.h"
 #include "src/settings/file_source.h"
 
@@ -14,13 +15,6 @@
 
 namespace {
 
-template <typename... handlers>
-struct overloaded : handlers... {
-  using handlers::operator()...;
-};
-template <typename... handlers>
-overloaded(handlers...) -> overloaded<handlers...>;
-
 bool IsService(const process_settings& process) {
   return process.source && process.source->kind == config::source_kind::consul;
 }
