Let a stalled prefill stay in the engine

Cause: a test needs a prefill that is running and stays so. Change: stall_prefill holds the end of a prefill back, not its beginning. Conclusion: none open.

--- a/tests/standins/engine_options.h
+++ b/tests/standins/engine_options.h
@@ -52,7 +52,7 @@
   std::uint32_t cut_after_tokens = 0;  ///< ...after so many tokens.
   bool stall_transfer = false;         ///< KV reads get no answer.
   bool stall_decode = false;           ///< No decode steps are made.
-  bool stall_prefill = false;          ///< No prefill is begun.
+  bool stall_prefill = false;          ///< No prefill ends.
   std::uint32_t slow_ms = 0;           ///< Orders wait this long before they count.
   int refuse = 0;                      ///< Status with which all orders are refused.
   std::uint32_t drop_prefills = 0;     ///< This many finished prefills are not reported.
--- a/tests/standins/prefill_queue.cc
+++ b/tests/standins/prefill_queue.cc
@@ -6,6 +6,11 @@
 #include "tests/standins/expected_answer.h"
 
 namespace jacinthspool::standins {
+namespace {
+
+constexpr milliseconds kStallCheck(10);
+
+}  // namespace
 
 prefill_queue::prefill_queue(surroundings around, engine_parts& parts)
     : around_(around), parts_(parts), cache_(parts.options.prefix_cache_tokens) {}
@@ -31,7 +36,7 @@
 }
 
 void prefill_queue::Next() {
-  if (running_ || parts_.faults.stall_prefill) {
+  if (running_) {
     return;
   }
   auto best = jobs_.end();
@@ -63,8 +68,12 @@
   if (found == jobs_.end()) {
     return;
   }
-  running_.reset();
   job& done = found->second;
+  if (parts_.faults.stall_prefill) {
+    done.timer = PostAfter(around_, kStallCheck, [this, id] { Finish(id); });
+    return;
+  }
+  running_.reset();
   done.state = job_state::kKept;
   const microseconds life = parts_.options.Scaled(parts_.options.kv_life);
   done.timer = PostAfter(around_, life, [this, id] { Expire(id); });
