Put conversations into one prompt as the entry does

Cause: the entry sends the engine one prompt for a chat. Change: the stand-in's reading of messages follows the entry's format. Conclusion: the chat story asserts the complete answer with it.

--- a/tests/standins/expected_answer.h
+++ b/tests/standins/expected_answer.h
@@ -14,16 +14,16 @@
 inline constexpr std::size_t kBytesPerToken = 4;
 inline constexpr std::uint32_t kDefaultMaxTokens = 16;
 
-/// \returns The prompt of a completion, or the messages of a chat, as one text.
+/// \returns The prompt of a completion, or the one that a conversation is put into.
 inline std::string PromptOf(const nlohmann::json& request) {
   if (request.contains("prompt") && request["prompt"].is_string()) {
     return request["prompt"].get<std::string>();
   }
   std::string text;
   for (const nlohmann::json& message : request.value("messages", nlohmann::json::array())) {
-    text += message.value("role", "") + ": " + message.value("content", "") + "\n";
+    text += "<|" + message.value("role", "") + "|>\n" + message.value("content", "") + "\n";
   }
-  return text;
+  return text + "<|assistant|>\n";
 }
 
 inline std::uint32_t TokensOf(std::string_view prompt) {
