--- a/src/entry/entry_serving.cc
+++ b/src/entry/entry_serving.cc
@@ -16,7 +16,6 @@
 
 constexpr int kOk = 200;
 constexpr int kUnauthorized = 401;
-constexpr int kNotFound = 404;
 constexpr int kMethodNotAllowed = 405;
 constexpr int kBodyTooLarge = 413;
 constexpr int kInternalError = 500;
