Add the process tests and the demo

Cause: each invariant owes a proof with the real binary, killed, frozen and cut from outside; README's first command is to serve one real request. Change: tests/process/ holds a small harness (children by posix_spawn, always reaped; a relay on the test's own loop; calls on the transport's client) and one file for each invariant; tools/serve starts stand-ins, two agents and an entry, and prints the streamed answer with its decision.

--- /dev/null
+++ b/tests/process/child_process.h
@@ -0,0 +1,37 @@
+#ifndef JACINTHSPOOL_TESTS_PROCESS_CHILD_PROCESS_H_
+#define JACINTHSPOOL_TESTS_PROCESS_CHILD_PROCESS_H_
+
+#include <sys/types.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace jacinthspool::testing {
+
+/// \brief A process that the test has started; killed and reaped with its owner.
+class child_process {
+ public:
+  /// \param log_file Takes standard output and standard error, appended.
+  child_process(const std::string& binary, std::vector<std::string> arguments,
+                const std::string& log_file);
+  ~child_process();
+  child_process(const child_process&) = delete;
+  child_process& operator=(const child_process&) = delete;
+
+  void Signal(int number) const;
+
+  /// \brief SIGKILL, and waits until the process has gone.
+  void Kill();
+
+  /// \returns The exit code once the process has ended; 128 plus the signal if one ended it.
+  std::optional<int> ExitCode();
+
+ private:
+  pid_t pid_ = -1;
+  std::optional<int> exit_code_;
+};
+
+}  // namespace jacinthspool::testing
+
+#endif  // JACINTHSPOOL_TESTS_PROCESS_CHILD_PROCESS_H_
--- /dev/null
+++ b/tests/process/cluster.h
@@ -0,0 +1,139 @@
+#ifndef JACINTHSPOOL_TESTS_PROCESS_CLUSTER_H_
+#define JACINTHSPOOL_TESTS_PROCESS_CLUSTER_H_
+
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "tests/process/call.h"
+#include "tests/process/child_process.h"
+#include "tests/process/relay.h"
+#include "tests/process/world.h"
+
+namespace jacinthspool::testing {
+
+inline constexpr char kTurnevoToken[] = "turnevo-token";
+inline constexpr char kLumanaraToken[] = "lumanara-token";
+inline constexpr char kVisitorToken[] = "visitor-token";  ///< A team without any pool.
+inline constexpr char kModel[] = "digest";
+
+struct cluster_options {
+  int prefills = 1;
+  int decodes = 1;
+  int services = 1;
+  int entries = 1;
+  bool from_service = false;  ///< Settings from the configuration stand-in, not from files.
+  /// Whole command line options of stand-in engines, besides those of the cluster.
+  std::vector<std::string> engine_options = {};
+  bool check_fencing = false;
+  nlohmann::json timing = nlohmann::json::object();  ///< Changes to the usual timing settings.
+  nlohmann::json limits = nlohmann::json::object();
+  nlohmann::json pools =
+      nlohmann::json::object();  ///< Changes to the settings of the engines' pools.
+};
+
+/// \brief One agent with its backend server and the links to it.
+struct backend_server {
+  std::string name;
+  std::string pool;
+  std::string engine_address;          ///< Direct, for the test's own questions.
+  std::unique_ptr<relay> engine_link;  ///< Agent to engine or service.
+  std::unique_ptr<relay> kv_link;      ///< Other engines to this engine's KV caches.
+  std::string peer_address;
+  std::string status_address;
+  std::unique_ptr<child_process> engine;
+  std::unique_ptr<child_process> agent;
+};
+
+struct entry_server {
+  std::string name;
+  std::string address;
+  std::map<std::string, std::unique_ptr<relay>> links;  ///< To each agent, by backend server.
+  std::unique_ptr<child_process> process;
+};
+
+/// \brief The system with its stand-ins, each in a process of its own.
+class cluster {
+ public:
+  explicit cluster(cluster_options options);
+
+  /// \brief Starts everything and waits until completions and calls are served.
+  /// \returns false when they are not; logs are on standard output then.
+  bool Start();
+
+  // Parts, by number from 0:
+  backend_server& prefill(int number = 0) { return *backends_.at("p" + std::to_string(number)); }
+  backend_server& decode(int number = 0) { return *backends_.at("d" + std::to_string(number)); }
+  backend_server& service(int number = 0) { return *backends_.at("s" + std::to_string(number)); }
+  entry_server& entry(int number = 0) { return *entries_.at(number); }
+
+  void StartEngine(backend_server& backend);
+  void StartAgent(backend_server& backend);
+  void StartEntry(entry_server& entry);
+  /// \brief Waits until the process answers that it is well.
+  /// \returns false when it has ended, or does not answer within the bound.
+  bool WaitHealthy(const std::string& address, child_process& process,
+                   const char* target = "/healthz");
+  /// \brief Waits until the entry serves completions and calls.
+  bool WaitServing(entry_server& entry);
+
+  /// \returns A running completion; chats when `target` says so.
+  call_ptr Complete(const nlohmann::json& request, int entry = 0,
+                    const std::string& target = "/v1/completions",
+                    const std::string& token = kTurnevoToken);
+  /// \returns A running call of the plain service.
+  call_ptr CallService(const std::string& target, const std::string& body,
+                       const http_headers& headers = {}, int entry = 0,
+                       const std::string& token = kTurnevoToken);
+
+  /// \returns An idempotency key (UUID version 7) of a caller whose clock is ahead by nearly
+  /// the skew that agents allow, so that agents which have just started can take it.
+  std::string NewKey();
+
+  /// \brief Switches faults of a stand-in.
+  void Faults(const std::string& address, const nlohmann::json& faults);
+  /// \returns Requests that the engine holds memory for.
+  nlohmann::json HeldBy(const backend_server& backend);
+  /// \brief Waits until no engine holds anything.
+  bool WaitNothingHeld();
+  nlohmann::json Executions(int service = 0);
+
+  /// \brief The operators' document as the entry sees it.
+  nlohmann::json Operators(const entry_server* entry) const;
+  nlohmann::json Team(const std::string& name) const;
+  /// \brief Writes one document to the configuration stand-in. \returns Its index there.
+  std::uint64_t Publish(const std::string& path, const nlohmann::json& document);
+
+  /// \returns The log of a process, by its name.
+  [[nodiscard]] std::string LogOf(const std::string& name) const;
+  void PrintLogs() const;
+
+  world& around() { return world_; }
+  [[nodiscard]] const std::string& configuration_address() const { return configuration_address_; }
+  [[nodiscard]] const std::string& vms_address() const { return vms_address_; }
+  child_process& configuration_service() { return *configuration_; }
+
+ private:
+  void AddBackend(const std::string& name, const std::string& pool);
+  [[nodiscard]] nlohmann::json ProcessFile(const std::string& name,
+                                           const entry_server* entry) const;
+  std::unique_ptr<child_process> StartStandin(const std::string& name,
+                                              std::vector<std::string> arguments);
+
+  cluster_options options_;
+  world world_;
+  instant last_start_{};
+  std::uint32_t keys_ = 0;
+  std::string configuration_address_;
+  std::string vms_address_;
+  std::unique_ptr<child_process> configuration_;
+  std::unique_ptr<child_process> vms_;
+  std::map<std::string, std::unique_ptr<backend_server>> backends_;
+  std::vector<std::unique_ptr<entry_server>> entries_;
+};
+
+}  // namespace jacinthspool::testing
+
+#endif  // JACINTHSPOOL_TESTS_PROCESS_CLUSTER_H_
--- /dev/null
+++ b/tests/process/relay.cc
@@ -0,0 +1,155 @@
+#include "tests/process/relay.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+
+#include <cstdint>
+#include <list>
+#include <utility>
+
+namespace jacinthspool::testing {
+namespace {
+
+sockaddr_in Parse(const std::string& address) {
+  sockaddr_in parsed{};
+  int length = sizeof(parsed);
+  evutil_parse_sockaddr_port(address.c_str(), reinterpret_cast<sockaddr*>(&parsed), &length);
+  return parsed;
+}
+
+}  // namespace
+
+struct relay::state {
+  struct link {
+    state& owner;
+    bufferevent* caller = nullptr;
+    bufferevent* target = nullptr;
+  };
+
+  event_base* base = nullptr;
+  std::string target;
+  std::string address;
+  evconnlistener* listener = nullptr;
+  std::list<link> links;
+  bool cut = false;
+  bool requests_stalled = false;
+  bool replies_stalled = false;
+
+  void Accept(evutil_socket_t descriptor);
+  void Close(link& closed);
+  void Apply(link& each) const;
+  void ApplyAll() {
+    for (link& each : links) {
+      Apply(each);
+    }
+  }
+
+  static void OnAccept(evconnlistener* /*listener*/, evutil_socket_t descriptor, sockaddr* /*from*/,
+                       int /*length*/, void* self) {
+    static_cast<state*>(self)->Accept(descriptor);
+  }
+  static void OnRead(bufferevent* side, void* context) {
+    link& read = *static_cast<link*>(context);
+    bufferevent* other = side == read.caller ? read.target : read.caller;
+    bufferevent_write_buffer(other, bufferevent_get_input(side));
+  }
+  static void OnDrained(bufferevent* /*side*/, void* context) {
+    link& closed = *static_cast<link*>(context);
+    closed.owner.Close(closed);
+  }
+  static void OnEvent(bufferevent* side, std::int16_t what, void* context) {
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) {
+      return;
+    }
+    link& closed = *static_cast<link*>(context);
+    bufferevent* other = side == closed.caller ? closed.target : closed.caller;
+    if (evbuffer_get_length(bufferevent_get_output(other)) == 0) {
+      closed.owner.Close(closed);
+      return;
+    }
+    // What one side sent before it closed still reaches the other.
+    bufferevent_disable(side, EV_READ | EV_WRITE);
+    bufferevent_setcb(other, OnRead, OnDrained, OnEvent, context);
+  }
+};
+
+void relay::state::Accept(evutil_socket_t descriptor) {
+  if (cut) {
+    evutil_closesocket(descriptor);
+    return;
+  }
+  links.push_back({*this});
+  link& added = links.back();
+  added.caller = bufferevent_socket_new(base, descriptor, BEV_OPT_CLOSE_ON_FREE);
+  added.target = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+  bufferevent_setcb(added.caller, OnRead, nullptr, OnEvent, &added);
+  bufferevent_setcb(added.target, OnRead, nullptr, OnEvent, &added);
+  sockaddr_in to = Parse(target);
+  bufferevent_socket_connect(added.target, reinterpret_cast<sockaddr*>(&to), sizeof(to));
+  Apply(added);
+}
+
+void relay::state::Apply(link& each) const {
+  (requests_stalled ? bufferevent_disable : bufferevent_enable)(each.caller, EV_READ);
+  (replies_stalled ? bufferevent_disable : bufferevent_enable)(each.target, EV_READ);
+}
+
+void relay::state::Close(link& closed) {
+  bufferevent_free(closed.caller);
+  bufferevent_free(closed.target);
+  links.remove_if([&closed](const link& each) { return &each == &closed; });
+}
+
+relay::relay(world& around, std::string target) : state_(std::make_unique<state>()) {
+  state_->base = around.loop().base();
+  state_->target = std::move(target);
+  state_->address = around.FreeAddress();
+  sockaddr_in at = Parse(state_->address);
+  state_->listener = evconnlistener_new_bind(state_->base, state::OnAccept, state_.get(),
+                                             LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+                                             reinterpret_cast<sockaddr*>(&at), sizeof(at));
+}
+
+relay::~relay() {
+  Cut();
+  evconnlistener_free(state_->listener);
+}
+
+const std::string& relay::address() const { return state_->address; }
+
+void relay::Cut() {
+  state_->cut = true;
+  while (!state_->links.empty()) {
+    state_->Close(state_->links.front());
+  }
+}
+
+void relay::Stall() {
+  state_->requests_stalled = true;
+  state_->replies_stalled = true;
+  state_->ApplyAll();
+}
+
+void relay::StallRequests() {
+  state_->requests_stalled = true;
+  state_->replies_stalled = false;
+  state_->ApplyAll();
+}
+
+void relay::StallReplies() {
+  state_->requests_stalled = false;
+  state_->replies_stalled = true;
+  state_->ApplyAll();
+}
+
+void relay::Heal() {
+  state_->cut = false;
+  state_->requests_stalled = false;
+  state_->replies_stalled = false;
+  state_->ApplyAll();
+}
+
+}  // namespace jacinthspool::testing
