Make the agent clean under clang-tidy

Change: events move into the core; the shell uses transport's NewIncarnation. Conclusion: no change of behaviour.

--- a/src/agent/agent_process.cc
+++ b/src/agent/agent_process.cc
@@ -8,6 +8,7 @@
 
 #include "src/agent/agent_settings.h"
 #include "src/telemetry/log.h"
+#include "src/transport/incarnation.h"
 
 namespace jacinthspool {
 namespace {
@@ -17,12 +18,6 @@
 /// What was sent last gets so long to leave before the process ends.
 constexpr microseconds kFlushTime = milliseconds(200);
 
-/// A restarted process gets the larger number.
-incarnation_id NewIncarnation() {
-  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<incarnation_id>(std::chrono::duration_cast<microseconds>(since_epoch).count());
-}
-
 agent_core::options CoreOptions(const process_settings& process, incarnation_id incarnation) {
   return {
       .incarnation = incarnation,
--- a/src/agent/engine_client.cc
+++ b/src/agent/engine_client.cc
@@ -63,7 +63,7 @@
           .timeout = options_.timeout};
 }
 
-void engine_client::Send(attempt_id id, nlohmann::json body, http_callbacks callbacks) {
+void engine_client::Send(attempt_id id, const nlohmann::json& body, http_callbacks callbacks) {
   const std::string request = NameOf(id);
   known_[request] = instant::max();
   orders_[id].call =
@@ -80,7 +80,7 @@
   body["stream"] = false;
   body.erase("stream_options");
   body[kTransferParams] = {{"do_remote_decode", true}};
-  Send(order.id, std::move(body), {.on_done = [this, id = order.id](const http_response& response) {
+  Send(order.id, body, {.on_done = [this, id = order.id](const http_response& response) {
          TakePrefill(id, response);
        }});
 }
@@ -98,7 +98,7 @@
   body[kTransferParams] = std::move(params);
   body["kv_transfer_timeout_ms"] =
       std::chrono::duration_cast<milliseconds>(order.transfer_timeout).count();
-  Send(order.id, std::move(body),
+  Send(order.id, body,
        {.on_chunk = [this, id = order.id](int status,
                                           std::string_view bytes) { TakeChunk(id, status, bytes); },
         .on_done =
--- a/src/agent/engine_client.h
+++ b/src/agent/engine_client.h
@@ -41,7 +41,7 @@
     bool told = false;      ///< The core has been told how it ended.
   };
 
-  void Send(attempt_id id, nlohmann::json body, http_callbacks callbacks);
+  void Send(attempt_id id, const nlohmann::json& body, http_callbacks callbacks);
   [[nodiscard]] http_request Order(const std::string& request, std::string target,
                                    const nlohmann::json& body) const;
 
--- a/src/agent/sse_reader.cc
+++ b/src/agent/sse_reader.cc
@@ -15,7 +15,7 @@
   std::size_t begin = 0;
   for (std::size_t end = rest_.find('\n'); end != std::string::npos;
        end = rest_.find('\n', begin)) {
-    TakeLine(std::string_view(rest_).substr(begin, end - begin), events);
+    TakeLine(std::string_view{rest_}.substr(begin, end - begin), events);
     begin = end + 1;
   }
   rest_.erase(0, begin);
--- a/src/coordination/agent_core.cc
+++ b/src/coordination/agent_core.cc
@@ -47,8 +47,8 @@
   changed = changed || waiting || replan;
 }
 
-void agent_core::state::Take(const agent_event& event) {
-  std::visit([this](const auto& happened) { On(happened); }, event);
+void agent_core::state::Take(agent_event event) {
+  std::visit([this](auto& happened) { On(std::move(happened)); }, event);
   if (changed) {
     changed = false;
     Dispatch();
@@ -95,7 +95,7 @@
 
 agent_effects agent_core::Handle(instant now, agent_event event) {
   state_->Advance(now);
-  state_->Take(event);
+  state_->Take(std::move(event));
   return std::exchange(state_->effects, {});
 }
 
--- a/src/coordination/agent_state.h
+++ b/src/coordination/agent_state.h
@@ -53,7 +53,7 @@
 
   // agent_core.cc
   void Advance(instant time);
-  void Take(const agent_event& event);
+  void Take(agent_event event);
   [[nodiscard]] std::optional<instant> NextWakeup() const;
 
   // agent_messages.cc: what entries send
