Pass a caller's idempotency key on to the service

Cause: a run of entry, agents and stand-ins showed no key at the service; the entry gives the key in the grant request only. Change: the agent adds the header to the call, unless the call has it; exit code 3 when the agent cannot start. An engine stand-in ended with a libevent assertion when a stream was closed by the agent and aborted at once. Conclusion: the assertion is to be found in the HTTP server of the transport.

--- a/src/agent/agent_daemon.cc
+++ b/src/agent/agent_daemon.cc
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr int kSuccess = 0;
-constexpr int kStartFailed = 1;
+constexpr int kStartFailed = 3;
 
 }  // namespace
 
--- a/src/agent/agent_process.cc
+++ b/src/agent/agent_process.cc
@@ -271,7 +271,7 @@
 }
 
 void agent_process::StopPlanned() {
-  Log(log_level::kInfo, "stop_requested", {});
+  Log(log_level::kInfo, "stop_requested", nlohmann::json::object());
   Drain(drain_reason::kPlannedStop, true);
   StopWhenIdle();
 }
@@ -284,7 +284,7 @@
   }
   if (!stop_.active()) {
     stop_ = timers_.After(kFlushTime, [this](instant) {
-      Log(log_level::kInfo, "stopped", {});
+      Log(log_level::kInfo, "stopped", nlohmann::json::object());
       loop_.Stop();
     });
   }
--- a/src/coordination/agent_dispatch.cc
+++ b/src/coordination/agent_dispatch.cc
@@ -1,5 +1,7 @@
 #include <algorithm>
-#include <cstdlib>
+#include <cctype>
+#include <memory>
+#include <string_view>
 #include <utility>
 
 #include "src/coordination/agent_state.h"
@@ -20,10 +22,30 @@
 /// Guess for an engine to confirm that it has released an attempt.
 constexpr microseconds kReleaseTime = milliseconds(20);
 
+constexpr std::string_view kKeyField = "Idempotency-Key";
+
 microseconds FromSeconds(double value) {
   return std::chrono::duration_cast<microseconds>(std::chrono::duration<double>(value));
 }
 
+/// \brief Passes the caller's idempotency key on to the service, unless the call has it already.
+void AddKey(const std::string& key, call_request& call) {
+  const auto same_name = [](const std::shared_ptr<header_field>& field) {
+    return field != nullptr && std::equal(field->name.begin(), field->name.end(), kKeyField.begin(),
+                                          kKeyField.end(), [](char left, char right) {
+                                            return std::tolower(static_cast<unsigned char>(left)) ==
+                                                   std::tolower(static_cast<unsigned char>(right));
+                                          });
+  };
+  if (key.empty() || std::any_of(call.headers.begin(), call.headers.end(), same_name)) {
+    return;
+  }
+  auto field = std::make_shared<header_field>();
+  field->name = kKeyField;
+  field->value = key;
+  call.headers.push_back(std::move(field));
+}
+
 }  // namespace
 
 void agent_core::state::Dispatch() {
@@ -102,6 +124,7 @@
                                       .transfer_timeout = policy.transfer_timeout});
     return;
   }
+  AddKey(attempt.terms.idempotency_key, *order.call);
   const bool limited = attempt.deadline != instant::max();
   effects.emplace_back(
       order_call{.id = attempt.id,
--- a/tests/coordination/agent_core_test.cc
+++ b/tests/coordination/agent_core_test.cc
@@ -441,6 +441,10 @@
   story.Say(booking);
   story.Say(Start(work_kind::kCall, story.Sent<grant_offer>().at(0)));
   REQUIRE(story.All<order_call>().size() == 1);
+  const auto headers = story.All<order_call>()[0].call.headers;
+  REQUIRE(headers.size() == 1);
+  CHECK(headers[0]->name == "Idempotency-Key");
+  CHECK(headers[0]->value == "hall-3");
 
   SUBCASE("its answer comes back whole") {
     story.Do(service_answered{
