Prove the settings' sources and choose the service's watchers

Cause: the Consul source had not run, every process would have kept a watch of its own, and a second backoff stood beside the library's.

Change: watchers of a data centre are chosen by rendezvous hashing over the operators' backend servers; the others read the service once in ten minutes (with jitter) and skip their first read when peers were faster. The pacing is an option, so that tests wait on conditions only. The store's two options may be left out. Ruled out: a watch for every process, 1,740 waiting calls a minute for nothing; a choice over live processes, which no process knows alike.

--- a/src/settings/consul_source.cc
+++ b/src/settings/consul_source.cc
@@ -2,40 +2,42 @@
 
 #include <sodium.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "src/settings/consul_reply.h"
 #include "src/settings/settings_log.h"
+#include "src/settings/watch_policy.h"
 #include "src/telemetry/log.h"
 
 namespace jacinthspool {
 namespace {
 
 constexpr const char* kDefaultRoot = "jacinthspool";
-/// How long the service may keep a query waiting; it adds up to a sixteenth of jitter.
-constexpr seconds kWait{60};
-constexpr seconds kReplyTimeout{80};
-/// Bounds the calls of a watcher when the service answers each query at once.
-constexpr milliseconds kWatchPause{200};
-/// Mean time between two reads of a process that is no watcher.
-constexpr seconds kPollPeriod{600};
-/// First reads are spread over this time, in which peers may be faster.
-constexpr seconds kStartSpread{2};
+/// The service adds up to a sixteenth to the wait; the rest is for the reply itself.
+constexpr int kWaitJitterPart = 16;
+constexpr seconds kReplyTime{10};
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 
+/// The name under which the operators' document knows a process.
+std::string_view KnownName(const process_settings& process) {
+  return process.backend ? process.backend->name : process.name;
+}
+
 }  // namespace
 
 consul_source::consul_source(settings_source::options settings)
-    : settings_(std::move(settings)), retry_({}) {
-  root_ = settings_.process->source->root;
+    : settings_(std::move(settings)),
+      root_(settings_.process->source->root),
+      delays_({.first = settings_.times.first_backoff, .last = settings_.times.last_backoff}) {
   if (root_.empty()) {
     root_ = kDefaultRoot;
   }
-  next_address_ =
-      randombytes_uniform(static_cast<std::uint32_t>(settings_.process->source->addresses.size()));
-  ReadAfter(settings_.process->peers.empty() ? microseconds(0)
-                                             : Jittered(kStartSpread, randombytes_random()));
+  const std::size_t addresses = settings_.process->source->addresses.size();
+  next_address_ = randombytes_uniform(static_cast<std::uint32_t>(addresses));
+  const microseconds start = RandomPart(settings_.times.start_spread, randombytes_random());
+  timer_ = settings_.timers.After(start, [this](instant /*now*/) { ReadFirst(); });
 }
 
 void consul_source::Reload() {
@@ -48,27 +50,48 @@
   timer_ = settings_.timers.After(delay, [this](instant /*now*/) { Read(); });
 }
 
+void consul_source::ReadFirst() {
+  const bool told_by_peers = settings_.store.current()->operators->revision > 0;
+  if (told_by_peers && !IsWatching()) {
+    ScheduleNext(outcome::kTaken);
+    return;
+  }
+  Read();
+}
+
+void consul_source::ReadWhenDue(instant now) {
+  if (IsWatching() || now >= poll_due_) {
+    Read();
+    return;
+  }
+  WaitForPoll();
+}
+
 bool consul_source::IsWatching() const {
   const process_settings& process = *settings_.process;
-  return IsWatcher(process.name, KnownProcesses(*settings_.store.current(), process.data_centre),
-                   process.watchers);
+  return IsWatcher({.self = KnownName(process),
+                    .data_centre = process.data_centre,
+                    .watchers = process.watchers},
+                   KnownProcesses(*settings_.store.current(), process.data_centre));
 }
 
 std::string consul_source::Target() const {
   std::string target = "/v1/kv/" + root_ + "/?recurse";
   if (IsWatching() && index_ > 0) {
-    target += "&index=" + std::to_string(index_) + "&wait=" + std::to_string(kWait.count()) + "s";
+    target += "&index=" + std::to_string(index_) +
+              "&wait=" + std::to_string(settings_.times.wait.count()) + "s";
   }
   return target;
 }
 
 void consul_source::Read() {
   const std::vector<std::string>& addresses = settings_.process->source->addresses;
+  const seconds wait = settings_.times.wait;
   ++calls_;
   call_ = settings_.client.Fetch(
       {.address = addresses[next_address_ % addresses.size()],
        .target = Target(),
-       .timeout = kReplyTimeout},
+       .timeout = wait + wait / kWaitJitterPart + kReplyTime},
       {.on_done = [this](const http_response& response) { OnReply(response); }});
 }
 
@@ -76,27 +99,33 @@
   const outcome result = Take(response);
   if (result == outcome::kFailed) {
     ++next_address_;
+    ++failures_;
+  } else {
+    failures_ = 0;
   }
   ScheduleNext(result);
 }
 
+consul_source::outcome consul_source::Fail(const std::string& reason) const {
+  Log(log_level::kWarning, "settings_source_failed", {{"reason", reason}, {"calls", calls_}});
+  return outcome::kFailed;
+}
+
 consul_source::outcome consul_source::Take(const http_response& response) {
-  if (response.status != kOk && response.status != kNotFound) {
-    const std::string reason =
-        response.error.empty() ? "status " + std::to_string(response.status) : response.error;
-    Log(log_level::kWarning, "settings_source_failed", {{"reason", reason}, {"calls", calls_}});
-    return outcome::kFailed;
+  if (response.status == kNotFound) {
+    TakeIndex(ConsulIndex(response.headers));
+    return outcome::kTaken;
+  }
+  if (response.status != kOk) {
+    return Fail(response.error.empty() ? "status " + std::to_string(response.status)
+                                       : response.error);
+  }
+  const auto documents = ParseConsulReply(response.body, root_);
+  if (!documents) {
+    return Fail("the reply is not a list of members");
   }
-  if (response.status == kOk) {
-    const auto documents = ParseConsulReply(response.body, root_);
-    if (!documents) {
-      Log(log_level::kWarning, "settings_source_failed",
-          {{"reason", "the reply is not a list of members"}, {"calls", calls_}});
-      return outcome::kFailed;
-    }
-    for (const published_document& document : *documents) {
-      settings_.store.Offer(document.path, document.text);
-    }
+  for (const published_document& document : *documents) {
+    settings_.store.Offer(document.path, document.text);
   }
   TakeIndex(ConsulIndex(response.headers));
   return outcome::kTaken;
@@ -113,11 +142,21 @@
 
 void consul_source::ScheduleNext(outcome last) {
   if (last == outcome::kFailed) {
-    ReadAfter(retry_.Next(randombytes_random()));
+    ReadAfter(delays_.Delay(failures_, randombytes_random()));
     return;
   }
-  retry_.Reset();
-  ReadAfter(IsWatching() ? microseconds(kWatchPause) : Jittered(kPollPeriod, randombytes_random()));
+  if (IsWatching()) {
+    ReadAfter(settings_.times.watch_pause);
+    return;
+  }
+  poll_due_ = timer_service::now() + Jittered(settings_.times.poll_period, randombytes_random());
+  WaitForPoll();
+}
+
+void consul_source::WaitForPoll() {
+  const microseconds rest = std::max(poll_due_ - timer_service::now(), microseconds(0));
+  timer_ = settings_.timers.After(std::min(rest, settings_.times.role_period),
+                                  [this](instant now) { ReadWhenDue(now); });
 }
 
 }  // namespace jacinthspool
--- a/src/settings/consul_source.h
+++ b/src/settings/consul_source.h
@@ -6,8 +6,8 @@
 #include <memory>
 #include <string>
 
+#include "jacinthspool/impl/backoff.h"
 #include "src/settings/settings_source.h"
-#include "src/settings/watch_policy.h"
 
 namespace jacinthspool {
 
@@ -31,20 +31,26 @@
   enum class outcome { kTaken, kFailed };
 
   void ReadAfter(microseconds delay);
+  void ReadFirst();
+  void ReadWhenDue(instant now);
   void Read();
   void OnReply(const http_response& response);
   outcome Take(const http_response& response);
+  outcome Fail(const std::string& reason) const;
   void TakeIndex(std::uint64_t index);
   void ScheduleNext(outcome last);
+  void WaitForPoll();
   [[nodiscard]] bool IsWatching() const;
   [[nodiscard]] std::string Target() const;
 
   settings_source::options settings_;
   std::string root_;
+  backoff delays_;
   std::size_t next_address_ = 0;
   std::uint64_t index_ = 0;
   std::uint64_t calls_ = 0;
-  backoff retry_;
+  std::uint32_t failures_ = 0;  ///< Since the last reply that was taken.
+  instant poll_due_{};
   std::unique_ptr<http_call> call_;
   timer_subscription timer_;
 };
--- a/src/settings/settings_store.h
+++ b/src/settings/settings_store.h
@@ -18,8 +18,8 @@
 class settings_store {
  public:
   struct options {
-    std::function<void(std::shared_ptr<const settings_snapshot>)> on_change;
-    std::function<void(const findings&)> on_findings;
+    std::function<void(std::shared_ptr<const settings_snapshot>)> on_change = {};
+    std::function<void(const findings&)> on_findings = {};
   };
 
   explicit settings_store(options settings);
--- a/src/settings/watch_policy.cc
+++ b/src/settings/watch_policy.cc
@@ -1,28 +1,19 @@
 #include "src/settings/watch_policy.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <limits>
 
-namespace jacinthspool {
-namespace {
-
-std::uint64_t RankOf(std::string_view name) { return XXH3_64bits(name.data(), name.size()); }
-
-microseconds Part(microseconds whole, std::uint32_t random) {
-  const double share = static_cast<double>(random) / std::numeric_limits<std::uint32_t>::max();
-  return microseconds(static_cast<microseconds::rep>(static_cast<double>(whole.count()) * share));
-}
+#include "jacinthspool/impl/rendezvous.h"
 
-}  // namespace
+namespace jacinthspool {
 
-bool IsWatcher(std::string_view self, const std::vector<std::string>& known, std::size_t watchers) {
-  const std::uint64_t own = RankOf(self);
+bool IsWatcher(const watch_question& question, const std::vector<std::string>& known) {
+  const std::uint64_t key = HashKey(question.data_centre);
+  const std::uint64_t own = RendezvousWeight(key, question.self);
   const auto ahead = std::count_if(known.begin(), known.end(), [&](const std::string& name) {
-    return name != self && RankOf(name) < own;
+    return name != question.self && RendezvousWeight(key, name) > own;
   });
-  return static_cast<std::size_t>(ahead) < watchers;
+  return static_cast<std::size_t>(ahead) < question.watchers;
 }
 
 std::vector<std::string> KnownProcesses(const settings_snapshot& settings,
@@ -40,15 +31,13 @@
   return names;
 }
 
-microseconds backoff::Next(std::uint32_t random) {
-  const microseconds half = limit_ / 2;
-  const microseconds delay = half + Part(half, random);
-  limit_ = std::min(limit_ * 2, settings_.last);
-  return delay;
+microseconds RandomPart(microseconds whole, std::uint32_t random) {
+  const double share = static_cast<double>(random) / std::numeric_limits<std::uint32_t>::max();
+  return microseconds(static_cast<microseconds::rep>(static_cast<double>(whole.count()) * share));
 }
 
 microseconds Jittered(microseconds period, std::uint32_t random) {
-  return period / 2 + Part(period, random);
+  return period / 2 + RandomPart(period, random);
 }
 
 }  // namespace jacinthspool
--- a/tests/cli/command_line_test.cc
+++ b/tests/cli/command_line_test.cc
@@ -4,11 +4,14 @@
 
 #include <filesystem>
 #include <iostream>
+#include <nlohmann/json.hpp>
 #include <sstream>
 #include <string>
 #include <vector>
 
 #include "src/cli/exit_code.h"
+#include "src/cli/explain_command.h"
+#include "src/cli/status_command.h"
 
 namespace jacinthspool {
 namespace {
@@ -125,5 +128,56 @@
   }
 }
 
+TEST_CASE("explain tells the decisions of one request in the order of time") {
+  std::istringstream log(
+      R"({"time":"2","process":"e1","event":"decision","decision":"route","request":"a-1","attempt":1,)"
+      R"("team":"t","choice":"d1","reason":"it can start first","candidates":[)"
+      R"({"backend":"d1","start_in_us":12000,"cached_tokens":2048},{"backend":"d22","refusal":"queue"}]})"
+      "\nnot JSON a-1\n"
+      R"({"time":"1","process":"e1","event":"accepted","request":"a-1","path":"/v1/completions"})"
+      "\n"
+      R"({"time":"3","process":"e1","event":"accepted","request":"a-11"})");
+  std::ostringstream out;
+  CHECK(ExplainRequest(log, {.incarnation = 10, .counter = 1}, out) == 2);
+  CHECK(out.str() ==
+        "request a-1 of team t\n"
+        "1  e1  accepted\n"
+        "    path = /v1/completions\n"
+        "2  e1  route (attempt 1): d1 because it can start first\n"
+        "    d1   can start in 12.0 ms, 2048 tokens cached\n"
+        "    d22  refused: queue\n");
+
+  SUBCASE("and fails when the log says nothing of it") {
+    const command_result result =
+        Run({"explain", std::string(JACINTHSPOOL_EXAMPLES) + "/one-file.json", "a-1"});
+    CHECK(result.code == kExitFailed);
+    CHECK(IsOneLine(result.error));
+    CHECK(Run({"explain", "/nonexistent", "a-1"}).code == kExitFailed);
+  }
+}
+
+TEST_CASE("status prints values and lists") {
+  std::ostringstream out;
+  PrintStatus(nlohmann::json::parse(R"({"name": "e1", "settings": {"operators": 3}, "up": true,
+      "agents": [{"backend": "d1", "pieces": 12}, {"backend": "d2"}], "leaving": []})"),
+              out);
+  CHECK(out.str() ==
+        "leaving             []\n"
+        "name                e1\n"
+        "settings.operators  3\n"
+        "up                  true\n"
+        "\n"
+        "agents:\n"
+        "backend  pieces\n"
+        "d1       12\n"
+        "d2       -\n");
+
+  SUBCASE("and fails when nobody answers") {
+    const command_result result = Run({"status", "127.0.0.1:1"});
+    CHECK(result.code == kExitFailed);
+    CHECK(IsOneLine(result.error));
+  }
+}
+
 }  // namespace
 }  // namespace jacinthspool
