Free a request that evhttp leaves behind after a failed write

Cause: LeakSanitizer showed two evhttp requests lost in transport_test: after an error evhttp takes an unanswered request off its connection and leaves it to the one that was to answer. Change: the exchange frees it when the connection goes. Result: transport_test with clang++ and sanitizers, 2370 assertions passed, no leak.

--- a/src/transport/evhttp_exchange.cc
+++ b/src/transport/evhttp_exchange.cc
@@ -34,10 +34,19 @@
   return buffer;
 }
 
+/// After an error evhttp takes an unanswered request off its connection and
+/// leaves it to whoever was to answer it; else it frees both.
+void FreeIfDetached(evhttp_request* request) {
+  if (evhttp_request_get_connection(request) == nullptr) {
+    evhttp_request_free(request);
+  }
+}
+
 /// A connection to be freed in a later turn, unless evhttp frees it before.
 class closing_connection {
  public:
-  explicit closing_connection(evhttp_connection* connection) : connection_(connection) {
+  closing_connection(evhttp_connection* connection, evhttp_request* request)
+      : connection_(connection), request_(request) {
     evhttp_connection_set_closecb(connection, &closing_connection::OnClosed, this);
   }
 
@@ -49,10 +58,13 @@
 
  private:
   static void OnClosed(evhttp_connection* /*unused*/, void* context) {
-    static_cast<closing_connection*>(context)->connection_ = nullptr;
+    auto* self = static_cast<closing_connection*>(context);
+    self->connection_ = nullptr;
+    FreeIfDetached(self->request_);
   }
 
   evhttp_connection* connection_;
+  evhttp_request* request_;
 };
 
 }  // namespace
@@ -130,9 +142,10 @@
   if (request_ == nullptr) {
     return;
   }
+  evhttp_request* request = request_;
   Detach();
   // The caller of this function may stand inside a callback of the connection.
-  auto closing = std::make_shared<closing_connection>(connection_);
+  auto closing = std::make_shared<closing_connection>(connection_, request);
   loop_.Post([closing] { closing->Free(); });
 }
 
@@ -144,6 +157,7 @@
 
 void evhttp_exchange::OnClosed(evhttp_connection* /*unused*/, void* context) {
   auto* self = static_cast<evhttp_exchange*>(context);
+  FreeIfDetached(self->request_);
   self->Detach();
   self->loop_.Post([weak = self->weak_from_this()] {
     const auto exchange = weak.lock();
