--- a/src/entry/completion_request.cc
+++ b/src/entry/completion_request.cc
@@ -243,16 +243,29 @@
   return asked;
 }
 
+api_error JsonError(std::string message) {
+  return {.message = std::move(message), .code = "invalid_json", .retry_after = std::nullopt};
+}
+
+leaf::result<json> ParseObject(std::string_view text) {
+  json body;
+  try {
+    body = json::parse(text);
+  } catch (const json::parse_error& error) {
+    return leaf::new_error(
+        JsonError("the body is not valid JSON at byte " + std::to_string(error.byte)));
+  }
+  if (!body.is_object()) {
+    return leaf::new_error(JsonError("the body must be a JSON object"));
+  }
+  return body;
+}
+
 }  // namespace
 
 leaf::result<completion_request> ParseCompletion(std::string_view text,
                                                  const completion_context& context) {
-  const json body = json::parse(text, nullptr, false);
-  if (!body.is_object()) {
-    return leaf::new_error(api_error{.message = "the body is not a JSON object",
-                                     .code = "invalid_json",
-                                     .retry_after = std::nullopt});
-  }
+  BOOST_LEAF_AUTO(body, ParseObject(text));
   const bool chat = context.kind == completion_kind::kChat;
   const limit_settings& limits = *context.settings.operators->limits;
   body_checker checker(body);
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -251,7 +251,7 @@
   }
   if (!stop_.active()) {
     stop_ = timers_.After(kFlushTime, [this](instant) {
-      Log(log_level::kInfo, "stopped", {});
+      Log(log_level::kInfo, "stopped", nlohmann::json::object());
       loop_.Stop();
     });
   }
