--- a/src/transport/evhttp_exchange.cc
+++ b/src/transport/evhttp_exchange.cc
@@ -3,11 +3,8 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
-#include <event2/http_struct.h>
 #include <strings.h>
-#include <sys/queue.h>
 
-#include <cstdint>
 #include <utility>
 
 #include "src/transport/evhttp_handles.h"
@@ -37,10 +34,19 @@
   return buffer;
 }
 
+/// After an error evhttp takes an unanswered request off its connection and
+/// leaves it to whoever was to answer it; else it frees both.
+void FreeIfDetached(evhttp_request* request) {
+  if (evhttp_request_get_connection(request) == nullptr) {
+    evhttp_request_free(request);
+  }
+}
+
 /// A connection to be freed in a later turn, unless evhttp frees it before.
 class closing_connection {
  public:
-  explicit closing_connection(evhttp_connection* connection) : connection_(connection) {
+  closing_connection(evhttp_connection* connection, evhttp_request* request)
+      : connection_(connection), request_(request) {
     evhttp_connection_set_closecb(connection, &closing_connection::OnClosed, this);
   }
 
@@ -52,27 +58,15 @@
 
  private:
   static void OnClosed(evhttp_connection* /*unused*/, void* context) {
-    static_cast<closing_connection*>(context)->connection_ = nullptr;
+    auto* self = static_cast<closing_connection*>(context);
+    self->connection_ = nullptr;
+    FreeIfDetached(self->request_);
   }
 
   evhttp_connection* connection_;
+  evhttp_request* request_;
 };
 
-void FreeConnection(bufferevent* /*unused*/, std::int16_t /*unused*/, void* connection) {
-  evhttp_connection_free(static_cast<evhttp_connection*>(connection));
-}
-
-/// After a failed write evhttp would answer the request once more, on the same
-/// dead connection. Instead, the connection is freed.
-void FreeOnError(bufferevent* stream) {
-  bufferevent_data_cb on_read = nullptr;
-  bufferevent_data_cb on_write = nullptr;
-  bufferevent_event_cb on_event = nullptr;
-  void* connection = nullptr;
-  bufferevent_getcb(stream, &on_read, &on_write, &on_event, &connection);
-  bufferevent_setcb(stream, on_read, on_write, &FreeConnection, connection);
-}
-
 }  // namespace
 
 evhttp_exchange::evhttp_exchange(event_loop& loop, evhttp_request* request)
@@ -112,12 +106,10 @@
     return;
   }
   evhttp_request* request = request_;
-  bufferevent* output = stream();
   Detach();
   AddHeaders(evhttp_request_get_output_headers(request), headers);
   const evbuffer_handle buffer = BufferOf(body);
   evhttp_send_reply(request, status, nullptr, buffer.get());
-  FreeOnError(output);
 }
 
 void evhttp_exchange::StartStream(int status, const http_headers& headers) {
@@ -127,7 +119,6 @@
   streaming_ = true;
   AddHeaders(evhttp_request_get_output_headers(request_), headers);
   evhttp_send_reply_start(request_, status, nullptr);
-  FreeOnError(stream());
 }
 
 void evhttp_exchange::SendChunk(std::string_view text) {
@@ -136,7 +127,6 @@
   }
   const evbuffer_handle buffer = BufferOf(text);
   evhttp_send_reply_chunk(request_, buffer.get());
-  FreeOnError(stream());
 }
 
 void evhttp_exchange::EndStream() {
@@ -144,23 +134,18 @@
     return;
   }
   evhttp_request* request = request_;
-  bufferevent* output = stream();
-  // Without chunks, evhttp may free the connection before it returns.
-  const bool chunked = request->chunked != 0;
   Detach();
   evhttp_send_reply_end(request);
-  if (chunked) {
-    FreeOnError(output);
-  }
 }
 
 void evhttp_exchange::AbortStream() {
   if (request_ == nullptr) {
     return;
   }
+  evhttp_request* request = request_;
   Detach();
   // The caller of this function may stand inside a callback of the connection.
-  auto closing = std::make_shared<closing_connection>(connection_);
+  auto closing = std::make_shared<closing_connection>(connection_, request);
   loop_.Post([closing] { closing->Free(); });
 }
 
@@ -172,6 +157,7 @@
 
 void evhttp_exchange::OnClosed(evhttp_connection* /*unused*/, void* context) {
   auto* self = static_cast<evhttp_exchange*>(context);
+  FreeIfDetached(self->request_);
   self->Detach();
   self->loop_.Post([weak = self->weak_from_this()] {
     const auto exchange = weak.lock();
