Report a wrong text of an answer once, with its place

Cause: one misplaced piece gave a line of the whole text for each piece after. Change: the oracle names the first wrong piece and its byte. Measured: builds; verdicts as before.

--- a/tests/fuzz/oracle.cc
+++ b/tests/fuzz/oracle.cc
@@ -51,10 +51,15 @@
   if (request == nullptr) {
     return;
   }
-  request->delivered += text;
-  if (request->expected.compare(0, request->delivered.size(), request->delivered) != 0) {
-    Violation("whole answer: " + ToString(id) + " got '" + request->delivered + "'");
+  const std::size_t sent = request->delivered.size();
+  const bool sound =
+      sent <= request->expected.size() && request->expected.compare(sent, text.size(), text) == 0;
+  if (!sound && !request->spoilt) {
+    request->spoilt = true;
+    Violation("whole answer: " + ToString(id) + " got '" + text + "' at byte " +
+              std::to_string(sent));
   }
+  request->delivered += text;
 }
 
 void oracle::Done(request_id id) {
@@ -62,9 +67,10 @@
   if (request == nullptr) {
     return;
   }
-  if (request->delivered != request->expected) {
-    Violation("whole answer: " + ToString(id) + " ended with '" + request->delivered +
-              "' in place of '" + request->expected + "'");
+  if (request->delivered != request->expected && !request->spoilt) {
+    Violation("whole answer: " + ToString(id) + " ended after " +
+              std::to_string(request->delivered.size()) + " of " +
+              std::to_string(request->expected.size()) + " bytes");
   }
   request->final_outcome = "done";
 }
--- a/tests/fuzz/oracle.h
+++ b/tests/fuzz/oracle.h
@@ -25,6 +25,7 @@
     std::optional<instant> caller_gone = std::nullopt;
     bool entry_lost = false;
     std::uint32_t executions = 0;
+    bool spoilt = false;  ///< A wrong text was delivered, and reported.
   };
 
   void Accepted(request_id id, accepted_request request) { requests_[id] = std::move(request); }
