Measure idle connections, shrink frames, mend a stall of large messages

Change: bench/connection_cost; default HTTP/2 frame size; the envelope goes into the stream's queue without a copy between; Flush is scheduled again whenever it stops by its bound; libevent's own messages go to the JSON log.

--- a/bench/peer_cost.cc
+++ b/bench/peer_cost.cc
@@ -1,19 +1,15 @@
 // Measures what a message between two processes costs: an entry and an agent in
 // one process, over one connection on loopback. The entry keeps a number of
 // messages in flight, the agent returns each. One JSON line is the result.
-#include <sodium.h>
-#include <sys/resource.h>
 #include <tclap/CmdLine.h>
-#include <unistd.h>
 
 #include <cstdint>
-#include <cstdio>
 #include <exception>
-#include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "bench/process_cost.h"
 #include "src/transport/peer.h"
 
 namespace jacinthspool {
@@ -26,35 +22,6 @@
   std::size_t text_bytes;
 };
 
-/// \returns Processor time of this process so far.
-microseconds ProcessorTime() {
-  rusage usage{};
-  getrusage(RUSAGE_SELF, &usage);
-  const auto of = [](const timeval& value) {
-    return seconds(value.tv_sec) + microseconds(value.tv_usec);
-  };
-  return of(usage.ru_utime) + of(usage.ru_stime);
-}
-
-/// \brief Fills the ring with one random key.
-bool LoadRandomKey(key_ring& keys) {
-  std::string path = "/tmp/jacinthspool-bench-key-XXXXXX";
-  const int descriptor = mkstemp(path.data());
-  if (descriptor < 0 || sodium_init() < 0) {
-    return false;
-  }
-  close(descriptor);
-  key_ring::key key{};
-  randombytes_buf(key.data(), key.size());
-  std::string text(key.size() * 2 + 1, '\0');
-  sodium_bin2hex(text.data(), text.size(), key.data(), key.size());
-  std::ofstream(path) << text.c_str();
-  std::string error;
-  const bool loaded = keys.Load(path, error);
-  std::remove(path.c_str());
-  return loaded;
-}
-
 /// \brief The entry's side: sends, counts what returns, stops the loop at the end.
 class message_source {
  public:
--- a/src/transport/envelope_stream.cc
+++ b/src/transport/envelope_stream.cc
@@ -7,26 +7,26 @@
 namespace {
 
 constexpr unsigned kByteBits = 8;
-constexpr std::uint32_t kByteMask = 0xFF;
+constexpr std::size_t kByteMask = 0xFF;
 
 }  // namespace
 
-void AppendEnvelope(std::string& stream, std::span<const std::uint8_t> envelope) {
-  const auto length = static_cast<std::uint32_t>(envelope.size());
-  for (int shift = 3; shift >= 0; --shift) {
-    stream.push_back(
-        static_cast<char>((length >> (kByteBits * static_cast<unsigned>(shift))) & kByteMask));
+std::array<char, kEnvelopePrefixBytes> EnvelopePrefix(std::size_t length) {
+  std::array<char, kEnvelopePrefixBytes> prefix{};
+  for (auto digit = prefix.rbegin(); digit != prefix.rend(); ++digit) {
+    *digit = static_cast<char>(length & kByteMask);
+    length >>= kByteBits;
   }
-  stream.append(reinterpret_cast<const char*>(envelope.data()), envelope.size());
+  return prefix;
 }
 
 bool envelope_reader::ReadPrefix(std::span<const std::uint8_t>& bytes) {
-  while (prefix_filled_ < kPrefixBytes && !bytes.empty()) {
+  while (prefix_filled_ < kEnvelopePrefixBytes && !bytes.empty()) {
     length_ = (length_ << kByteBits) | bytes.front();
     ++prefix_filled_;
     bytes = bytes.subspan(1);
   }
-  return prefix_filled_ == kPrefixBytes;
+  return prefix_filled_ == kEnvelopePrefixBytes;
 }
 
 envelope_reader::outcome envelope_reader::Next(std::span<const std::uint8_t>& bytes,
--- a/src/transport/envelope_stream.h
+++ b/src/transport/envelope_stream.h
@@ -1,10 +1,10 @@
 #ifndef JACINTHSPOOL_TRANSPORT_ENVELOPE_STREAM_H_
 #define JACINTHSPOOL_TRANSPORT_ENVELOPE_STREAM_H_
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <span>
-#include <string>
 #include <vector>
 
 namespace jacinthspool {
@@ -12,8 +12,11 @@
 /// \brief The largest envelope that one process takes from another.
 constexpr std::size_t kMaxEnvelopeBytes = 16U << 20U;
 
-/// \brief Appends an envelope with its length before it (4 bytes, big-endian).
-void AppendEnvelope(std::string& stream, std::span<const std::uint8_t> envelope);
+/// Bytes of the length before each envelope.
+constexpr std::size_t kEnvelopePrefixBytes = 4;
+
+/// \returns The length that goes before an envelope, big-endian.
+std::array<char, kEnvelopePrefixBytes> EnvelopePrefix(std::size_t length);
 
 /// \brief Cuts a stream of bytes into envelopes.
 ///
@@ -37,8 +40,6 @@
   [[nodiscard]] bool at_boundary() const { return prefix_filled_ == 0; }
 
  private:
-  static constexpr std::size_t kPrefixBytes = 4;
-
   bool ReadPrefix(std::span<const std::uint8_t>& bytes);
 
   std::size_t prefix_filled_ = 0;
--- a/src/transport/event_loop.cc
+++ b/src/transport/event_loop.cc
@@ -8,6 +8,8 @@
 #include <utility>
 #include <vector>
 
+#include "src/telemetry/log.h"
+
 namespace jacinthspool {
 namespace {
 
@@ -16,6 +18,22 @@
   std::function<void()> action;
 };
 
+/// What libevent has to say goes to the log as well.
+void LogOfLibevent(int severity, const char* text) {
+  switch (severity) {
+    case EVENT_LOG_DEBUG:
+      return;
+    case EVENT_LOG_MSG:
+      Log(log_level::kInfo, "libevent", {{"detail", text}});
+      return;
+    case EVENT_LOG_WARN:
+      Log(log_level::kWarning, "libevent", {{"detail", text}});
+      return;
+    default:
+      Log(log_level::kError, "libevent", {{"detail", text}});
+  }
+}
+
 event_base* NewBase() {
   event_config* config = event_config_new();
   event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
@@ -49,6 +67,7 @@
 event_loop::event_loop() : state_(std::make_unique<state>()) {
   // A write to a closed socket is reported by its result.
   (void)std::signal(SIGPIPE, SIG_IGN);
+  event_set_log_callback(&LogOfLibevent);
   state_->base = NewBase();
   state_->wake = evtimer_new(state_->base, &state::RunPosted, state_.get());
 }
--- a/src/transport/http2_session.cc
+++ b/src/transport/http2_session.cc
@@ -11,12 +11,11 @@
 namespace {
 
 constexpr std::uint32_t kMaxStreams = 16384;
-constexpr std::uint32_t kMaxFrameBytes = 256U << 10U;
 constexpr std::uint32_t kStreamWindowBytes = 16U << 20U;
 constexpr std::int32_t kConnectionWindowBytes = 64 << 20;
 /// Frames are made from the streams' queues only up to this many bytes ahead
 /// of the kernel, so that an urgent stream need not wait behind the others.
-constexpr std::size_t kFramesAhead = 512U << 10U;
+constexpr std::size_t kFramesAhead = 256U << 10U;
 
 /// One connection leaves the loop to the others after so many full queues.
 constexpr int kRoundsPerTurn = 8;
@@ -110,14 +109,6 @@
     return 0;
   }
 
-  static ssize_t FrameLength(nghttp2_session* /*unused*/, std::uint8_t /*unused*/,
-                             stream_id /*unused*/, std::int32_t session_window,
-                             std::int32_t stream_window, std::uint32_t max_frame,
-                             void* /*unused*/) {
-    const std::int32_t window = std::min(session_window, stream_window);
-    return std::min<ssize_t>(window, std::min(max_frame, kMaxFrameBytes));
-  }
-
   static ssize_t Produce(nghttp2_session* /*unused*/, stream_id stream, std::uint8_t* target,
                          std::size_t length, std::uint32_t* flags, nghttp2_data_source* /*unused*/,
                          void* context) {
@@ -177,7 +168,6 @@
   nghttp2_session_callbacks_set_on_frame_recv_callback(table, &callbacks::OnFrame);
   nghttp2_session_callbacks_set_on_data_chunk_recv_callback(table, &callbacks::OnData);
   nghttp2_session_callbacks_set_on_stream_close_callback(table, &callbacks::OnClosed);
-  nghttp2_session_callbacks_set_data_source_read_length_callback(table, &callbacks::FrameLength);
   nghttp2_option* options = nullptr;
   nghttp2_option_new(&options);
   nghttp2_option_set_no_closed_streams(options, 1);
@@ -189,10 +179,9 @@
   nghttp2_option_del(options);
   nghttp2_session_callbacks_del(table);
 
-  const std::array<nghttp2_settings_entry, 3> settings = {{
+  const std::array<nghttp2_settings_entry, 2> settings = {{
       {.settings_id = NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, .value = kMaxStreams},
       {.settings_id = NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, .value = kStreamWindowBytes},
-      {.settings_id = NGHTTP2_SETTINGS_MAX_FRAME_SIZE, .value = kMaxFrameBytes},
   }};
   nghttp2_submit_settings(session_, NGHTTP2_FLAG_NONE, settings.data(), settings.size());
   nghttp2_session_set_local_window_size(session_, NGHTTP2_FLAG_NONE, 0, kConnectionWindowBytes);
@@ -268,15 +257,14 @@
 
 void http2_session::Flush() {
   flush_scheduled_ = false;
-  bool more = MakeFrames();
-  for (int round = 0; round < kRoundsPerTurn && !failed_; ++round) {
-    tcp_.Flush();
-    if (!more || tcp_.queued_bytes() > 0) {
-      break;
-    }
+  bool more = true;
+  for (int round = 0; more && round < kRoundsPerTurn; ++round) {
     more = MakeFrames();
+    tcp_.Flush();
+    // What the kernel did not take goes on when the socket is writable.
+    more = more && tcp_.queued_bytes() == 0;
   }
-  if (more && tcp_.queued_bytes() == 0) {
+  if (more) {
     ScheduleFlush();
   }
   if (nghttp2_session_want_read(session_) == 0 && nghttp2_session_want_write(session_) == 0) {
--- a/src/transport/peer_link.cc
+++ b/src/transport/peer_link.cc
@@ -2,6 +2,7 @@
 
 #include <type_traits>
 #include <utility>
+#include <vector>
 
 #include "src/telemetry/log.h"
 #include "src/transport/socket_address.h"
@@ -56,9 +57,11 @@
 }
 
 void peer_link::Write(stream_id stream, const message& value) {
-  std::string bytes;
-  AppendEnvelope(bytes, Encode(value));
-  session_->Write(stream, bytes);
+  const std::vector<std::uint8_t> envelope = Encode(value);
+  const auto prefix = EnvelopePrefix(envelope.size());
+  session_->Write(stream, std::string_view(prefix.data(), prefix.size()));
+  session_->Write(
+      stream, std::string_view(reinterpret_cast<const char*>(envelope.data()), envelope.size()));
   if (session_->queued_bytes() > settings_.max_queued_bytes) {
     End("the other side takes too little: queue full");
   }
--- a/tests/transport/peer_test.cc
+++ b/tests/transport/peer_test.cc
@@ -192,8 +192,8 @@
     }
   }
 
-  SUBCASE("a message larger than windows and frames arrives whole") {
-    const std::string text(3U << 20U, 'x');
+  SUBCASE("a message larger than what goes out in one turn arrives whole") {
+    const std::string text((4U << 20U) - 1000, 'x');
     peers.entry.up->Send(StartedOf({22, 1}));
     REQUIRE(peers.Until([&] { return peers.agent.received.size() == 1; }));
     peers.agent.up->Send(PieceOf({22, 1}, 0, text));
@@ -351,9 +351,9 @@
 }
 
 std::string Framed(const message& value) {
-  std::string text;
-  AppendEnvelope(text, Encode(value));
-  return text;
+  const auto envelope = Encode(value);
+  const auto prefix = EnvelopePrefix(envelope.size());
+  return std::string(prefix.begin(), prefix.end()) + std::string(envelope.begin(), envelope.end());
 }
 
 TEST_CASE("bad bytes close their own connection only") {
