Report a token that two teams claim

Cause: the hash of one team's token in another team's document makes the token name either team; nobody was told.

Change: the store and check report it at the team that came second. Neither document is held back: which came first depends on the process, and stores would no longer agree. What a request with such a token gets is the entry's decision.

--- a/src/cli/check_command.cc
+++ b/src/cli/check_command.cc
@@ -54,6 +54,11 @@
         CheckTeamReferences(team.name, *team.settings, *operators_, team.file, found_);
       }
     }
+    std::map<std::string, std::shared_ptr<const team_settings>> earlier;
+    for (const team_document& team : teams_) {
+      CheckTokenOwners(team.name, *team.settings, earlier, team.file, found_);
+      earlier[team.name] = team.settings;
+    }
     for (const finding& each : found_) {
       std::cout << each.place << ": " << each.text << '\n';
     }
--- a/src/settings/process_checks.cc
+++ b/src/settings/process_checks.cc
@@ -93,14 +93,15 @@
 
 void CheckEmbeddedReferences(const process_settings& process, std::string_view place,
                              findings& found) {
-  if (!process.operators) {
-    return;
-  }
+  std::map<std::string, std::shared_ptr<const team_settings>> earlier;
   for (std::size_t i = 0; i < process.teams.size(); ++i) {
     const config::named_team_settings_value& team = *process.teams[i];
-    const std::string member = "teams[" + std::to_string(i) + "].settings";
-    CheckTeamReferences(team.name, *team.settings, *process.operators, JoinPlace(place, member),
-                        found);
+    const std::string at = JoinPlace(place, "teams[" + std::to_string(i) + "].settings");
+    CheckTokenOwners(team.name, *team.settings, earlier, at, found);
+    earlier[team.name] = team.settings;
+    if (process.operators) {
+      CheckTeamReferences(team.name, *team.settings, *process.operators, at, found);
+    }
   }
 }
 
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -53,6 +53,15 @@
                          const operator_settings& operators, std::string_view place,
                          findings& found);
 
+/// \brief Finds tokens of a team that are tokens of another team, too.
+///
+/// No team's document is held back by this, since which of them was first
+/// depends on the process.
+/// \param teams All teams; the one called `name` is passed over.
+void CheckTokenOwners(std::string_view name, const team_settings& team,
+                      const std::map<std::string, std::shared_ptr<const team_settings>>& teams,
+                      std::string_view place, findings& found);
+
 /// \brief Checks the references between the documents that process settings embed.
 void CheckEmbeddedReferences(const process_settings& process, std::string_view place,
                              findings& found);
--- a/src/settings/settings_log.cc
+++ b/src/settings/settings_log.cc
@@ -6,7 +6,7 @@
 
 void LogFindings(const findings& found) {
   for (const finding& each : found) {
-    Log(log_level::kWarning, "settings_finding", {{"place", each.place}, {"text", each.text}});
+    Log(log_level::kWarning, "finding", {{"place", each.place}, {"text", each.text}});
   }
 }
 
--- a/src/settings/settings_log.h
+++ b/src/settings/settings_log.h
@@ -5,7 +5,7 @@
 
 namespace jacinthspool {
 
-/// \brief Writes one log line, event "settings_finding", for each finding.
+/// \brief Writes one log line, event "finding", for each finding.
 void LogFindings(const findings& found);
 
 }  // namespace jacinthspool
--- a/src/settings/settings_store.cc
+++ b/src/settings/settings_store.cc
@@ -101,6 +101,14 @@
     Report(found);
   }
 
+  /// Reports tokens that another team has, too.
+  void ReportTokenOwners(const std::string& team) const {
+    findings found;
+    CheckTokenOwners(team, *current->teams.at(team), current->teams,
+                     std::string(kTeamPrefix) + team, found);
+    Report(found);
+  }
+
   bool OfferOperators(const std::string& path, const std::string& text) {
     findings found;
     auto parsed = ParseOperators(text, path, found);
@@ -136,6 +144,7 @@
     next->teams[team] = std::move(parsed);
     PutInForce(path, text, revision, std::move(next));
     ReportReferences(team);
+    ReportTokenOwners(team);
     return true;
   }
 };
--- a/src/settings/team_checks.cc
+++ b/src/settings/team_checks.cc
@@ -130,8 +130,28 @@
   settings_snapshot snapshot_;
 };
 
+bool HasToken(const team_settings& team, const std::string& hash) {
+  return std::find(team.token_hashes.begin(), team.token_hashes.end(), hash) !=
+         team.token_hashes.end();
+}
+
 }  // namespace
 
+void CheckTokenOwners(std::string_view name, const team_settings& team,
+                      const std::map<std::string, std::shared_ptr<const team_settings>>& teams,
+                      std::string_view place, findings& found) {
+  document_place at(place, found);
+  const place_scope list(at, std::string("token_hashes"));
+  for (std::size_t i = 0; i < team.token_hashes.size(); ++i) {
+    const place_scope element(at, i);
+    for (const auto& [other, settings] : teams) {
+      if (other != name && HasToken(*settings, team.token_hashes[i])) {
+        at.Add("is a token of team '" + other + "', too");
+      }
+    }
+  }
+}
+
 void CheckTeam(const team_settings& team, std::string_view place, findings& found) {
   document_place at(place, found);
   CheckNotZero(at, "revision", team.revision);
--- a/tests/settings/settings_store_test.cc
+++ b/tests/settings/settings_store_test.cc
@@ -105,6 +105,17 @@
   }
 }
 
+TEST_CASE("a token that two teams claim is reported") {
+  observed_store observed;
+  const std::string team =
+      "{\"revision\": 1, \"token_hashes\": [\"" + std::string(64, 'a') + "\"]}";
+  REQUIRE(observed.store.Offer("teams/a", team));
+  CHECK(observed.reported.empty());
+  REQUIRE(observed.store.Offer("teams/b", team));
+  REQUIRE(observed.reported.size() == 1);
+  CHECK(observed.reported[0][0].place == "teams/b:token_hashes[0]");
+}
+
 TEST_CASE("a reply with documents is cut at its largest size, and the rest comes later") {
   observed_store ahead;
   observed_store behind;
