--- a/src/cli/daemon_commands.cc
+++ b/src/cli/daemon_commands.cc
@@ -64,7 +64,8 @@
   if (!process) {
     return kExitCannotStart;
   }
-  return command.run(std::move(process), config.getValue());
+  const int code = command.run(std::move(process), config.getValue());
+  return code == kExitOk ? kExitOk : kExitCannotStart;
 }
 
 }  // namespace
