--- a/src/transport/peer.h
+++ b/src/transport/peer.h
@@ -63,6 +63,7 @@
     peer_identity identity;
     peer_handlers handlers;
     std::size_t max_queued_bytes = 64U << 20U;  ///< A connection that owes more is closed.
+    microseconds handshake_timeout = seconds(5);
   };
 
   /// \returns Nothing and fills `error` when the address cannot be bound.
--- a/src/transport/peer_server.cc
+++ b/src/transport/peer_server.cc
@@ -9,12 +9,6 @@
 #include "src/transport/socket_address.h"
 
 namespace jacinthspool {
-namespace {
-
-constexpr microseconds kHandshakeTimeout = seconds(5);
-
-}  // namespace
-
 struct peer_server::state {
   options settings;
   std::shared_ptr<const peer_handlers> handlers;
@@ -42,7 +36,7 @@
          .identity = settings.identity,
          .handlers = handlers,
          .max_queued_bytes = settings.max_queued_bytes,
-         .handshake_timeout = kHandshakeTimeout,
+         .handshake_timeout = settings.handshake_timeout,
          .on_ended = [this](peer_link& ended, bool, const std::string&) { links.erase(&ended); }},
         socket);
     links.emplace(link.get(), link);
--- a/tests/transport/peer_test.cc
+++ b/tests/transport/peer_test.cc
@@ -4,6 +4,7 @@
 #include <event2/event.h>
 
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -49,13 +50,16 @@
   timer_service timers{loop};
   key_ring agent_keys = RingOf(kOneKey);
   key_ring entry_keys = RingOf(kOneKey);
+  microseconds handshake_timeout = seconds(5);
   recorder agent;
   recorder entry;
   std::string error;
   std::unique_ptr<peer_server> server;
   std::unique_ptr<peer_client> client;
 
-  peer_fixture() { Listen("127.0.0.1:0", agent.Handlers()); }
+  explicit peer_fixture(microseconds timeout = seconds(5)) : handshake_timeout(timeout) {
+    Listen("127.0.0.1:0", agent.Handlers());
+  }
 
   void Listen(const std::string& address, peer_handlers handlers) {
     server = peer_server::Listen({.loop = loop,
@@ -64,7 +68,8 @@
                                   .address = address,
                                   .identity = {"agent", "a1", "north", 11},
                                   .handlers = std::move(handlers),
-                                  .max_queued_bytes = 4U << 20U},
+                                  .max_queued_bytes = 4U << 20U,
+                                  .handshake_timeout = handshake_timeout},
                                  error);
   }
 
@@ -422,8 +427,40 @@
   CHECK(error.find(address) != std::string::npos);
 }
 
+TEST_CASE("bytes changed at random close their own connections only") {
+  peer_fixture peers(milliseconds(200));
+  peers.BringUp();
+  const int ups = peers.agent.ups;
+  const std::size_t downs = peers.agent.downs.size();
+  hello greeting;
+  greeting.role = "entry";
+  greeting.nonce.assign(32, 1);
+  const std::string valid = ControlStreamBytes() + DataFrame(Framed(greeting));
+  std::mt19937 random(4242);
+  std::vector<raw_socket> strangers;
+  for (int number = 0; number < 200; ++number) {
+    std::string bytes = valid;
+    for (int change = 0; change < 3; ++change) {
+      // The preface stays, so that the frames are read.
+      constexpr std::size_t kPrefaceBytes = 24;
+      const std::size_t place = kPrefaceBytes + random() % (bytes.size() - kPrefaceBytes);
+      bytes[place] = static_cast<char>(random());
+    }
+    strangers.push_back(raw_socket::Connect(peers.server->port()));
+    strangers.back().Write(bytes);
+  }
+  std::string answers;
+  for (const raw_socket& stranger : strangers) {
+    CHECK(peers.Until([&] { return !stranger.Read(answers); }));
+  }
+  CHECK(peers.agent.ups == ups);
+  CHECK(peers.agent.downs.size() == downs);
+  peers.entry.up->Send(heartbeat());
+  CHECK(peers.Until([&] { return peers.agent.received.size() == 1; }));
+}
+
 TEST_CASE("a silent connection does not hold up others") {
-  peer_fixture peers;
+  peer_fixture peers(milliseconds(200));
   const raw_socket silent = raw_socket::Connect(peers.server->port());
   peers.BringUp();
   std::string answer;
