--- a/src/agent/agent_process.cc
+++ b/src/agent/agent_process.cc
@@ -276,9 +276,22 @@
   StopWhenIdle();
 }
 
+bool agent_process::WorkIsOver() const {
+  if (core_.unacknowledged() > 0) {
+    return false;
+  }
+  if (core_.idle()) {
+    return true;
+  }
+  // A backend server that is gone confirms nothing; what is left is only to be released.
+  const agent_load load = core_.load(boot_clock::now());
+  const bool busy =
+      backend_ && std::visit([](const auto& client) { return client->busy(); }, *backend_);
+  return !load.backend_up && !busy && load.queued == 0 && load.pieces_granted == 0;
+}
+
 void agent_process::StopWhenIdle() {
-  const bool over = drain_.stopping() && core_.idle() && core_.unacknowledged() == 0;
-  if (!over) {
+  if (!drain_.stopping() || !WorkIsOver()) {
     stop_.Cancel();
     return;
   }
--- a/src/agent/agent_process.h
+++ b/src/agent/agent_process.h
@@ -52,6 +52,7 @@
   void Superseded();
   void Drain(drain_reason reason, bool leaving);
   void StopPlanned();
+  [[nodiscard]] bool WorkIsOver() const;
   void StopWhenIdle();
   void Reload();
   void Beat();
--- a/src/agent/engine_client.cc
+++ b/src/agent/engine_client.cc
@@ -127,9 +127,10 @@
   aborts_.erase(id);
   CheckFencing(response.status);
   const nlohmann::json answer = ParseJson(response.body);
-  const bool free = response.status == kOk && answer.is_object() &&
-                    answer.contains("held_pieces") && answer["held_pieces"] == 0;
-  if (free) {
+  const bool confirmed = response.status == kOk && answer.is_object() &&
+                         answer.contains("held_pieces") && answer["held_pieces"] == 0;
+  // After a 409 the engine is another agent's, which clears what it does not know.
+  if (confirmed || response.status == kConflict) {
     known_.erase(NameOf(id));
     options_.on_event(engine_released{.id = id});
   }
--- a/src/agent/engine_client.h
+++ b/src/agent/engine_client.h
@@ -31,6 +31,8 @@
   /// \brief Closes the order's stream and asks for its end; reports when nothing is held.
   void Release(const order_release& order);
 
+  /// \returns true while the answer of an order is awaited.
+  [[nodiscard]] bool busy() const { return !orders_.empty(); }
   void set_timeout(microseconds timeout) { options_.timeout = timeout; }
 
  private:
--- a/src/agent/service_client.h
+++ b/src/agent/service_client.h
@@ -23,6 +23,8 @@
   /// \brief Closes the call; the service holds no memory for it afterwards.
   void Release(const order_release& order);
 
+  /// \returns true while the answer of a call is awaited.
+  [[nodiscard]] bool busy() const { return !calls_.empty(); }
   void set_timeout(microseconds timeout) { options_.timeout = timeout; }
 
  private:
--- a/src/coordination/agent_grants.cc
+++ b/src/coordination/agent_grants.cc
@@ -86,10 +86,11 @@
     const bool wait = key == refusal_reason::kKeyMayHaveRun;
     return {.reason = key, .retry_after = wait ? ledger.KeysOpenIn(now) : microseconds::zero()};
   }
-  return PlaceLeft(request);
+  return {};
 }
 
-agent_refusal agent_core::state::PlaceLeft(const grant_request& request) const {
+agent_refusal agent_core::state::PlaceLeft(const grant_request& request,
+                                           const agent_quote& quote) const {
   if (policy.kind == work_kind::kPrefill) {
     switch (prefills.Admits(request.team)) {
       case prefill_queue::admission::kAdmitted:
@@ -100,6 +101,9 @@
         return {.reason = refusal_reason::kTeamShare, .retry_after = RetryAfterFull()};
     }
   }
+  if (quote.start_in == microseconds::zero()) {
+    return {};
+  }
   if (seats.size() >= policy.max_queued) {
     return {.reason = refusal_reason::kQueueFull, .retry_after = RetryAfterFull()};
   }
@@ -128,7 +132,8 @@
   }
   const microseconds late_by = done_in - request.deadline_in;
   return {.reason = decode ? refusal_reason::kNoRoom : refusal_reason::kDeadlineMissed,
-          .retry_after = std::max(late_by, kLeastRetry)};
+          .retry_after = std::max(late_by, kLeastRetry),
+          .start_in = quote.start_in};
 }
 
 microseconds agent_core::state::RetryAfterFull() const {
@@ -197,7 +202,8 @@
   answer.retry_after = refusal.retry_after;
   answer.load = std::make_shared<agent_load>(Load());
   Send(entry, std::move(answer));
-  LogDecision("refuse", id, team, "", wire::EnumNamerefusal_reason(refusal.reason));
+  LogDecision("refuse", id, team, "", wire::EnumNamerefusal_reason(refusal.reason),
+              {.start_in = refusal.start_in});
 }
 
 microseconds agent_core::state::LifetimeOf(const agent_attempt& attempt,
--- a/src/coordination/agent_messages.cc
+++ b/src/coordination/agent_messages.cc
@@ -72,18 +72,19 @@
     SendFate(entry, id, fate, "the attempt has ended");
     return;
   }
-  const agent_refusal refusal = Admission(request);
+  agent_refusal refusal = Admission(request);
+  agent_quote quote;
+  if (refusal.reason == refusal_reason::kNone) {
+    quote = policy.kind == work_kind::kPrefill ? QuotePrefill(request) : QuoteSeat(request);
+    refusal = PlaceLeft(request, quote);
+  }
+  if (refusal.reason == refusal_reason::kNone) {
+    refusal = InTime(request, quote);
+  }
   if (refusal.reason != refusal_reason::kNone) {
     Refuse(entry, id, request.team, refusal);
     return;
   }
-  const bool prefill = policy.kind == work_kind::kPrefill;
-  const agent_quote quote = prefill ? QuotePrefill(request) : QuoteSeat(request);
-  const agent_refusal late = InTime(request, quote);
-  if (late.reason != refusal_reason::kNone) {
-    Refuse(entry, id, request.team, late);
-    return;
-  }
   Grant(entry, request, quote);
 }
 
--- a/src/coordination/agent_state.h
+++ b/src/coordination/agent_state.h
@@ -34,6 +34,7 @@
 struct agent_refusal {
   refusal_reason reason = refusal_reason::kNone;
   microseconds retry_after{};
+  microseconds start_in{};  ///< The quote, when there was one.
 };
 
 [[nodiscard]] message MakeStarted(attempt_id id);
@@ -77,7 +78,8 @@
   [[nodiscard]] std::uint32_t PiecesOf(const grant_request& request) const;
   [[nodiscard]] agent_quote QuoteSeat(const grant_request& request) const;
   [[nodiscard]] agent_refusal Admission(const grant_request& request) const;
-  [[nodiscard]] agent_refusal PlaceLeft(const grant_request& request) const;
+  [[nodiscard]] agent_refusal PlaceLeft(const grant_request& request,
+                                        const agent_quote& quote) const;
   [[nodiscard]] agent_refusal InTime(const grant_request& request, const agent_quote& quote) const;
   [[nodiscard]] microseconds RetryAfterFull() const;
   void Grant(incarnation_id entry, const grant_request& request, const agent_quote& quote);
--- a/tests/coordination/agent_core_test.cc
+++ b/tests/coordination/agent_core_test.cc
@@ -298,6 +298,22 @@
       CHECK(story.Sent<grant_offer>().size() == 1);
     }
   }
+  SUBCASE("the seats that wait are bounded, and no team takes another's part of them") {
+    agent_policy narrow = Policy(work_kind::kDecode);
+    narrow.max_queued = 2;
+    story.Do(policy_changed{.policy = narrow});
+    story.Say(Ask(work_kind::kDecode, 3));
+    CHECK(story.Sent<grant_offer>().size() == 1);
+    story.Say(Ask(work_kind::kDecode, 4));
+    CHECK(story.Sent<refused>().at(0).reason == refusal_reason::kTeamShare);
+    grant_request other = Ask(work_kind::kDecode, 5);
+    other.team = "lumanara";
+    story.Say(other);
+    CHECK(story.Sent<grant_offer>().size() == 1);
+    other.request.counter = 6;
+    story.Say(other);
+    CHECK(story.Sent<refused>().at(0).reason == refusal_reason::kQueueFull);
+  }
   SUBCASE("what is larger than the memory is refused") {
     grant_request large = Ask(work_kind::kDecode, 3);
     large.pieces = 5;
