Run the entry-side queue as a baseline

Cause: the operators' settings name it, the entry did not know it. Change: entry_queue_policy asks one agent, gives back offers that cannot start at once, and waits in the entry until the deadline. Attempts that only waited do not count as tries.

--- a/include/jacinthspool/impl/entry_core.h
+++ b/include/jacinthspool/impl/entry_core.h
@@ -45,8 +45,12 @@
 struct least_load_policy {};
 /// \brief Baseline: prefill first, then look for a decode seat.
 struct prefill_first_policy {};
-using routing_policy =
-    std::variant<seat_first_policy, round_robin_policy, least_load_policy, prefill_first_policy>;
+/// \brief Baseline: requests wait in the entry until an agent can start them at once.
+struct entry_queue_policy {
+  microseconds ask_again = milliseconds(20);  ///< Pause before a waiting request asks anew.
+};
+using routing_policy = std::variant<seat_first_policy, round_robin_policy, least_load_policy,
+                                    prefill_first_policy, entry_queue_policy>;
 
 struct entry_policy {
   std::string data_centre;
--- a/src/coordination/candidate_choice.cc
+++ b/src/coordination/candidate_choice.cc
@@ -148,6 +148,9 @@
   std::vector<std::string> operator()(const least_load_policy& /*policy*/) const {
     return ByQuote(query, 1, false);
   }
+  std::vector<std::string> operator()(const entry_queue_policy& /*policy*/) const {
+    return ByQuote(query, 1, false);
+  }
   std::vector<std::string> operator()(const round_robin_policy& /*policy*/) const {
     const std::vector<pool_member>& members = query.pool.members;
     for (std::size_t passed = 0; passed < members.size(); ++passed) {
--- a/src/coordination/entry_failure.cc
+++ b/src/coordination/entry_failure.cc
@@ -18,6 +18,9 @@
 /// Longest time that an accepted request waits before its next attempt.
 constexpr microseconds kLongestDelay = seconds(1);
 
+/// Longest time that a patient request waits in the entry's own queue.
+constexpr microseconds kLongestPatience = seconds(30);
+
 /// \returns true when trying elsewhere at once would only add to the load.
 bool IsOverload(refusal_reason reason) {
   return reason == refusal_reason::kNoRoom || reason == refusal_reason::kQueueFull ||
@@ -55,7 +58,7 @@
 bool entry_core::state::RetryWithSameKv(request& r, const std::string& detail) {
   const pool_view* pool = FindPool(r.asked.pool);
   if (!r.asked.repeatable || r.kv_retried || !r.kv.has_value() || pool == nullptr ||
-      r.attempt >= policy.max_attempts) {
+      r.tries >= policy.max_attempts) {
     return false;
   }
   const microseconds transfer = entry_detail::TransferTime(*pool, r.asked.prompt_tokens);
@@ -65,6 +68,7 @@
   r.kv_retried = true;
   EndSearch(r);
   ++r.attempt;
+  ++r.tries;
   r.tried.clear();
   r.late_at = now + r.asked.deadline_in;
   Log(r, "retry", "", detail + "; the same KV cache again");
@@ -77,7 +81,10 @@
   DropParts(r);
   // A request that was refused before anything of it ran is given up at once:
   // to ask again is the caller's decision.
-  const bool begun = r.may_have_run || r.attempt > 1;
+  const bool begun = r.may_have_run || r.tries > 1;
+  if (declined && !begun && WaitInEntry(r)) {
+    return;
+  }
   if ((declined && !begun) || !r.asked.repeatable || !DrawRetry(r)) {
     GiveUp(r, detail, why);
     return;
@@ -85,13 +92,28 @@
   BeginAttempt(r, detail, declined ? why.retry_after : microseconds::zero());
 }
 
+/// The entry's own queue, when the policy has one: asks anew under the next
+/// attempt's number, since agents remember their refusal of this one.
+bool entry_core::state::WaitInEntry(request& r) {
+  const auto* queue = std::get_if<entry_queue_policy>(&policy.routing);
+  const instant until = r.asked.patient ? r.accepted_at + kLongestPatience : r.late_at;
+  if (queue == nullptr || now + queue->ask_again >= until) {
+    return false;
+  }
+  ++r.attempt;
+  r.tried.clear();
+  r.retry_at = now + queue->ask_again;
+  return true;
+}
+
 bool entry_core::state::DrawRetry(const request& r) {
-  return r.attempt < policy.max_attempts && budget.Draw(now, r.asked.team);
+  return r.tries < policy.max_attempts && budget.Draw(now, r.asked.team);
 }
 
 /// \param delay What the agents have asked for; later attempts back off in any case.
 void entry_core::state::BeginAttempt(request& r, const std::string& detail, microseconds delay) {
   ++r.attempt;
+  ++r.tries;
   r.tried.clear();
   r.kv.reset();
   r.kv_retried = false;
@@ -99,8 +121,8 @@
   r.late_at = now + r.asked.deadline_in;
   Log(r, "retry", "", detail);
   microseconds wait = std::min(delay, kLongestDelay);
-  if (r.attempt > 2) {
-    wait = std::max(wait, delays.Delay(r.attempt - 2, random()));
+  if (r.tries > 2) {
+    wait = std::max(wait, delays.Delay(r.tries - 2, random()));
   }
   if (wait > microseconds::zero()) {
     r.retry_at = now + wait;
--- a/src/coordination/entry_request.cc
+++ b/src/coordination/entry_request.cc
@@ -24,6 +24,7 @@
 entry_request::entry_request(caller_request request, instant now)
     : asked(std::move(request)),
       late_at(now + asked.deadline_in),
+      accepted_at(now),
       answer({.attempt = 1}),
       prompt_tokens(asked.prompt_tokens) {}
 
--- a/src/coordination/entry_request.h
+++ b/src/coordination/entry_request.h
@@ -81,7 +81,9 @@
 
   caller_request asked;
   instant late_at{};  ///< The current attempt's deadline.
+  instant accepted_at{};
   attempt_number attempt = 1;
+  std::uint32_t tries = 1;  ///< Attempts that count: those that ran, not those that only waited.
   std::optional<search> seeking;
   std::optional<attempt_part> seat;     ///< Decode, or the call.
   std::optional<attempt_part> prefill;  ///< Kept until the KV cache has been read.
--- a/src/coordination/entry_search.cc
+++ b/src/coordination/entry_search.cc
@@ -126,7 +126,9 @@
                                                                         .data_centre = near,
                                                                         .turns = turns});
   if (next.empty() || r.seeking->rounds >= kMaxRounds) {
-    NoOffer(r);
+    const search ended = *r.seeking;
+    EndSearch(r);
+    NoOffer(r, ended);
     return;
   }
   ++r.seeking->rounds;
@@ -161,7 +163,7 @@
   wanted.prefix_hashes = asked.prefix_hashes;
   wanted.priority = asked.priority;
   // A later attempt must not be refused for the time that the first has cost.
-  wanted.patient = asked.patient || r.attempt > 1;
+  wanted.patient = asked.patient || r.tries > 1;
   wanted.deadline_in = Until(r.late_at);
   wanted.idempotency_key = asked.idempotency_key;
   wanted.repeatable = asked.repeatable;
@@ -286,34 +288,49 @@
       best = &asked;
     }
   }
-  EndSearch(r);
+  if (MustWait(seeking, *best)) {
+    best = nullptr;
+  }
   for (const quote& asked : seeking.quotes) {
     if (&asked != best && asked.state == quote_state::kOffered) {
       Send(asked.backend, ReleaseOf(r.current(), asked.grant));
     }
   }
+  EndSearch(r);
+  if (best == nullptr) {
+    NoOffer(r, seeking);
+    return;
+  }
+  Log(r, seeking.kind == work_kind::kPrefill ? "route_prefill" : "route", best->backend,
+      "best offer", CandidatesOf(seeking, now));
+  TakeOfferOf(r, seeking.kind, *best);
+}
+
+/// Entries with a queue of their own take no place in an agent's.
+bool entry_core::state::MustWait(const search& seeking, const quote& best) const {
+  return std::holds_alternative<entry_queue_policy>(policy.routing) &&
+         seeking.kind == work_kind::kPrefill && best.start_at > now + kSeatMoved;
+}
+
+void entry_core::state::TakeOfferOf(request& r, work_kind kind, const quote& best) {
   attempt_part chosen;
-  chosen.kind = seeking.kind;
-  chosen.backend = best->backend;
-  chosen.incarnation = best->incarnation;
+  chosen.kind = kind;
+  chosen.backend = best.backend;
+  chosen.incarnation = best.incarnation;
   chosen.attempt = r.attempt;
-  chosen.grant = best->grant;
-  chosen.start_at = best->start_at;
-  chosen.run_for = best->run_for;
-  chosen.expires_at = best->expires_at;
-  chosen.refresh_at = Middle(now, best->expires_at);
+  chosen.grant = best.grant;
+  chosen.start_at = best.start_at;
+  chosen.run_for = best.run_for;
+  chosen.expires_at = best.expires_at;
+  chosen.refresh_at = Middle(now, best.expires_at);
   agents[chosen.backend].ordered_since_load += 1;
   Uses(r, chosen.backend);
-  Log(r, seeking.kind == work_kind::kPrefill ? "route_prefill" : "route", chosen.backend,
-      "best offer", CandidatesOf(seeking, now));
-  (seeking.kind == work_kind::kPrefill ? r.prefill : r.seat) = std::move(chosen);
+  (chosen.kind == work_kind::kPrefill ? r.prefill : r.seat) = std::move(chosen);
   Advance(r);
 }
 
 /// No agent has made an offer.
-void entry_core::state::NoOffer(request& r) {
-  const search seeking = *r.seeking;
-  EndSearch(r);
+void entry_core::state::NoOffer(request& r, const search& seeking) {
   const entry_detail::refusal why = r.best_refusal.value_or(entry_detail::refusal{
       .reason = refusal_reason::kBackendDown, .retry_after = policy.reply_timeout});
   Log(r, "refuse", "", ReasonName(why.reason), CandidatesOf(seeking, now));
--- a/src/coordination/entry_state.h
+++ b/src/coordination/entry_state.h
@@ -57,7 +57,10 @@
   void RefreshSeat(request& r);
   void Settle(request& r);
   void Choose(request& r);
-  void NoOffer(request& r);
+  void TakeOfferOf(request& r, work_kind kind, const entry_detail::quote& best);
+  [[nodiscard]] bool MustWait(const entry_detail::search& seeking,
+                              const entry_detail::quote& best) const;
+  void NoOffer(request& r, const entry_detail::search& seeking);
   void EndSearch(request& r);
   [[nodiscard]] microseconds ArrivalAtSeat(const request& r, const pool_view& pool) const;
 
@@ -77,6 +80,7 @@
   // Failures: entry_failure.cc.
   void PartFailed(request& r, work_kind kind, run_state ran, const std::string& detail,
                   entry_detail::refusal why);
+  bool WaitInEntry(request& r);
   bool RetryWithSameKv(request& r, const std::string& detail);
   /// \param declined No agent has taken the work, so nothing failed in the middle.
   void FailAttempt(request& r, const std::string& detail, entry_detail::refusal why, bool declined);
--- a/src/entry/entry_settings.cc
+++ b/src/entry/entry_settings.cc
@@ -31,6 +31,8 @@
       return least_load_policy{};
     case config::routing_kind::prefill_first:
       return prefill_first_policy{};
+    case config::routing_kind::entry_queue:
+      return entry_queue_policy{};
     default:
       return seat_first_policy{};
   }
--- a/tests/coordination/entry_completion_test.cc
+++ b/tests/coordination/entry_completion_test.cc
@@ -309,6 +309,20 @@
     CHECK(rig.Sent<grant_request>("d1").empty());
     CHECK(rig.Sent<grant_request>("d2").size() == 1);
   }
+  SUBCASE("the entry's queue takes no place in an agent's queue") {
+    entry_rig rig(entry_rig::Policy(entry_queue_policy{}));
+    rig.Ask();
+    rig.Offer("d1");
+    rig.Offer("d2");
+    const std::string busy = rig.CountSent<grant_request>("p1") == 1 ? "p1" : "p2";
+    rig.Offer(busy, milliseconds(100));
+    CHECK(rig.Sent<grant_release>(busy).size() == 1);
+    CHECK(rig.core.in_progress() == 1);
+    rig.Pass(milliseconds(20));
+    CHECK(rig.CountSent<grant_request>("d1") + rig.CountSent<grant_request>("d2") == 2);
+    rig.Pass(seconds(2));
+    CHECK(rig.Count<deliver_not_run>() == 1);
+  }
   SUBCASE("prefill first looks for a seat when the KV cache is there") {
     entry_rig rig(entry_rig::Policy(prefill_first_policy{}));
     rig.Ask();
