Refuse a connection at once when there is no descriptor for it

Cause: without descriptors accept fails again in each turn of the loop, which takes a whole core and, since libevent logs as JSON, writes a line each time. Change: a descriptor in reserve takes the connection and closes it, one log line. Ruled out: pausing the listener, since its error callback shares the context of evhttp's and the pause would have to outlive a freed listener.

--- a/src/transport/socket_address.cc
+++ b/src/transport/socket_address.cc
@@ -3,19 +3,56 @@
 #include <arpa/inet.h>
 #include <event2/listener.h>
 #include <event2/util.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <unistd.h>
 
 #include <cerrno>
 #include <charconv>
 #include <cstring>
 #include <system_error>
 
+#include "src/telemetry/log.h"
+
 namespace jacinthspool {
 namespace {
 
 constexpr int kBacklog = 512;
 
+/// \brief A descriptor in reserve, to refuse a connection when there is no other.
+class spare_descriptor {
+ public:
+  spare_descriptor() { Open(); }
+
+  /// \brief Accepts the next connection and closes it.
+  void Refuse(int listener) {
+    close(descriptor_);
+    const int refused = accept(listener, nullptr, nullptr);
+    if (refused >= 0) {
+      close(refused);
+    }
+    Open();
+  }
+
+ private:
+  void Open() { descriptor_ = open("/dev/null", O_RDONLY | O_CLOEXEC); }
+
+  int descriptor_ = -1;
+};
+
+spare_descriptor& Spare() {
+  static spare_descriptor spare;
+  return spare;
+}
+
+/// Without descriptors accept would fail again and again, at the loop's cost.
+void RefuseNext(evconnlistener* listener, void* /*unused*/) {
+  const std::string reason = std::strerror(errno);
+  Spare().Refuse(evconnlistener_get_fd(listener));
+  Log(log_level::kError, "accept_failed", {{"reason", reason}});
+}
+
 bool ParsePort(const std::string& text, std::uint16_t& port) {
   const char* last = text.data() + text.size();
   const auto [end, error] = std::from_chars(text.data(), last, port);
@@ -107,6 +144,8 @@
     error = "cannot listen on " + address + ": " + std::strerror(errno);
     return nullptr;
   }
+  (void)Spare();
+  evconnlistener_set_error_cb(listener.get(), &RefuseNext);
   // Accepted sockets inherit it.
   DisableDelay(evconnlistener_get_fd(listener.get()));
   return listener;
--- a/tests/transport/http_test.cc
+++ b/tests/transport/http_test.cc
@@ -1,4 +1,6 @@
 #include <doctest/doctest.h>
+#include <event2/event.h>
+#include <sys/resource.h>
 
 #include <memory>
 #include <optional>
@@ -171,6 +173,25 @@
     CHECK(http.response->body == "late");
   }
 
+  SUBCASE("a refusal at once without descriptors, and later callers as before") {
+    const raw_socket refused = raw_socket::Connect(http.server->port());
+    rlimit usual{};
+    getrlimit(RLIMIT_NOFILE, &usual);
+    const int next_free = dup(refused.descriptor());
+    close(next_free);
+    const rlimit no_more{.rlim_cur = static_cast<rlim_t>(next_free), .rlim_max = usual.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &no_more);
+    event_base_loop(http.loop.base(), EVLOOP_ONCE);
+    setrlimit(RLIMIT_NOFILE, &usual);
+    std::string received;
+    CHECK(RunUntil(http.loop, [&] { return !refused.Read(received); }));
+    const auto call = http.Fetch(http.To("GET"));
+    REQUIRE(http.WaitForExchanges(1));
+    http.exchanges.clear();
+    REQUIRE(http.WaitForResponse());
+    CHECK(http.response->status == 500);
+  }
+
   SUBCASE("a port that is in use gives an error") {
     std::string error;
     CHECK(http_server::Listen({.loop = http.loop,
