Open the log before the test that takes the descriptors away

Cause: with sanitizers the type check of the log's file stream needs a pipe, and found no descriptor for it (UndefinedBehaviorSanitizer, easylogging++.cc:761). Ruled out: a fault of the log; the same check passes with descriptors. Change: the test writes a log line before it lowers the limit; checks unchanged.

--- a/tests/transport/http_test.cc
+++ b/tests/transport/http_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "src/telemetry/log.h"
 #include "src/transport/event_loop.h"
 #include "src/transport/http_client.h"
 #include "src/transport/http_server.h"
@@ -175,6 +176,8 @@
 
   SUBCASE("a refusal at once without descriptors, and later callers as before") {
     const raw_socket refused = raw_socket::Connect(http.server->port());
+    // The first line opens the log, which takes descriptors of its own.
+    Log(log_level::kError, "test", {});
     rlimit usual{};
     getrlimit(RLIMIT_NOFILE, &usual);
     const int next_free = dup(refused.descriptor());
