Refuse a document that is no object without ending the encoding

Cause: found by the clang build with assertions: text such as "[]" had its finding, but the empty root was handed to FlatBuffers, which asserts. Builds with NDEBUG did not show it.

Change: the buffer is finished only for a document without findings. A property damages a sound document at random places. Lint findings mended.

--- a/bench/settings_cost.cc
+++ b/bench/settings_cost.cc
@@ -164,33 +164,33 @@
   nlohmann::json result_;
 };
 
-int Run(int argc, char** argv) {
-  try {
-    TCLAP::CmdLine line("Measures what settings cost one process; prints one JSON line");
-    TCLAP::ValueArg<std::uint64_t> workspaces("w", "workspaces", "Workspaces of all teams", false,
-                                              34000, "NUMBER", line);
-    TCLAP::ValueArg<std::uint64_t> teams("t", "teams", "Teams that share them equally", false, 34,
-                                         "NUMBER", line);
-    TCLAP::ValueArg<std::uint64_t> changes("c", "changes", "Changes, each of one team", false, 100,
-                                           "NUMBER", line);
-    line.parse(argc, argv);
-    if (teams.getValue() == 0 || changes.getValue() == 0) {
-      std::cerr << "settings_cost: --teams and --changes must be 1 or more\n";
-      return 2;
-    }
-    settings_cost cost({.workspaces = workspaces.getValue(),
-                        .teams = teams.getValue(),
-                        .changes = changes.getValue()});
-    const bool taken = cost.Run();
-    std::cout << cost.result().dump() << '\n';
-    return taken ? 0 : 1;
-  } catch (const TCLAP::ArgException& error) {
-    std::cerr << "settings_cost: " << error.error() << '\n';
-    return 2;
-  }
+int Run(const settings_cost_options& options) {
+  settings_cost cost(options);
+  const bool taken = cost.Run();
+  std::cout << cost.result().dump() << '\n';
+  return taken ? 0 : 1;
 }
 
 }  // namespace
 }  // namespace jacinthspool
 
-int main(int argc, char** argv) { return jacinthspool::Run(argc, argv); }
+int main(int argc, char** argv) try {
+  TCLAP::CmdLine line("Measures what settings cost one process; prints one JSON line");
+  TCLAP::ValueArg<std::uint64_t> workspaces("w", "workspaces", "Workspaces of all teams", false,
+                                            34000, "NUMBER", line);
+  TCLAP::ValueArg<std::uint64_t> teams("t", "teams", "Teams that share them equally", false, 34,
+                                       "NUMBER", line);
+  TCLAP::ValueArg<std::uint64_t> changes("c", "changes", "Changes, each of one team", false, 100,
+                                         "NUMBER", line);
+  line.parse(argc, argv);
+  if (teams.getValue() == 0 || changes.getValue() == 0) {
+    std::cerr << "settings_cost: --teams and --changes must be 1 or more\n";
+    return 2;
+  }
+  return jacinthspool::Run({.workspaces = workspaces.getValue(),
+                            .teams = teams.getValue(),
+                            .changes = changes.getValue()});
+} catch (const std::exception& failure) {
+  std::cerr << failure.what() << '\n';
+  return 1;
+}
--- a/src/cli/explain_command.cc
+++ b/src/cli/explain_command.cc
@@ -121,7 +121,7 @@
 
 std::string FirstTeam(const std::vector<nlohmann::json>& lines) {
   for (const nlohmann::json& line : lines) {
-    if (const std::string team = TextOf(line, "team"); !team.empty()) {
+    if (std::string team = TextOf(line, "team"); !team.empty()) {
       return team;
     }
   }
--- a/src/settings/schema_reader.cc
+++ b/src/settings/schema_reader.cc
@@ -59,10 +59,17 @@
 
 class schema_reader {
  public:
-  schema_reader(std::string_view place, findings& found) : place_(place, found) {}
+  schema_reader(std::string_view place, findings& found) : found_(found), place_(place, found) {}
 
-  flatbuffers::DetachedBuffer Encode(const nlohmann::json& value, const reflection::Object& table) {
-    builder_.Finish(flatbuffers::Offset<flatbuffers::Table>(ReadTable(value, table)));
+  /// \returns Nothing when there was any fault.
+  std::optional<flatbuffers::DetachedBuffer> Encode(const nlohmann::json& value,
+                                                    const reflection::Object& table) {
+    const std::size_t before = found_.size();
+    const flatbuffers::Offset<flatbuffers::Table> root(ReadTable(value, table));
+    if (found_.size() != before) {
+      return std::nullopt;
+    }
+    builder_.Finish(root);
     return builder_.Release();
   }
 
@@ -232,6 +239,7 @@
     place_.Add("must be " + std::string(wanted) + ", not " + value.type_name());
   }
 
+  findings& found_;
   document_place place_;
   flatbuffers::FlatBufferBuilder builder_;
 };
@@ -256,12 +264,7 @@
                                                           std::string_view place, findings& found) {
   const std::string full_name = std::string(kNamespace) + std::string(table);
   const reflection::Object* type = Schema().objects()->LookupByKey(full_name.c_str());
-  const std::size_t before = found.size();
-  flatbuffers::DetachedBuffer encoded = schema_reader(place, found).Encode(value, *type);
-  if (found.size() != before) {
-    return std::nullopt;
-  }
-  return encoded;
+  return schema_reader(place, found).Encode(value, *type);
 }
 
 }  // namespace jacinthspool
--- a/tests/settings/documents_test.cc
+++ b/tests/settings/documents_test.cc
@@ -1,4 +1,5 @@
 #include <doctest/doctest.h>
+#include <rapidcheck.h>
 
 #include <algorithm>
 #include <string>
@@ -215,6 +216,28 @@
   }
 }
 
+TEST_CASE("damaged documents are refused with findings, and sound ones have none") {
+  const bool held = rc::check("whatever is replaced in a document", [] {
+    std::string text = kOperators;
+    const auto edits =
+        *rc::gen::container<std::vector<std::pair<std::size_t, std::string>>>(rc::gen::pair(
+            rc::gen::inRange<std::size_t>(0, text.size()),
+            rc::gen::element<std::string>("{}", "[]", "null", "\"", "-1", "3", "1e99", ",", ":",
+                                          "true", "//", "\"name\":", "\\u0000")));
+    for (const auto& [at, piece] : edits) {
+      text.replace(std::min(at, text.size()), piece.size(), piece);
+    }
+    findings found;
+    const auto operators = ParseOperators(text, "operators", found);
+    RC_ASSERT((operators == nullptr) == !found.empty());
+    for (const finding& each : found) {
+      RC_ASSERT(each.place.starts_with("operators"));
+      RC_ASSERT(!each.text.empty());
+    }
+  });
+  CHECK(held);
+}
+
 TEST_CASE("a process needs what its role needs") {
   findings found;
   const auto bare = ParseProcess(R"({"name": "e", "data_centre": "s"})", "x.json", found);
--- a/tests/settings/settings_source_test.cc
+++ b/tests/settings/settings_source_test.cc
@@ -218,6 +218,7 @@
 
 TEST_CASE("watchers are chosen by rendezvous hashing") {
   std::vector<std::string> names;
+  names.reserve(100);
   for (int i = 0; i < 100; ++i) {
     names.push_back("b" + std::to_string(i));
   }
