--- a/src/cli/status_command.cc
+++ b/src/cli/status_command.cc
@@ -62,6 +62,17 @@
   table.Print(out);
 }
 
+/// Prints the lists of an object and of the objects in it.
+void PrintLists(const nlohmann::json& object, const std::string& prefix, std::ostream& out) {
+  for (const auto& [name, value] : object.items()) {
+    if (value.is_object()) {
+      PrintLists(value, prefix + name + ".", out);
+    } else if (IsTable(value)) {
+      PrintList(prefix + name, value, out);
+    }
+  }
+}
+
 http_response FetchStatus(const std::string& address) {
   event_loop loop;
   http_client client(loop);
@@ -82,11 +93,7 @@
   text_table table;
   AddValues(status, "", table);
   table.Print(out);
-  for (const auto& [name, value] : status.items()) {
-    if (IsTable(value)) {
-      PrintList(name, value, out);
-    }
-  }
+  PrintLists(status, "", out);
 }
 
 int RunStatus(const std::vector<std::string>& arguments) {
--- a/tests/cli/command_line_test.cc
+++ b/tests/cli/command_line_test.cc
@@ -1,8 +1,10 @@
 #include "src/cli/command_line.h"
 
 #include <doctest/doctest.h>
+#include <unistd.h>
 
 #include <filesystem>
+#include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -12,6 +14,8 @@
 #include "src/cli/exit_code.h"
 #include "src/cli/explain_command.h"
 #include "src/cli/status_command.h"
+#include "src/transport/event_loop.h"
+#include "src/transport/http_server.h"
 
 namespace jacinthspool {
 namespace {
@@ -107,6 +111,24 @@
   CHECK(wrong_role.error.find("backend: is missing") != std::string::npos);
 }
 
+TEST_CASE("a daemon does not start on an address in use") {
+  event_loop loop;
+  std::string error;
+  const auto busy = http_server::Listen(
+      {.loop = loop, .address = "127.0.0.1:0", .on_request = [](const auto&) {}}, error);
+  REQUIRE(busy);
+  const std::filesystem::path folder = std::filesystem::temp_directory_path() /
+                                       ("jacinthspool-cli-test-" + std::to_string(getpid()));
+  std::filesystem::create_directory(folder);
+  const std::string config = folder / "entry.json";
+  const std::string keys = folder / "keys";
+  std::ofstream(keys) << std::string(64, 'a') << '\n';
+  std::ofstream(config) << R"({"name": "e", "data_centre": "s", "listen": "127.0.0.1:)"
+                        << busy->port() << R"(", "key_file": ")" << keys << R"("})";
+  CHECK(Run({"entry", "--config", config}).code == kExitCannotStart);
+  std::filesystem::remove_all(folder);
+}
+
 TEST_CASE("check prints every finding") {
   SUBCASE("and the examples have none") {
     for (const std::string folder : {"turnevo", "lumanara", "."}) {
@@ -158,19 +180,25 @@
 
 TEST_CASE("status prints values and lists") {
   std::ostringstream out;
-  PrintStatus(nlohmann::json::parse(R"({"name": "e1", "settings": {"operators": 3}, "up": true,
+  PrintStatus(
+      nlohmann::json::parse(
+          R"({"name": "e1", "settings": {"digest": 3, "of": [{"path": "operators"}]}, "up": true,
       "agents": [{"backend": "d1", "pieces": 12}, {"backend": "d2"}], "leaving": []})"),
-              out);
+      out);
   CHECK(out.str() ==
-        "leaving             []\n"
-        "name                e1\n"
-        "settings.operators  3\n"
-        "up                  true\n"
+        "leaving          []\n"
+        "name             e1\n"
+        "settings.digest  3\n"
+        "up               true\n"
         "\n"
         "agents:\n"
         "backend  pieces\n"
         "d1       12\n"
-        "d2       -\n");
+        "d2       -\n"
+        "\n"
+        "settings.of:\n"
+        "path\n"
+        "operators\n");
 
   SUBCASE("and fails when nobody answers") {
     const command_result result = Run({"status", "127.0.0.1:1"});
