--- a/tests/process/cluster.cc
+++ b/tests/process/cluster.cc
@@ -18,7 +18,6 @@
 constexpr char kServicePool[] = "calendar";
 constexpr char kStandinHealth[] = "/health";
 constexpr int kPieces = 20;
-constexpr int kPieceTokens = 256;
 
 std::string TokenHash(const std::string& token) {
   std::array<unsigned char, crypto_generichash_BYTES> hash{};
@@ -102,13 +101,23 @@
 }
 
 void cluster::StartEngine(backend_server& backend) {
+  LaunchEngine(backend);
+  WaitHealthy(backend.engine_address, *backend.engine, kStandinHealth);
+}
+
+void cluster::StartAgent(backend_server& backend) {
+  LaunchAgent(backend);
+  WaitHealthy(backend.status_address, *backend.agent);
+}
+
+void cluster::LaunchEngine(backend_server& backend) {
   std::vector<std::string> arguments = {"engine", "--listen", backend.engine_address};
   if (backend.pool == kServicePool) {
     arguments.front() = "service";
   } else {
-    arguments.insert(arguments.end(),
-                     {"--kv-address", backend.kv_link->address(), "--pieces",
-                      std::to_string(kPieces), "--piece-tokens", std::to_string(kPieceTokens)});
+    arguments.insert(arguments.end(), {"--kv-address", backend.kv_link->address(), "--pieces",
+                                       std::to_string(kPieces), "--piece-tokens",
+                                       std::to_string(options_.piece_tokens)});
     arguments.insert(arguments.end(), options_.engine_options.begin(),
                      options_.engine_options.end());
   }
@@ -117,10 +126,9 @@
     arguments.emplace_back("--check-fencing");
   }
   backend.engine = StartStandin("engine-" + backend.name, std::move(arguments));
-  WaitHealthy(backend.engine_address, *backend.engine, kStandinHealth);
 }
 
-void cluster::StartAgent(backend_server& backend) {
+void cluster::LaunchAgent(backend_server& backend) {
   nlohmann::json file = ProcessFile(backend.name, nullptr);
   file["listen"] = backend.status_address;
   file["peer_listen"] = backend.peer_address;
@@ -132,7 +140,6 @@
       JACINTHSPOOL_BINARY, std::vector<std::string>{"agent", "--config", path},
       world_.PathOf(backend.name + ".log"));
   last_start_ = timer_service::now();
-  WaitHealthy(backend.status_address, *backend.agent);
 }
 
 void cluster::StartEntry(entry_server& entry) {
@@ -190,7 +197,7 @@
     if (pool != kServicePool) {
       settings["model"] = kModel;
       settings["pieces"] = kPieces;
-      settings["piece_tokens"] = kPieceTokens;
+      settings["piece_tokens"] = options_.piece_tokens;
       settings.merge_patch(options_.pools);
     }
     pools.push_back(settings);
@@ -200,13 +207,18 @@
   timing.merge_patch(options_.timing);
   nlohmann::json limits = {{"max_body_bytes", 1U << 20U}, {"first_token_ms", 5000}};
   limits.merge_patch(options_.limits);
-  return {{"revision", 1},
-          {"pools", pools},
-          {"access",
-           {{{"team", "turnevo"}, {"pools", names}, {"share_percent", 90}},
-            {{"team", "lumanara"}, {"pools", names}, {"share_percent", 10}}}},
-          {"timing", timing},
-          {"limits", limits}};
+  nlohmann::json document = {
+      {"revision", 1},
+      {"pools", pools},
+      {"access",
+       {{{"team", "turnevo"}, {"pools", names}, {"share_percent", options_.turnevo_percent}},
+        {{"team", "lumanara"},
+         {"pools", names},
+         {"share_percent", 100 - options_.turnevo_percent}}}},
+      {"timing", timing},
+      {"limits", limits}};
+  document.merge_patch(options_.operators);
+  return document;
 }
 
 nlohmann::json cluster::Team(const std::string& name) const {
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -32,6 +32,10 @@
   nlohmann::json limits = nlohmann::json::object();
   nlohmann::json pools =
       nlohmann::json::object();  ///< Changes to the settings of the engines' pools.
+  nlohmann::json operators =
+      nlohmann::json::object();  ///< Changes to the operators' document as a whole.
+  int piece_tokens = 256;        ///< Size of a piece of engine memory.
+  int turnevo_percent = 90;      ///< Turnevo's share of each pool; the rest is Lumanara's.
 };
 
 /// \brief One agent with its backend server and the links to it.
@@ -71,6 +75,9 @@
 
   void StartEngine(backend_server& backend);
   void StartAgent(backend_server& backend);
+  /// \brief As the two above, without waiting until it is healthy.
+  void LaunchEngine(backend_server& backend);
+  void LaunchAgent(backend_server& backend);
   void StartEntry(entry_server& entry);
   /// \brief Waits until the process answers that it is well.
   /// \returns false when it has ended, or does not answer within the bound.
