Give no second grant to an attempt that has run; send priorities

Cause: a late repeat of a grant request for an attempt that was started, cancelled and forgotten got a grant, and its start a "refused", which would have been a false proof that it did not run. Orders went without X-Priority. An engine's 499 or 408 counted as "not run". Change: the run ledger is asked whether it knows the attempt; orders carry the request's class; only statuses that turn an order down count as not run.

--- a/include/jacinthspool/impl/agent_core.h
+++ b/include/jacinthspool/impl/agent_core.h
@@ -114,17 +114,20 @@
 struct order_prefill {
   attempt_id id;
   std::string engine_request = {};
+  std::uint8_t priority = 1;  ///< 0 is the most urgent.
 };
 struct order_decode {
   attempt_id id;
   std::string engine_request = {};
   kv_handle kv;
   microseconds transfer_timeout{};
+  std::uint8_t priority = 1;  ///< 0 is the most urgent.
 };
 struct order_call {
   attempt_id id;
   call_request call;
   microseconds deadline_in{};
+  std::uint8_t priority = 1;  ///< 0 is the most urgent.
 };
 /// \brief Stop the attempt at the backend server; answered by `engine_released`.
 struct order_release {
--- a/include/jacinthspool/impl/run_ledger.h
+++ b/include/jacinthspool/impl/run_ledger.h
@@ -75,6 +75,9 @@
   /// \returns How far the attempt came; kUnknown when it may have started and is forgotten.
   [[nodiscard]] run_state StateOf(attempt_id attempt) const;
 
+  /// \returns true while there is a record of the attempt, sealed or started.
+  [[nodiscard]] bool Knows(attempt_id attempt) const { return attempts_.contains(attempt); }
+
   /// \brief Forgets what has been retained for long enough.
   void Expire(instant now);
 
--- a/src/agent/backend_options.h
+++ b/src/agent/backend_options.h
@@ -31,8 +31,11 @@
 }
 
 /// \returns The headers of each order.
-inline http_headers OrderHeaders(const backend_options& options, const std::string& request) {
-  return {{"X-Request-Id", request}, {"X-Fencing-Token", std::to_string(options.incarnation)}};
+inline http_headers OrderHeaders(const backend_options& options, const std::string& request,
+                                 std::uint8_t priority = 0) {
+  return {{"X-Request-Id", request},
+          {"X-Fencing-Token", std::to_string(options.incarnation)},
+          {"X-Priority", std::to_string(priority)}};
 }
 
 }  // namespace jacinthspool
--- a/src/agent/engine_client.cc
+++ b/src/agent/engine_client.cc
@@ -1,5 +1,7 @@
 #include "src/agent/engine_client.h"
 
+#include <algorithm>
+#include <array>
 #include <utility>
 #include <vector>
 
@@ -17,8 +19,8 @@
 
 constexpr int kOk = 200;
 constexpr int kConflict = 409;
-constexpr int kClientErrors = 400;
-constexpr int kServerErrors = 500;
+/// Statuses with which an engine turns an order down before it does anything for it.
+constexpr std::array<int, 9> kNotRunStatuses = {400, 401, 403, 404, 409, 410, 413, 422, 429};
 
 constexpr std::string_view kTransferParams = "kv_transfer_params";
 
@@ -31,7 +33,8 @@
   if (streamed) {
     return run_state::kRunning;
   }
-  const bool refused_whole = response.status >= kClientErrors && response.status < kServerErrors;
+  const bool refused_whole = std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(),
+                                       response.status) != kNotRunStatuses.end();
   return response.never_sent || refused_whole ? run_state::kNotRun : run_state::kUnknown;
 }
 
@@ -52,8 +55,8 @@
 }
 
 http_request engine_client::Order(const std::string& request, std::string target,
-                                  const nlohmann::json& body) const {
-  http_headers headers = OrderHeaders(options_, request);
+                                  const nlohmann::json& body, std::uint8_t priority) const {
+  http_headers headers = OrderHeaders(options_, request, priority);
   headers.emplace_back("Content-Type", "application/json");
   return {.address = options_.address,
           .method = "POST",
@@ -63,11 +66,12 @@
           .timeout = options_.timeout};
 }
 
-void engine_client::Send(attempt_id id, const nlohmann::json& body, http_callbacks callbacks) {
+void engine_client::Send(attempt_id id, std::uint8_t priority, const nlohmann::json& body,
+                         http_callbacks callbacks) {
   const std::string request = NameOf(id);
   known_[request] = instant::max();
   orders_[id].call =
-      options_.client.Fetch(Order(request, TargetOf(body), body), std::move(callbacks));
+      options_.client.Fetch(Order(request, TargetOf(body), body, priority), std::move(callbacks));
 }
 
 void engine_client::Prefill(const order_prefill& order) {
@@ -80,7 +84,8 @@
   body["stream"] = false;
   body.erase("stream_options");
   body[kTransferParams] = {{"do_remote_decode", true}};
-  Send(order.id, body, {.on_done = [this, id = order.id](const http_response& response) {
+  Send(order.id, order.priority, body,
+       {.on_done = [this, id = order.id](const http_response& response) {
          TakePrefill(id, response);
        }});
 }
@@ -98,7 +103,7 @@
   body[kTransferParams] = std::move(params);
   body["kv_transfer_timeout_ms"] =
       std::chrono::duration_cast<milliseconds>(order.transfer_timeout).count();
-  Send(order.id, body,
+  Send(order.id, order.priority, body,
        {.on_chunk = [this, id = order.id](int status,
                                           std::string_view bytes) { TakeChunk(id, status, bytes); },
         .on_done =
--- a/src/agent/engine_client.h
+++ b/src/agent/engine_client.h
@@ -43,9 +43,10 @@
     bool told = false;      ///< The core has been told how it ended.
   };
 
-  void Send(attempt_id id, const nlohmann::json& body, http_callbacks callbacks);
+  void Send(attempt_id id, std::uint8_t priority, const nlohmann::json& body,
+            http_callbacks callbacks);
   [[nodiscard]] http_request Order(const std::string& request, std::string target,
-                                   const nlohmann::json& body) const;
+                                   const nlohmann::json& body, std::uint8_t priority = 0) const;
 
   void TakePrefill(attempt_id id, const http_response& response);
   void TakeChunk(attempt_id id, int status, std::string_view bytes);
--- a/src/agent/service_client.cc
+++ b/src/agent/service_client.cc
@@ -45,7 +45,7 @@
 }
 
 void service_client::Call(const order_call& order) {
-  http_headers headers = OrderHeaders(options_, NameOf(order.id));
+  http_headers headers = OrderHeaders(options_, NameOf(order.id), order.priority);
   for (const auto& field : order.call.headers) {
     if (field != nullptr && !BelongsToConnection(field->name)) {
       headers.emplace_back(field->name, field->value);
--- a/src/coordination/agent_dispatch.cc
+++ b/src/coordination/agent_dispatch.cc
@@ -81,8 +81,10 @@
   LogDecision("prefill_order", attempt.id, attempt.terms.team, config.backend, "next in its share",
               {.start_in = {}, .run_for = attempt.run_for, .cached_tokens = attempt.cached_tokens});
   Run(attempt);
-  effects.emplace_back(order_prefill{
-      .id = attempt.id, .engine_request = std::exchange(attempt.order.engine_request, {})});
+  effects.emplace_back(
+      order_prefill{.id = attempt.id,
+                    .engine_request = std::exchange(attempt.order.engine_request, {}),
+                    .priority = attempt.terms.priority});
 }
 
 void agent_core::state::DispatchSeats() {
@@ -121,7 +123,8 @@
     effects.emplace_back(order_decode{.id = attempt.id,
                                       .engine_request = std::exchange(order.engine_request, {}),
                                       .kv = std::move(kv),
-                                      .transfer_timeout = policy.transfer_timeout});
+                                      .transfer_timeout = policy.transfer_timeout,
+                                      .priority = attempt.terms.priority});
     return;
   }
   AddKey(attempt.terms.idempotency_key, *order.call);
@@ -129,7 +132,8 @@
   effects.emplace_back(
       order_call{.id = attempt.id,
                  .call = std::move(*order.call),
-                 .deadline_in = limited ? attempt.deadline - now : microseconds::zero()});
+                 .deadline_in = limited ? attempt.deadline - now : microseconds::zero(),
+                 .priority = attempt.terms.priority});
 }
 
 void agent_core::state::Run(agent_attempt& attempt) {
--- a/src/coordination/agent_messages.cc
+++ b/src/coordination/agent_messages.cc
@@ -67,9 +67,8 @@
     Refuse(entry, id, request.team, {.reason = earlier, .retry_after = {}});
     return;
   }
-  const run_state fate = ledger.StateOf(id);
-  if (fate == run_state::kRunning || fate == run_state::kFinished) {
-    SendFate(entry, id, fate, "the attempt has ended");
+  if (ledger.Knows(id)) {
+    SendFate(entry, id, ledger.StateOf(id), "the attempt has ended");
     return;
   }
   agent_refusal refusal = Admission(request);
--- a/tests/coordination/agent_core_test.cc
+++ b/tests/coordination/agent_core_test.cc
@@ -483,6 +483,12 @@
   SUBCASE("a cancelled call may have run") {
     story.Say(For<cancel_order>(Attempt(1)));
     story.Do(engine_released{.id = Attempt(1)});
+    SUBCASE("so it is neither granted again nor refused as not run") {
+      story.Say(booking);
+      CHECK(story.Sent<grant_offer>().empty());
+      CHECK(story.Sent<refused>().empty());
+      CHECK(story.Sent<answer_failed>().at(0).ran == run_state::kUnknown);
+    }
     story.Say(For<seal>(Attempt(1)));
     CHECK(story.Sent<sealed>().at(0).state == run_state::kUnknown);
   }
