Take a refused connection for a backend server that is down

Cause: with the engine killed in the middle of a stream the entry spent its three attempts and two prefills within half a second, since the agent noticed only by its next question. Change: an order that could not be sent reports the backend server as down at once; a broken stream brings the next question forward. Conclusion: retries are spent where they can help.

--- a/src/agent/engine_client.cc
+++ b/src/agent/engine_client.cc
@@ -142,7 +142,7 @@
 }
 
 void engine_client::TakePrefill(attempt_id id, const http_response& response) {
-  CheckFencing(response.status);
+  NoteOutcome(response);
   const nlohmann::json answer = ParseJson(response.body);
   const nlohmann::json& params = MemberOf(answer, std::string(kTransferParams));
   if (response.status != kOk || !params.is_object()) {
@@ -189,7 +189,7 @@
 }
 
 void engine_client::TakeDecodeEnd(attempt_id id, const http_response& response) {
-  CheckFencing(response.status);
+  NoteOutcome(response);
   const auto position = orders_.find(id);
   if (position == orders_.end()) {
     return;
@@ -296,6 +296,15 @@
   options_.on_event(backend_report{.up = reachable_ && clean_, .pieces_held = pieces_held_});
 }
 
+void engine_client::NoteOutcome(const http_response& response) {
+  CheckFencing(response.status);
+  if (response.never_sent) {
+    Reachable(false);
+  } else if (response.status == 0) {
+    PollLoad();
+  }
+}
+
 void engine_client::CheckFencing(int status) const {
   if (status == kConflict) {
     options_.on_superseded();
--- a/src/agent/engine_client.h
+++ b/src/agent/engine_client.h
@@ -63,6 +63,8 @@
   void AbortOrphan(const std::string& request);
   void Reachable(bool reachable);
   void Report();
+  /// \brief Learns from an order's outcome that the engine is gone, sooner than by asking.
+  void NoteOutcome(const http_response& response);
   void CheckFencing(int status) const;
 
   backend_options options_;
--- a/src/agent/service_client.cc
+++ b/src/agent/service_client.cc
@@ -74,6 +74,9 @@
   calls_.erase(id);
   if (response.status == 0) {
     const run_state ran = response.never_sent ? run_state::kNotRun : run_state::kUnknown;
+    if (response.never_sent) {
+      options_.on_event(backend_report{.up = false});
+    }
     options_.on_event(engine_failed{.id = id, .ran = ran, .detail = response.error});
     return;
   }
