--- a/src/agent/service_client.cc
+++ b/src/agent/service_client.cc
@@ -45,7 +45,7 @@
 }
 
 void service_client::Call(const order_call& order) {
-  http_headers headers = OrderHeaders(options_, NameOf(order.id));
+  http_headers headers = OrderHeaders(options_, NameOf(order.id), order.priority);
   for (const auto& field : order.call.headers) {
     if (field != nullptr && !BelongsToConnection(field->name)) {
       headers.emplace_back(field->name, field->value);
@@ -74,6 +74,9 @@
   calls_.erase(id);
   if (response.status == 0) {
     const run_state ran = response.never_sent ? run_state::kNotRun : run_state::kUnknown;
+    if (response.never_sent) {
+      options_.on_event(backend_report{.up = false});
+    }
     options_.on_event(engine_failed{.id = id, .ran = ran, .detail = response.error});
     return;
   }
