Keep the connection to a removed agent while requests need it

Cause: settings that drop a backend server cut the entry's connection at once, so a call that may not be repeated ended as unknown. Ruled out: a fixed grace, which a long stream outlives. Change: entry_core tells which agents it uses; the link ends once none does.

--- a/include/jacinthspool/impl/entry_core.h
+++ b/include/jacinthspool/impl/entry_core.h
@@ -181,6 +181,9 @@
   /// \returns Number of requests without a final answer.
   [[nodiscard]] std::size_t in_progress() const;
 
+  /// \returns true while a request or an unconfirmed cancel needs the backend server's agent.
+  [[nodiscard]] bool uses(const std::string& backend) const;
+
   /// \returns true when no request and no unconfirmed cancel is left.
   [[nodiscard]] bool idle() const;
 
--- a/src/coordination/entry_core.cc
+++ b/src/coordination/entry_core.cc
@@ -67,6 +67,12 @@
 
 std::size_t entry_core::in_progress() const { return state_->requests.size(); }
 
+bool entry_core::uses(const std::string& backend) const {
+  const auto found = state_->agents.find(backend);
+  return found != state_->agents.end() &&
+         !(found->second.users.empty() && found->second.uncancelled.empty());
+}
+
 bool entry_core::idle() const {
   return state_->requests.empty() &&
          std::all_of(state_->agents.begin(), state_->agents.end(),
--- a/src/entry/agent_links.cc
+++ b/src/entry/agent_links.cc
@@ -61,9 +61,22 @@
   if (!agents.empty()) {
     first_peers_.clear();
   }
+  wanted_ = agents;
+  CloseUnused();
+  for (const auto& [backend, address] : agents) {
+    if (!agents_.contains(backend)) {
+      agents_.emplace(backend, Open(backend, address));
+    }
+  }
+}
+
+/// An agent with a new address is another process: the old connection is of no use.
+void agent_links::CloseUnused() {
   for (auto known = agents_.begin(); known != agents_.end();) {
-    const auto wanted = agents.find(known->first);
-    if (wanted != agents.end() && wanted->second == known->second->address) {
+    const auto wanted = wanted_.find(known->first);
+    const bool moved = wanted != wanted_.end() && wanted->second != known->second->address;
+    const bool kept = wanted != wanted_.end() || settings_.in_use(known->first);
+    if (kept && !moved) {
       ++known;
       continue;
     }
@@ -71,11 +84,6 @@
     known = agents_.erase(known);
     TakeDown(*gone);
   }
-  for (const auto& [backend, address] : agents) {
-    if (!agents_.contains(backend)) {
-      agents_.emplace(backend, Open(backend, address));
-    }
-  }
 }
 
 void agent_links::Send(const std::string& backend, const message& body) {
@@ -190,6 +198,7 @@
 }
 
 void agent_links::Beat() {
+  CloseUnused();
   heartbeat beat;
   beat.sequence = ++beats_;
   beat.settings_digest = settings_.store.digest();
--- a/src/entry/agent_links.h
+++ b/src/entry/agent_links.h
@@ -31,6 +31,7 @@
     peer_identity identity;
     std::vector<std::string> first_peers;
     std::function<void(entry_event)> on_event;
+    std::function<bool(const std::string& backend)> in_use;  ///< Requests need the agent.
   };
   struct timing {
     microseconds heartbeat = seconds(1);
@@ -49,7 +50,10 @@
   explicit agent_links(options settings);
   ~agent_links();
 
-  /// \brief Connects to exactly these agents, given as address by backend server.
+  /// \brief Connects to these agents, given as address by backend server.
+  ///
+  /// An agent that is no longer among them stays connected until no request
+  /// needs it.
   void Follow(const std::map<std::string, std::string>& agents, const timing& times);
 
   /// \brief Sends to an agent, if it is connected.
@@ -66,9 +70,11 @@
   [[nodiscard]] bool TakeSettings(peer_connection& connection, const message& body);
   void Compare(link& from, peer_connection& connection, std::uint64_t their_digest);
   void Beat();
+  void CloseUnused();
 
   options settings_;
   timing times_;
+  std::map<std::string, std::string> wanted_;            ///< Address by backend server.
   std::map<std::string, std::unique_ptr<link>> agents_;  ///< By backend server.
   std::vector<std::unique_ptr<link>> first_peers_;
   timer_subscription beat_;
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -20,7 +20,7 @@
 /// The server's own limit, so that settings can raise theirs without a restart.
 constexpr std::size_t kMostBodyBytes = 16U << 20U;
 /// What was sent last gets so long to leave before the process ends.
-constexpr microseconds kFlushTime = milliseconds(200);
+constexpr microseconds kFlushTime = milliseconds(500);
 
 void LogFindings(const findings& found) {
   for (const finding& each : found) {
@@ -70,17 +70,18 @@
   loop_.OnSignal(SIGTERM, [this] { StopPlanned(); });
   loop_.OnSignal(SIGINT, [this] { StopPlanned(); });
   loop_.OnSignal(SIGHUP, [this] { Reload(); });
-  links_ = std::make_unique<agent_links>(
-      agent_links::options{.loop = loop_,
-                           .timers = timers_,
-                           .keys = keys_,
-                           .store = store_,
-                           .identity = {.role = "entry",
-                                        .name = process_->name,
-                                        .data_centre = process_->data_centre,
-                                        .incarnation = incarnation_},
-                           .first_peers = process_->peers,
-                           .on_event = [this](entry_event event) { Take(std::move(event)); }});
+  links_ = std::make_unique<agent_links>(agent_links::options{
+      .loop = loop_,
+      .timers = timers_,
+      .keys = keys_,
+      .store = store_,
+      .identity = {.role = "entry",
+                   .name = process_->name,
+                   .data_centre = process_->data_centre,
+                   .incarnation = incarnation_},
+      .first_peers = process_->peers,
+      .on_event = [this](entry_event event) { Take(std::move(event)); },
+      .in_use = [this](const std::string& backend) { return core_.uses(backend); }});
   links_->Follow({}, TimingOf(*settings_->operators->timing));
   source_ =
       std::make_unique<settings_source>(settings_source::options{.loop = loop_,
--- a/tests/coordination/entry_completion_test.cc
+++ b/tests/coordination/entry_completion_test.cc
@@ -179,6 +179,8 @@
   rig.Piece("d1", 0, "a");
   rig.Piece("d1", 1, "b");
   rig.Down("d1");
+  CHECK(rig.core.uses("d1"));
+  CHECK_FALSE(rig.core.uses("d2"));
 
   SUBCASE("it comes back within the lease: the stream goes on where it was") {
     rig.Pass(seconds(2));
--- a/tests/entry/entry_requests_test.cc
+++ b/tests/entry/entry_requests_test.cc
@@ -112,7 +112,7 @@
               .error.status == 403);
   }
   SUBCASE("a prompt larger than any backend server's memory") {
-    const std::string prompt(4 * 3950, 'x');
+    const std::string prompt(std::size_t{4} * 3950, 'x');
     const api_error error = Parse(R"({"model":"digest","prompt":")" + prompt + "\"}").error;
     CHECK(error.status == 400);
     CHECK(error.code == "context_length_exceeded");
