Wait for each agent's settings before a process story begins

Change: the harness waits until every agent has its pool, its backend server and all entries; the leaving stories first see both decode engines serve. Conclusion: the harness was at fault, not the product.

--- a/tests/process/cluster.cc
+++ b/tests/process/cluster.cc
@@ -10,6 +10,8 @@
 namespace jacinthspool::testing {
 namespace {
 
+using nlohmann::json;
+
 constexpr char kDataCentre[] = "sofia-1";
 constexpr char kKeyFile[] = "keys";
 constexpr char kKeys[] = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef\n";
@@ -92,6 +94,9 @@
   for (auto& entry : entries_) {
     StartEntry(*entry);
   }
+  for (const auto& [name, backend] : backends_) {
+    up = up && WaitReady(*backend);
+  }
   for (auto& entry : entries_) {
     up = up && WaitServing(*entry);
   }
@@ -245,6 +250,16 @@
   return false;
 }
 
+bool cluster::WaitReady(const backend_server& backend) {
+  return world_.WaitUntil([&] {
+    const json status = Ask(world_, backend.status_address, "/status");
+    return (status.is_object() && !status.value("pool", "").empty() &&
+            status.value("backend_up", false) &&
+            status.value("entries", std::size_t{0}) == entries_.size()) ||
+           backend.agent->ExitCode().has_value();
+  });
+}
+
 bool cluster::WaitServing(entry_server& entry) {
   const auto number =
       static_cast<int>(std::find_if(entries_.begin(), entries_.end(),
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -76,6 +76,8 @@
   /// \returns false when it has ended, or does not answer within the bound.
   bool WaitHealthy(const std::string& address, child_process& process,
                    const char* target = "/healthz");
+  /// \brief Waits until the agent has its settings, its backend server and all entries.
+  bool WaitReady(const backend_server& backend);
   /// \brief Waits until the entry serves completions and calls.
   bool WaitServing(entry_server& entry);
 
--- a/tests/process/leaving_test.cc
+++ b/tests/process/leaving_test.cc
@@ -20,6 +20,16 @@
       .value("decodes", 0U);
 }
 
+/// \brief Makes requests until both decode engines have served some.
+bool WaitBothServe(cluster& system) {
+  int number = 0;
+  return system.around().WaitUntil([&] {
+    const std::string prompt = "warm-up " + std::to_string(number++);
+    system.Complete({{"model", kModel}, {"prompt", prompt}, {"max_tokens", 1}})->Wait();
+    return OrdersAt(system, 0) > 0 && OrdersAt(system, 1) > 0;
+  });
+}
+
 bool SaysLeaving(cluster& system, int decode) {
   const json status = Ask(system.around(), system.decode(decode).status_address, "/status");
   return status.is_object() && status.value("leaving", false);
@@ -34,6 +44,7 @@
     const call_ptr made =
         system.Complete({{"model", kModel}, {"prompt", prompt}, {"max_tokens", kTokens}});
     REQUIRE(made->Wait());
+    CAPTURE(made->body());
     CHECK(made->status() == 200);
     CHECK(made->Text() == ExpectedAnswer(prompt, kTokens));
   }
@@ -56,6 +67,7 @@
 TEST_CASE("A leaving backend server is avoided, whichever source tells it first") {
   cluster system({.decodes = 2, .services = 0, .from_service = true});
   REQUIRE(system.Start());
+  REQUIRE(WaitBothServe(system));
 
   SUBCASE("the VM list, with a lag") {
     system.Faults(system.vms_address(), {{"lag_ms", 500}});
@@ -87,6 +99,7 @@
   // The entry reads its settings from a file that nobody changes; only the agent knows.
   cluster system({.decodes = 2, .services = 0});
   REQUIRE(system.Start());
+  REQUIRE(WaitBothServe(system));
   Ask(system.around(), system.vms_address(), "/standin/vms", Vms("leaving"));
   CheckAvoids(system, 0);
 }
