--- a/src/coordination/entry_messages.cc
+++ b/src/coordination/entry_messages.cc
@@ -86,7 +86,7 @@
     WithPart(failed.attempt, [&](part& p) {
       self.PartFailed(
           *r, p.kind, failed.ran, failed.detail,
-          {.reason = refusal_reason::kBackendDown, .retry_after = Sane(failed.retry_after)});
+          {.reason = self.ReasonOf(*r, failed), .retry_after = Sane(failed.retry_after)});
     });
   }
   void operator()(const cancelled& gone) const {
@@ -143,6 +143,12 @@
   }
 }
 
+/// Work that was withdrawn since its deadline passed in the queue is not worth a retry.
+refusal_reason entry_core::state::ReasonOf(const request& r, const answer_failed& failed) const {
+  const bool late = failed.ran == run_state::kNotRun && !r.asked.patient && now >= r.late_at;
+  return late && r.tries == 1 ? refusal_reason::kDeadlineMissed : refusal_reason::kBackendDown;
+}
+
 /// Tells the prefill's agent when the decode engine can take the KV cache.
 void entry_core::state::TakeSeatMove(request& r, const part& p, const seat_update& moved) {
   const bool waits = r.prefill.has_value() && r.prefill->attempt == p.attempt && !r.kv.has_value();
--- a/src/coordination/entry_state.h
+++ b/src/coordination/entry_state.h
@@ -42,6 +42,7 @@
   // Messages of agents: entry_messages.cc.
   void Take(const agent_message& received);
   void TakeRefusal(request* r, const agent_message& from, const refused& no);
+  [[nodiscard]] refusal_reason ReasonOf(const request& r, const answer_failed& failed) const;
   void TakeSeatMove(request& r, const part& p, const seat_update& moved);
   void AcknowledgeAgain(const std::string& backend, const answer_end& end);
   void NoteLoad(const std::string& backend, const agent_load* load);
--- a/tests/coordination/entry_completion_test.cc
+++ b/tests/coordination/entry_completion_test.cc
@@ -120,6 +120,23 @@
   CHECK(rig.Finals() <= 1);
 }
 
+TEST_CASE("a prefill that was withdrawn in the queue") {
+  entry_rig rig;
+  rig.Ask();
+  rig.Place();
+  SUBCASE("since its deadline passed: not run, and no retry") {
+    rig.Pass(milliseconds(430));
+    rig.Fail("p1", run_state::kNotRun);
+    REQUIRE(rig.Count<deliver_not_run>() == 1);
+    CHECK(rig.Delivered<deliver_not_run>()[0].reason == refusal_reason::kDeadlineMissed);
+    CHECK(rig.Sent<grant_release>("d1").size() == 1);
+  }
+  SUBCASE("since its engine is down: tried elsewhere") {
+    rig.Fail("p1", run_state::kNotRun);
+    CHECK(rig.Sent<grant_request>("d1").size() == 1);
+  }
+}
+
 TEST_CASE("a failed prefill is repeated as a new attempt") {
   entry_rig rig;
   rig.Ask();
