Bound a watch of the configuration service to 10 s

A service that had been down was asked again after up to 30 s. Ruled out: a read without index after each reply, which doubles the calls. Change: wait and longest delay are 10 s, half of the 20 s that a change may take.

--- a/src/settings/settings_source.h
+++ b/src/settings/settings_source.h
@@ -22,7 +22,7 @@
   /// \brief When the configuration service is read.
   struct pacing {
     /// How long the service may keep a watcher's query waiting.
-    seconds wait = seconds(60);
+    seconds wait = seconds(10);
     /// The least time between two queries of a watcher.
     microseconds watch_pause = milliseconds(200);
     /// The mean time between two reads of a process that is no watcher.
@@ -33,7 +33,7 @@
     microseconds start_spread = seconds(2);
     /// First and last delay before a service that failed is read again.
     microseconds first_backoff = milliseconds(200);
-    microseconds last_backoff = seconds(30);
+    microseconds last_backoff = seconds(10);
   };
 
   struct options {
