--- a/bench/experiment/load.cc
+++ b/bench/experiment/load.cc
@@ -69,7 +69,7 @@
     http_callbacks callbacks{
         .on_chunk = [this, number](int status,
                                    std::string_view text) { Take(number, status, text); },
-        .on_done = [this, number](http_response response) { End(number, response); }};
+        .on_done = [this, number](const http_response& response) { End(number, response); }};
     added.call = client.Fetch(RequestOf(number), std::move(callbacks));
     if (added.result.plan.leaves_after) {
       added.leaving = options.timers.After(*added.result.plan.leaves_after,
@@ -107,7 +107,7 @@
     waiting.line += text;
     std::size_t end = 0;
     while ((end = waiting.line.find('\n')) != std::string::npos) {
-      TakeLine(waiting, std::string_view(waiting.line).substr(0, end));
+      TakeLine(waiting, {waiting.line.data(), end});
       waiting.line.erase(0, end + 1);
     }
   }
--- a/bench/experiment/main.cc
+++ b/bench/experiment/main.cc
@@ -3,6 +3,7 @@
 
 #include <csignal>
 #include <cstdio>
+#include <exception>
 #include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -148,6 +149,7 @@
     lines.open(options.out);
   }
   std::vector<std::string> entries;
+  entries.reserve(static_cast<std::size_t>(options.entries));
   for (int number = 0; number < options.entries; ++number) {
     entries.push_back(fleet.entry(number).address);
   }
@@ -225,4 +227,9 @@
 }  // namespace
 }  // namespace jacinthspool::bench
 
-int main(int argc, char** argv) { return jacinthspool::bench::Main(argc, argv); }
+int main(int argc, char** argv) try {
+  return jacinthspool::bench::Main(argc, argv);
+} catch (const std::exception& failure) {
+  std::cerr << failure.what() << '\n';
+  return 1;
+}
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -24,6 +24,8 @@
   /// \brief SIGKILL, and waits until the process has gone.
   void Kill();
 
+  [[nodiscard]] pid_t pid() const { return pid_; }
+
   /// \returns The exit code once the process has ended; 128 plus the signal if one ended it.
   std::optional<int> ExitCode();
 
