--- a/src/agent/agent_process.cc
+++ b/src/agent/agent_process.cc
@@ -7,6 +7,8 @@
 #include <variant>
 
 #include "src/agent/agent_settings.h"
+#include "src/settings/finding_log.h"
+#include "src/telemetry/decision_log.h"
 #include "src/telemetry/log.h"
 #include "src/transport/incarnation.h"
 
@@ -27,12 +29,6 @@
       .started_wall = std::chrono::time_point_cast<milliseconds>(std::chrono::system_clock::now())};
 }
 
-void LogFindings(const findings& found) {
-  for (const finding& each : found) {
-    Log(log_level::kWarning, "finding", {{"place", each.place}, {"text", each.text}});
-  }
-}
-
 }  // namespace
 
 agent_process::agent_process(std::shared_ptr<const process_settings> process,
@@ -158,27 +154,8 @@
 }
 
 void agent_process::Carry(const log_decision& effect) {
-  const decision& made = effect.made;
-  metrics_.Count(made);
-  nlohmann::json fields = {{"decision", made.event},
-                           {"request", ToString(made.request)},
-                           {"attempt", made.attempt},
-                           {"team", made.team},
-                           {"choice", made.choice},
-                           {"reason", made.reason},
-                           {"candidates", nlohmann::json::array()}};
-  for (const decision_candidate& candidate : made.candidates) {
-    nlohmann::json quote = {{"backend", candidate.backend},
-                            {"cached_tokens", candidate.cached_tokens}};
-    if (candidate.start_in) {
-      quote["start_in_us"] = candidate.start_in->count();
-    }
-    if (!candidate.refusal.empty()) {
-      quote["refusal"] = candidate.refusal;
-    }
-    fields["candidates"].push_back(std::move(quote));
-  }
-  Log(log_level::kInfo, "decision", std::move(fields));
+  metrics_.Count(effect.made);
+  LogDecision(effect.made);
 }
 
 void agent_process::Arm() {
--- a/src/entry/caller_tokens.h
+++ b/src/entry/caller_tokens.h
@@ -18,7 +18,7 @@
   explicit caller_tokens(const settings_snapshot& settings);
 
   /// \param authorization Value of the `Authorization` header.
-  /// \returns The team; nothing when no team has the token.
+  /// \returns The team; nothing when no team has the token, or more than one claims it.
   /// \remark Each hash is compared in constant time, whether an earlier one matched or not.
   [[nodiscard]] std::optional<std::string> TeamOf(std::string_view authorization) const;
 
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "src/entry/entry_settings.h"
+#include "src/settings/finding_log.h"
 #include "src/telemetry/decision_log.h"
 #include "src/telemetry/log.h"
 #include "src/transport/incarnation.h"
@@ -22,12 +23,6 @@
 /// What was sent last gets so long to leave before the process ends.
 constexpr microseconds kFlushTime = milliseconds(500);
 
-void LogFindings(const findings& found) {
-  for (const finding& each : found) {
-    Log(log_level::kWarning, "finding", {{"place", each.place}, {"text", each.text}});
-  }
-}
-
 agent_links::timing TimingOf(const timing_settings& settings) {
   return {.heartbeat = milliseconds(settings.heartbeat_ms),
           .lease = milliseconds(settings.lease_ms),
--- a/tests/entry/entry_requests_test.cc
+++ b/tests/entry/entry_requests_test.cc
@@ -47,6 +47,11 @@
     CHECK_FALSE(tokens.TeamOf("secret").has_value());
     CHECK_FALSE(tokens.TeamOf("").has_value());
   }
+  SUBCASE("but not from one that another team claims too") {
+    settings_snapshot both = *RigSettings();
+    both.teams["stranger"] = both.teams.at("turnevo");
+    CHECK_FALSE(caller_tokens(both).TeamOf("Bearer secret").has_value());
+  }
 }
 
 TEST_CASE("a completion is read from its body") {
