Bound durations worked out from a prompt's size in one place

Cause: three files turned seconds into a duration, two of them without bounds; a peer's prompt size with unusual settings would overflow the integer, which is undefined. Found while reading. Change: from_seconds.h, between zero and an hour, used by all three.

--- a/src/coordination/agent_dispatch.cc
+++ b/src/coordination/agent_dispatch.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "src/coordination/agent_state.h"
+#include "src/coordination/from_seconds.h"
 
 /// \file
 /// \brief Decides what goes to the backend server, and when.
@@ -24,10 +25,6 @@
 
 constexpr std::string_view kKeyField = "Idempotency-Key";
 
-microseconds FromSeconds(double value) {
-  return std::chrono::duration_cast<microseconds>(std::chrono::duration<double>(value));
-}
-
 /// \brief Passes the caller's idempotency key on to the service, unless the call has it already.
 void AddKey(const std::string& key, call_request& call) {
   const auto same_name = [](const std::shared_ptr<header_field>& field) {
--- a/src/coordination/agent_grants.cc
+++ b/src/coordination/agent_grants.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "src/coordination/agent_state.h"
+#include "src/coordination/from_seconds.h"
 
 /// \file
 /// \brief Quotes, grants and refusals of an agent.
@@ -15,10 +16,6 @@
 constexpr microseconds kLongestExpected = seconds(60);
 constexpr microseconds kLongestQuote = std::chrono::hours(1);
 
-microseconds FromSeconds(double value) {
-  return std::chrono::duration_cast<microseconds>(std::chrono::duration<double>(value));
-}
-
 microseconds Expected(const grant_request& request) {
   return std::clamp(request.expected_in, microseconds::zero(), kLongestExpected);
 }
--- a/src/coordination/candidate_choice.cc
+++ b/src/coordination/candidate_choice.cc
@@ -4,6 +4,7 @@
 #include <limits>
 
 #include "jacinthspool/impl/rendezvous.h"
+#include "src/coordination/from_seconds.h"
 
 namespace jacinthspool::entry_detail {
 namespace {
@@ -24,12 +25,6 @@
   std::uint64_t weight = 0;  ///< Rendezvous weight for the request's key.
 };
 
-microseconds FromSeconds(double value) {
-  constexpr double kLongest = 3600;
-  return std::chrono::duration_cast<microseconds>(
-      std::chrono::duration<double>(std::clamp(value, 0.0, kLongest)));
-}
-
 bool MayBeAsked(const candidate_query& query, const std::string& backend) {
   const auto found = query.agents.find(backend);
   if (found == query.agents.end() || query.request.HasTried(query.kind, backend)) {
