Send a cancel and find an answered attempt in one place each

Cause: two places each in the entry's cancels and in the agent's engine events held the same lines. Change: SendCancel and FindAnswered; behaviour as before.

--- a/src/coordination/agent_engine.cc
+++ b/src/coordination/agent_engine.cc
@@ -42,16 +42,24 @@
   }
 }
 
-void agent_core::state::On(const engine_finished& event) {
-  agent_attempt* const attempt = Find(event.id);
+/// Finds the running attempt that its backend server has answered. One that is
+/// being released is free with the answer, which nobody waits for.
+agent_attempt* agent_core::state::FindAnswered(attempt_id id, work_kind kind) {
+  agent_attempt* const attempt = Find(id);
   if (attempt == nullptr) {
-    return;
+    return nullptr;
   }
   if (attempt->stage == attempt_stage::kReleasing) {
     Released(*attempt);
-    return;
+    return nullptr;
   }
-  if (attempt->stage != attempt_stage::kRunning || policy.kind != work_kind::kDecode) {
+  const bool expected = attempt->stage == attempt_stage::kRunning && policy.kind == kind;
+  return expected ? attempt : nullptr;
+}
+
+void agent_core::state::On(const engine_finished& event) {
+  agent_attempt* const attempt = FindAnswered(event.id, work_kind::kDecode);
+  if (attempt == nullptr) {
     return;
   }
   answer_end end;
@@ -65,17 +73,10 @@
 }
 
 void agent_core::state::On(const service_answered& event) {
-  agent_attempt* const attempt = Find(event.id);
+  agent_attempt* const attempt = FindAnswered(event.id, work_kind::kCall);
   if (attempt == nullptr) {
     return;
   }
-  if (attempt->stage == attempt_stage::kReleasing) {
-    Released(*attempt);
-    return;
-  }
-  if (attempt->stage != attempt_stage::kRunning || policy.kind != work_kind::kCall) {
-    return;
-  }
   constexpr int kAverageOver = 8;
   call_time += (now - attempt->began - call_time) / kAverageOver;
   call_answer answer;
--- a/src/coordination/agent_state.h
+++ b/src/coordination/agent_state.h
@@ -147,6 +147,7 @@
                    const agent_quote& quote = {});
 
   [[nodiscard]] agent_attempt* Find(attempt_id id);
+  [[nodiscard]] agent_attempt* FindAnswered(attempt_id id, work_kind kind);
   [[nodiscard]] bool Allowed(const std::string& team) const;
   [[nodiscard]] agent_load Load() const;
 
--- a/src/coordination/entry_connection.cc
+++ b/src/coordination/entry_connection.cc
@@ -193,6 +193,10 @@
   if (!repeat_cancels_at.has_value()) {
     repeat_cancels_at = now + policy.lease;
   }
+  SendCancel(backend, id);
+}
+
+void entry_core::state::SendCancel(const std::string& backend, const attempt_id& id) {
   cancel_order order;
   order.request = id.request;
   order.attempt = id.attempt;
@@ -205,10 +209,7 @@
   for (const auto& [backend, agent] : agents) {
     for (const attempt_id& id : agent.uncancelled) {
       repeat_cancels_at = now + policy.lease;
-      cancel_order order;
-      order.request = id.request;
-      order.attempt = id.attempt;
-      Send(backend, order);
+      SendCancel(backend, id);
     }
   }
 }
--- a/src/coordination/entry_state.h
+++ b/src/coordination/entry_state.h
@@ -103,6 +103,7 @@
   void PartLost(request& r, work_kind kind, const std::string& detail);
   void TakeSealed(request& r, part& p, run_state ran);
   void CancelAttempt(const std::string& backend, incarnation_id incarnation, const attempt_id& id);
+  void SendCancel(const std::string& backend, const attempt_id& id);
   void RepeatCancels();
   void ForgetGoneAgents();
 
