--- /dev/null
+++ b/include/jacinthspool/routing/backend_list.h
@@ -0,0 +1,75 @@
+#ifndef JACINTHSPOOL_ROUTING_BACKEND_LIST_H_
+#define JACINTHSPOOL_ROUTING_BACKEND_LIST_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "jacinthspool/impl/time.h"
+
+namespace jacinthspool {
+
+/// \brief Which part of a model request a backend server takes.
+enum class engine_stage { kNone, kPrefill, kDecode };
+
+/// \brief One published backend server.
+struct backend_record {
+  std::string id;  ///< Names one incarnation.
+  std::string service;
+  std::string address;  ///< ip:port
+  std::string data_centre;
+  engine_stage stage = engine_stage::kNone;
+  std::uint32_t slots = 1;
+  bool leaving = false;
+  std::uint64_t revision = 0;  ///< Of the publication that told this.
+};
+
+/// \brief The published backend servers, as far as they may be used.
+///
+/// While the publisher is disturbed its entries lapse although the servers live:
+/// a removal is then held back until a grace after its return, and only servers
+/// that are still missing are dropped.
+class backend_list {
+ public:
+  struct options {
+    /// Time in which lapsed entries come back after the publisher's return.
+    microseconds lapse_grace = seconds(2);
+  };
+
+  explicit backend_list(const options& settings) : settings_(settings) {}
+
+  /// \brief Takes a complete list that holds what was true at `revision`.
+  void Replace(std::vector<backend_record> records, std::uint64_t revision, instant now);
+
+  /// \brief Takes one change; changes older than what is known are passed over.
+  void Put(backend_record record);
+  void Remove(const std::string& id, std::uint64_t revision, instant now);
+
+  /// \brief The publisher can't be reached or has failed.
+  void PublisherLost();
+  /// \brief The publisher answers again.
+  void PublisherBack(instant now);
+
+  /// \brief Drops the servers whose grace is over.
+  /// \returns true when the list has changed.
+  bool Expire(instant now);
+
+  /// \returns The servers that may be used and those that are leaving, by id.
+  [[nodiscard]] const std::map<std::string, backend_record>& backends() const { return backends_; }
+  [[nodiscard]] std::uint64_t revision() const { return revision_; }
+
+ private:
+  [[nodiscard]] bool Disturbed(instant now) const;
+
+  options settings_;
+  std::map<std::string, backend_record> backends_;
+  std::map<std::string, std::uint64_t> missing_;  ///< Held back, with the removal's revision.
+  std::uint64_t revision_ = 0;
+  bool lost_ = false;
+  instant back_since_{};
+};
+
+}  // namespace jacinthspool
+
+#endif  // JACINTHSPOOL_ROUTING_BACKEND_LIST_H_
--- /dev/null
+++ b/include/jacinthspool/routing/backend_selector.h
@@ -0,0 +1,99 @@
+#ifndef JACINTHSPOOL_ROUTING_BACKEND_SELECTOR_H_
+#define JACINTHSPOOL_ROUTING_BACKEND_SELECTOR_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "jacinthspool/impl/time.h"
+#include "jacinthspool/routing/backend_list.h"
+
+namespace jacinthspool {
+
+/// \brief What a finished attempt says about its backend server.
+enum class attempt_result {
+  kGood,         ///< A whole answer, or a beginning of one that its caller left.
+  kBusy,         ///< It refused without running: full.
+  kUnreachable,  ///< No connection.
+  kFailed,       ///< An error, a broken or no answer.
+  kUnknown,      ///< Ended by the caller before anything was learnt.
+};
+
+/// \brief What is to be placed.
+struct placement {
+  std::string_view service;
+  engine_stage stage = engine_stage::kNone;
+  double cost = 1;          ///< Load that it adds: tokens of a model request, else 1.
+  bool repeatable = false;  ///< May be used to try out a backend server that has failed.
+  const std::set<std::string>* tried = nullptr;  ///< Not to be chosen.
+};
+
+/// \brief Chooses the backend server for an attempt, from what this entry has seen of each.
+///
+/// The load it answers: servers of unequal speed, of which some fail part of
+/// their requests or fall silent while their health checks pass. Each server is
+/// judged by the answers that it gave here. One that fails is left out for a
+/// while that doubles, and then tried with a repeatable request first. At most
+/// half of a service's servers are left out at once.
+class backend_selector {
+ public:
+  struct options {
+    std::string data_centre;                     ///< Preferred among servers of equal load.
+    microseconds first_ejection = seconds(1);    ///< How long a failing server is left out.
+    microseconds last_ejection = seconds(8);
+    microseconds busy_pause = milliseconds(150);  ///< A full server is passed over for so long.
+  };
+
+  explicit backend_selector(const options& settings) : settings_(settings) {}
+
+  /// \brief Takes the servers that may get new work now; what is known of each stays.
+  void Update(const std::map<std::string, backend_record>& backends);
+
+  /// \param random Any random number; it decides between equals.
+  /// \returns The server, or null when the service has none that may be used.
+  [[nodiscard]] const backend_record* Choose(const placement& wanted, instant now,
+                                             std::uint64_t random) const;
+
+  /// \returns true when some server takes new work of that service and stage.
+  [[nodiscard]] bool Has(std::string_view service, engine_stage stage) const;
+
+  void OnStarted(const std::string& id, double cost);
+  /// \param taken Time to the first byte of a good answer.
+  void OnEnded(const std::string& id, double cost, attempt_result result, microseconds taken,
+               instant now);
+
+  /// \brief An attempt at it has had no answer for longer than it should take.
+  void OnSilent(const std::string& id, instant now);
+
+  /// \returns What is left out now, for metrics.
+  [[nodiscard]] std::size_t ejected(instant now) const;
+
+ private:
+  struct member {
+    backend_record record;
+    std::uint32_t running = 0;
+    double load = 0;
+    double failure_share = 0;  ///< Moving average of failed attempts.
+    double latency_ms = 0;     ///< Moving average of good answers; 0: none yet.
+    instant ejected_until{};
+    instant busy_until{};
+    std::uint32_t ejections = 0;  ///< In a row.
+  };
+
+  [[nodiscard]] bool Fits(const member& each, const placement& wanted) const;
+  [[nodiscard]] double Score(const member& each, const placement& wanted,
+                             double fastest_ms) const;
+  void Eject(member& failing, instant now) const;
+  void CountFailure(member& failing, instant now) const;
+
+  options settings_;
+  std::map<std::string, member> members_;
+};
+
+}  // namespace jacinthspool
+
+#endif  // JACINTHSPOOL_ROUTING_BACKEND_SELECTOR_H_
--- /dev/null
+++ b/include/jacinthspool/routing/configuration.h
@@ -0,0 +1,77 @@
+#ifndef JACINTHSPOOL_ROUTING_CONFIGURATION_H_
+#define JACINTHSPOOL_ROUTING_CONFIGURATION_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "jacinthspool/impl/time.h"
+
+/// \file
+/// \brief What operators configure for requests that are forwarded by host and path.
+
+namespace jacinthspool {
+
+/// \brief What a route's requests allow.
+enum class request_kind {
+  kIdempotent,     ///< May run more than once.
+  kNonIdempotent,  ///< Runs at most once.
+  kStreaming,      ///< Answered by events; runs at most once unless it is resumable.
+};
+
+struct route_target {
+  std::string service;
+  std::uint32_t weight = 1;
+};
+
+struct forward_route {
+  std::string name;
+  std::string host;
+  std::string prefix;  ///< Begins and ends with a slash.
+  request_kind kind = request_kind::kNonIdempotent;
+  std::uint32_t max_attempts = 1;  ///< Backend servers on which one request may run.
+  milliseconds timeout{};          ///< Longest time a caller is kept waiting.
+  milliseconds latency_objective{};
+  std::uint32_t priority = 0;  ///< 0 is the most important.
+  std::vector<route_target> targets;
+  bool resumable = false;  ///< A broken stream may go on at another backend server.
+
+  /// \returns true when a request may run a second time after it may have run once.
+  [[nodiscard]] bool repeatable() const {
+    return kind == request_kind::kIdempotent || (kind == request_kind::kStreaming && resumable);
+  }
+};
+
+/// \brief What is known of the model engines of a service.
+struct engine_profile {
+  std::uint64_t kv_tokens = 0;       ///< KV cache of one engine.
+  microseconds kv_handle_life{};     ///< How long a prefilled prompt waits to be fetched.
+  bool backs_up_runs = false;        ///< Engines copy a run's KV cache to another one.
+};
+
+struct forward_service {
+  std::string name;
+  std::uint32_t max_connections = 0;  ///< One backend server takes from all entries; 0: unknown.
+  std::optional<engine_profile> engine;
+};
+
+/// \brief What clients may send.
+struct edge_limits {
+  std::uint64_t max_head_bytes = 16U << 10U;
+  std::uint64_t max_body_bytes = 4U << 20U;
+  milliseconds head_timeout = seconds(3);
+  milliseconds idle_timeout = seconds(15);
+};
+
+struct forward_configuration {
+  std::uint64_t version = 0;
+  std::vector<forward_route> routes;
+  std::map<std::string, forward_service> services;
+  edge_limits limits;
+};
+
+}  // namespace jacinthspool
+
+#endif  // JACINTHSPOOL_ROUTING_CONFIGURATION_H_
--- a/schema/generate.sh
+++ b/schema/generate.sh
@@ -11,6 +11,8 @@
   --reflect-types --reflect-names -o "$out" messages.fbs
 flatc --cpp --cpp-std c++17 --scoped-enums --gen-object-api --object-suffix _value --cpp-ptr-type std::shared_ptr \
   --reflect-types --reflect-names --bfbs-gen-embed -o "$out" settings.fbs
+flatc --cpp --cpp-std c++17 --scoped-enums --gen-object-api --object-suffix _value --cpp-ptr-type std::shared_ptr \
+  -o "$out" snapshot.fbs
 if [ "$out" != generated ]; then
   diff -r generated "$out" && echo "generated code is up to date"
 fi
--- a/src/cli/command_line.cc
+++ b/src/cli/command_line.cc
@@ -22,6 +22,7 @@
 
 constexpr command kCommands[] = {
     {"entry", "serve callers and route their requests", &RunEntryCommand},
+    {"gateway", "forward requests by host and path to backend servers", &RunGatewayCommand},
     {"agent", "run beside one backend server", &RunAgentCommand},
     {"check", "check settings documents and print every finding", &RunCheck},
     {"status", "print what a running process says of itself", &RunStatus},
--- a/src/cli/daemon_commands.cc
+++ b/src/cli/daemon_commands.cc
@@ -4,10 +4,12 @@
 #include <memory>
 #include <optional>
 
+#include "platform/gateway_platform.h"
 #include "src/agent/agent_daemon.h"
 #include "src/cli/arguments.h"
 #include "src/cli/exit_code.h"
 #include "src/entry/entry_daemon.h"
+#include "src/gateway/gateway_daemon.h"
 #include "src/settings/settings.h"
 
 namespace jacinthspool {
@@ -26,6 +28,13 @@
     "settings file and the keys again.\n"
     "Exit code: 0 stopped as planned, 2 usage, 3 cannot start.";
 
+constexpr const char* kGatewaySummary =
+    "Forwards requests by host and path straight to backend servers, as the platform publishes "
+    "them.\n"
+    "SIGTERM starts a planned stop: not ready at once, requests in progress end whole. SIGHUP "
+    "reads the settings file again.\n"
+    "Exit code: 0 stopped as planned, 2 usage, 3 cannot start.";
+
 struct daemon_command {
   const char* name;
   const char* summary;
@@ -68,12 +77,22 @@
   return code == kExitOk ? kExitOk : kExitCannotStart;
 }
 
+int RunGatewayOnPlatform(std::shared_ptr<const process_settings> process,
+                         const std::string& process_file) {
+  return RunGateway(std::move(process), process_file, platform::OpenGatewayPlatform());
+}
+
 }  // namespace
 
 int RunEntryCommand(const std::vector<std::string>& arguments) {
   return RunDaemon({"entry", kEntrySummary, process_role::kEntry, &RunEntry}, arguments);
 }
 
+int RunGatewayCommand(const std::vector<std::string>& arguments) {
+  return RunDaemon({"gateway", kGatewaySummary, process_role::kGateway, &RunGatewayOnPlatform},
+                   arguments);
+}
+
 int RunAgentCommand(const std::vector<std::string>& arguments) {
   return RunDaemon({"agent", kAgentSummary, process_role::kAgent, &RunAgent}, arguments);
 }
--- a/src/cli/daemon_commands.h
+++ b/src/cli/daemon_commands.h
@@ -9,6 +9,9 @@
 /// \brief `entry --config FILE`: serves callers until a planned stop.
 int RunEntryCommand(const std::vector<std::string>& arguments);
 
+/// \brief `gateway --config FILE`: forwards requests until a planned stop.
+int RunGatewayCommand(const std::vector<std::string>& arguments);
+
 /// \brief `agent --config FILE`: runs beside one backend server until a planned stop.
 int RunAgentCommand(const std::vector<std::string>& arguments);
 
--- /dev/null
+++ b/src/gateway/discovery.h
@@ -0,0 +1,36 @@
+#ifndef JACINTHSPOOL_GATEWAY_DISCOVERY_H_
+#define JACINTHSPOOL_GATEWAY_DISCOVERY_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "jacinthspool/routing/backend_list.h"
+#include "jacinthspool/routing/configuration.h"
+
+namespace jacinthspool {
+
+/// \brief Is told what the platform publishes.
+class discovery_listener {
+ public:
+  virtual ~discovery_listener() = default;
+  virtual void OnConfiguration(std::shared_ptr<const forward_configuration> next) = 0;
+  /// \brief The complete list as of `revision`.
+  virtual void OnBackends(std::vector<backend_record> records, std::uint64_t revision) = 0;
+  virtual void OnBackendPut(backend_record record) = 0;
+  virtual void OnBackendRemoved(const std::string& id, std::uint64_t revision) = 0;
+  virtual void OnPublisherLost(const std::string& reason) = 0;
+  virtual void OnPublisherBack() = 0;
+};
+
+/// \brief Watches what the platform publishes, until it is destroyed.
+class discovery_source {
+ public:
+  virtual ~discovery_source() = default;
+  virtual void Start(discovery_listener& listener) = 0;
+};
+
+}  // namespace jacinthspool
+
+#endif  // JACINTHSPOOL_GATEWAY_DISCOVERY_H_
--- /dev/null
+++ b/src/gateway/forward_exchange.cc
@@ -0,0 +1,553 @@
+#include "src/gateway/forward_exchange.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "src/telemetry/log.h"
+
+namespace jacinthspool {
+namespace {
+
+/// With less time left than this no attempt is begun.
+constexpr milliseconds kLeastUsefulTime = milliseconds(20);
+/// A repeatable request is sent elsewhere after this part of its latency objective in silence.
+constexpr double kPatience = 1.3;
+/// A stream is taken for stalled after this many times the pause that its route allows.
+constexpr int kStallPauses = 4;
+constexpr milliseconds kShortestStall = milliseconds(1200);
+/// Part of the latency objective that a prefill may take.
+constexpr double kPrefillPatience = 0.6;
+/// A KV cache is not sent for in the last part of its life.
+constexpr double kUsableHandleLife = 0.8;
+constexpr std::uint32_t kMaxPrefills = 2;
+/// What a refused caller is told to wait, as a part of the time it has left.
+constexpr int kComeBackDivisor = 5;
+constexpr milliseconds kShortestComeBack = milliseconds(50);
+constexpr milliseconds kLongestComeBack = seconds(1);
+constexpr milliseconds kConnectTimeout = milliseconds(400);
+
+constexpr int kOk = 200;
+constexpr int kMultipleChoices = 300;
+constexpr int kBadRequest = 400;
+constexpr int kServerError = 500;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+/// Statuses that promise that the request has not run.
+bool PromisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == kUnavailable;
+}
+
+http_headers EndToEndHeaders(const http1_head& head) {
+  http_headers kept;
+  for (const auto& header : head.headers) {
+    if (!IsHopByHop(header.first)) {
+      kept.push_back(header);
+    }
+  }
+  return kept;
+}
+
+}  // namespace
+
+/// One send to one backend server.
+class forward_exchange::attempt : public http1_call_listener {
+ public:
+  attempt(forward_exchange& owner, attempt_kind kind, backend_record backend)
+      : owner_(owner),
+        kind_(kind),
+        backend_(std::move(backend)),
+        started_(timer_service::now()),
+        last_heard_(started_) {
+    owner_.context_.selector.OnStarted(backend_.id, owner_.Cost());
+  }
+
+  ~attempt() override {
+    // Whoever ends it early has learnt nothing of the backend server.
+    Report(attempt_result::kUnknown);
+  }
+  attempt(const attempt&) = delete;
+  attempt& operator=(const attempt&) = delete;
+
+  void Send(const std::string& bytes, bool fresh_connection) {
+    call_ = owner_.context_.client.Start({.address = backend_.address,
+                                          .bytes = bytes,
+                                          .expects_body = owner_.settings_.request.method != "HEAD",
+                                          .fresh_connection = fresh_connection,
+                                          .connect_timeout = kConnectTimeout},
+                                         *this);
+  }
+
+  [[nodiscard]] attempt_kind kind() const { return kind_; }
+  [[nodiscard]] const backend_record& backend() const { return backend_; }
+  [[nodiscard]] instant last_heard() const { return last_heard_; }
+  [[nodiscard]] bool streaming() const { return streaming_; }
+
+  /// Tells the selector how it went, once.
+  void Report(attempt_result result) {
+    if (std::exchange(reported_, true)) {
+      return;
+    }
+    const instant heard = head_ ? first_heard_ : timer_service::now();
+    owner_.context_.selector.OnEnded(backend_.id, owner_.Cost(), result, heard - started_,
+                                     timer_service::now());
+  }
+
+  head_verdict OnHead(const http1_head& head) override {
+    facts_ = owner_.context_.dialect.DecodeReply(head, owner_.settings_.request);
+    if (!facts_.same_request) {
+      Log(log_level::kWarning, "stray_reply",
+          {{"request", owner_.settings_.request.id}, {"backend", backend_.id}});
+      return head_verdict::kSkip;
+    }
+    first_heard_ = last_heard_ = timer_service::now();
+    head_ = head;
+    streaming_ = kind_ == attempt_kind::kServe &&
+                 owner_.settings_.route->kind == request_kind::kStreaming &&
+                 head.status == kOk && facts_.sound;
+    return head_verdict::kTake;
+  }
+
+  void OnBody(std::string_view bytes) override {
+    last_heard_ = timer_service::now();
+    if (streaming_) {
+      owner_.ForwardEvents(*head_, events_.Split(bytes));
+    } else {
+      body_ += bytes;
+    }
+  }
+
+  void OnEnd(call_end end, const std::string& reason) override {
+    const auto owner = owner_.shared_from_this();
+    if (end == call_end::kWhole) {
+      OnWhole();
+      return;
+    }
+    LogFailure(ToString(end), reason);
+    const bool unsent = end == call_end::kUnsent;
+    const attempt_failure failure = unsent                        ? attempt_failure::kUnsent
+                                    : end == call_end::kMalformed ? attempt_failure::kUnsound
+                                    : end == call_end::kCut       ? attempt_failure::kBrokeOff
+                                                                  : attempt_failure::kLost;
+    End(unsent ? attempt_result::kUnreachable : attempt_result::kFailed, failure);
+  }
+
+  void LogFailure(std::string_view how, std::string_view reason) const {
+    Log(log_level::kWarning, "attempt_failed",
+        {{"request", owner_.settings_.request.id},
+         {"backend", backend_.id},
+         {"prefill", kind_ == attempt_kind::kPrefill},
+         {"how", how},
+         {"reason", reason},
+         {"status", head_ ? head_->status : 0},
+         {"took_ms", (timer_service::now() - started_) / milliseconds(1)},
+         {"list_revision", owner_.context_.backends.revision()}});
+  }
+
+ private:
+  void OnWhole() {
+    const int status = head_->status;
+    if (facts_.not_run || facts_.other_backend) {
+      LogFailure("not_run", "");
+      End(facts_.other_backend ? attempt_result::kUnreachable : attempt_result::kBusy,
+          attempt_failure::kNotRun);
+      return;
+    }
+    if (kind_ == attempt_kind::kPrefill) {
+      OnPrefillReply();
+      return;
+    }
+    const bool success = status >= kOk && status < kMultipleChoices;
+    if (streaming_ ? events_.inside_event() : !facts_.sound) {
+      LogFailure(streaming_ ? "event cut" : "not a genuine answer", "");
+      End(attempt_result::kFailed,
+          streaming_ ? attempt_failure::kBrokeOff : attempt_failure::kUnsound);
+      return;
+    }
+    if (streaming_) {
+      Report(attempt_result::kGood);
+      owner_.EndStream(*head_);
+    } else if (success || (status >= kBadRequest && status < kServerError &&
+                           !PromisesNotRun(status))) {
+      Report(attempt_result::kGood);
+      owner_.Deliver(*head_, body_);
+    } else {
+      LogFailure("error", "");
+      owner_.failed_head_ = std::move(head_);
+      owner_.failed_body_ = std::move(body_);
+      End(attempt_result::kFailed, attempt_failure::kFailedReply);
+    }
+  }
+
+  void OnPrefillReply() {
+    const auto handle = head_->status == kOk ? owner_.context_.dialect.DecodePrefill(body_)
+                                             : std::optional<std::string>();
+    if (!handle) {
+      LogFailure("no handle", "");
+      End(attempt_result::kFailed, attempt_failure::kFailedReply);
+      return;
+    }
+    Report(attempt_result::kGood);
+    owner_.OnPrefilled(backend_, *handle);
+  }
+
+  void End(attempt_result result, attempt_failure failure) {
+    Report(result);
+    if (kind_ == attempt_kind::kPrefill) {
+      owner_.OnPrefillFailed(failure);
+    } else {
+      owner_.OnServeFailed(failure);
+    }
+  }
+
+  forward_exchange& owner_;
+  attempt_kind kind_;
+  backend_record backend_;
+  instant started_;
+  instant first_heard_{};
+  instant last_heard_;
+  std::optional<http1_head> head_;
+  reply_facts facts_;
+  std::string body_;
+  event_splitter events_;
+  bool streaming_ = false;
+  bool reported_ = false;
+  std::unique_ptr<http1_call> call_;
+};
+
+forward_exchange::forward_exchange(options settings)
+    : settings_(std::move(settings)), context_(settings_.context) {
+  last_event_ = settings_.request.resume_after;
+}
+
+forward_exchange::~forward_exchange() = default;
+
+void forward_exchange::Start() {
+  microseconds allowed = settings_.route->timeout;
+  if (settings_.request.time_left) {
+    allowed = std::min<microseconds>(allowed, *settings_.request.time_left);
+  }
+  deadline_ = settings_.received + allowed;
+  context_.budget.CountRequest(settings_.received, settings_.service);
+  settings_.answer->OnCallerGone([this] { OnCallerGone(); });
+  deadline_timer_ = context_.timers.After(
+      std::max<microseconds>(deadline_ - timer_service::now(), microseconds(0)),
+      [this](instant /*now*/) { OnDeadline(); });
+  SendNext();
+}
+
+milliseconds forward_exchange::TimeLeft(instant now) const {
+  return std::chrono::duration_cast<milliseconds>(deadline_ - now);
+}
+
+double forward_exchange::Cost() const {
+  const auto& model = settings_.request.model;
+  return model ? static_cast<double>(model->prompt_tokens + model->max_output_tokens) : 1;
+}
+
+bool forward_exchange::WantsPrefill() const {
+  return settings_.request.model && kv_source_.empty() && !prefill_given_up_ &&
+         !answer_begun_ && !settings_.request.resume_after &&
+         context_.selector.Has(settings_.service, engine_stage::kPrefill);
+}
+
+bool forward_exchange::MaySendAgain() const {
+  const instant now = timer_service::now();
+  return TimeLeft(now) > kLeastUsefulTime && context_.budget.left(now, settings_.service) >= 1;
+}
+
+void forward_exchange::SendNext() {
+  const auto self = shared_from_this();
+  attempt_.reset();
+  const instant now = timer_service::now();
+  if (TimeLeft(now) < kLeastUsefulTime) {
+    Refuse("no time left");
+    return;
+  }
+  if (!kv_source_.empty() && now >= kv_until_) {
+    ReleaseHandle();
+  }
+  const bool prefill = WantsPrefill();
+  const bool staged = context_.selector.Has(settings_.service, engine_stage::kDecode);
+  const engine_stage stage = prefill  ? engine_stage::kPrefill
+                             : staged ? engine_stage::kDecode
+                                      : engine_stage::kNone;
+  const backend_record* chosen =
+      context_.selector.Choose({.service = settings_.service,
+                                .stage = stage,
+                                .cost = Cost(),
+                                .repeatable = prefill || settings_.route->repeatable(),
+                                .tried = &tried_},
+                               now, context_.random());
+  if (chosen == nullptr && prefill) {
+    prefill_given_up_ = true;
+    SendNext();
+    return;
+  }
+  if (chosen == nullptr) {
+    OnServeFailed(attempt_failure::kUnsent);
+    return;
+  }
+  const bool repeat = prefill ? prefills_ > 0 : sends_ > 0;
+  if (repeat && !context_.budget.Draw(now, settings_.service)) {
+    prefill_given_up_ = true;
+    if (prefill) {
+      SendNext();
+    } else {
+      OnServeFailed(attempt_failure::kUnsent);
+    }
+    return;
+  }
+  StartAttempt(prefill ? attempt_kind::kPrefill : attempt_kind::kServe, *chosen);
+}
+
+void forward_exchange::StartAttempt(attempt_kind kind, const backend_record& backend) {
+  const bool prefill = kind == attempt_kind::kPrefill;
+  ++(prefill ? prefills_ : sends_);
+  attempt_ = std::make_unique<attempt>(*this, kind, backend);
+  const std::string bytes = context_.dialect.EncodeAttempt(
+      settings_.request, {.backend_id = backend.id,
+                          .time_left = TimeLeft(timer_service::now()),
+                          .resume_after = last_event_,
+                          .prefill_only = prefill,
+                          .kv_source = prefill ? std::string() : kv_source_});
+  attempt_->Send(bytes, false);
+  const double patience = prefill ? kPrefillPatience : kPatience;
+  const auto wait = std::chrono::duration_cast<milliseconds>(
+      patience * std::chrono::duration<double, std::milli>(settings_.route->latency_objective));
+  silence_timer_ = context_.timers.After(std::max<microseconds>(wait, kLeastUsefulTime),
+                                         [this](instant /*now*/) { OnSilent(*attempt_); });
+}
+
+void forward_exchange::OnSilent(attempt& silent) {
+  const instant now = timer_service::now();
+  if (silent.streaming()) {
+    const auto limit =
+        std::max<microseconds>(kShortestStall, settings_.route->latency_objective);
+    const auto quiet = now - silent.last_heard();
+    if (quiet < limit) {
+      silence_timer_ = context_.timers.After(limit - quiet + milliseconds(1),
+                                             [this](instant /*now*/) { OnSilent(*attempt_); });
+      return;
+    }
+  }
+  const bool prefill = silent.kind() == attempt_kind::kPrefill;
+  const bool may_leave =
+      prefill || (settings_.route->repeatable() && runs_ + 1 < settings_.route->max_attempts &&
+                  MaySendAgain() &&
+                  context_.selector.Choose({.service = settings_.service,
+                                            .stage = silent.backend().stage,
+                                            .cost = Cost(),
+                                            .repeatable = true,
+                                            .tried = &tried_},
+                                           now, context_.random()) != nullptr);
+  context_.selector.OnSilent(silent.backend().id, now);
+  silent.LogFailure("silent", may_leave ? "goes elsewhere" : "waits on");
+  if (!may_leave) {
+    return;
+  }
+  silent.Report(attempt_result::kUnknown);
+  if (prefill) {
+    OnPrefillFailed(attempt_failure::kLost);
+  } else {
+    OnServeFailed(attempt_failure::kLost);
+  }
+}
+
+void forward_exchange::OnPrefilled(const backend_record& backend, const std::string& handle) {
+  const auto configuration = context_.routes.configuration();
+  const auto service = configuration->services.find(settings_.service);
+  const bool known = service != configuration->services.end() && service->second.engine;
+  const microseconds life =
+      known ? service->second.engine->kv_handle_life : microseconds(milliseconds(500));
+  kv_source_ = context_.dialect.KvSource(backend.address, handle);
+  kv_holder_ = backend.address;
+  kv_handle_ = handle;
+  kv_until_ = timer_service::now() + std::chrono::duration_cast<microseconds>(
+                                         kUsableHandleLife * std::chrono::duration<double, std::micro>(life));
+  SendNext();
+}
+
+void forward_exchange::OnPrefillFailed(attempt_failure failure) {
+  if (attempt_) {
+    tried_.insert(attempt_->backend().id);
+  }
+  const bool again = failure != attempt_failure::kLost && prefills_ < kMaxPrefills;
+  prefill_given_up_ = !again;
+  SendNext();
+}
+
+void forward_exchange::OnServeFailed(attempt_failure failure) {
+  if (attempt_) {
+    tried_.insert(attempt_->backend().id);
+  }
+  const bool ran = failure != attempt_failure::kUnsent && failure != attempt_failure::kNotRun;
+  runs_ += ran ? 1 : 0;
+  if (ran) {
+    kv_source_.clear();
+  }
+  // Without an attempt nothing can be sent any more.
+  const next_step step = StepAfter(*settings_.route, {.last = failure,
+                                                      .runs = runs_,
+                                                      .answer_begun = answer_begun_,
+                                                      .may_send_again =
+                                                          attempt_ != nullptr && MaySendAgain()});
+  switch (step) {
+    case next_step::kSendAgain:
+      SendNext();
+      return;
+    case next_step::kRefuse:
+      Refuse(ToString(failure));
+      return;
+    case next_step::kPassReply:
+      if (failed_head_ && !PromisesNotRun(failed_head_->status)) {
+        settings_.answer->Reply(failed_head_->status, EndToEndHeaders(*failed_head_),
+                                failed_body_);
+        Finish("backend_error", ToString(failure));
+        return;
+      }
+      Fail(kBadGateway, ToString(failure));
+      return;
+    case next_step::kFail:
+      Fail(kBadGateway, ToString(failure));
+      return;
+    case next_step::kCut:
+      Cut(ToString(failure));
+      return;
+  }
+}
+
+void forward_exchange::Deliver(const http1_head& head, std::string_view body) {
+  const auto self = shared_from_this();
+  settings_.answer->Reply(head.status, EndToEndHeaders(head), body);
+  Finish("served", "");
+}
+
+void forward_exchange::BeginAnswer(const http1_head& head) {
+  if (!std::exchange(answer_begun_, true)) {
+    settings_.answer->Begin(head.status, EndToEndHeaders(head));
+  }
+}
+
+void forward_exchange::ForwardEvents(const http1_head& head,
+                                     const std::vector<stream_event>& events) {
+  std::string whole;
+  for (const stream_event& event : events) {
+    if (event.id && last_event_ && *event.id <= *last_event_) {
+      continue;
+    }
+    last_event_ = event.id ? event.id : last_event_;
+    whole += event.bytes;
+  }
+  if (!whole.empty()) {
+    BeginAnswer(head);
+    settings_.answer->Send(whole);
+  }
+}
+
+void forward_exchange::EndStream(const http1_head& head) {
+  const auto self = shared_from_this();
+  BeginAnswer(head);
+  settings_.answer->End();
+  Finish("served", "");
+}
+
+void forward_exchange::Refuse(std::string_view why) {
+  const auto self = shared_from_this();
+  if (answer_begun_) {
+    Cut(why);
+    return;
+  }
+  const milliseconds share = TimeLeft(timer_service::now()) / kComeBackDivisor;
+  const milliseconds wait = std::clamp(share, kShortestComeBack, kLongestComeBack);
+  // Spread over half of the wait, so that callers refused together don't return together.
+  const auto jitter = milliseconds(
+      static_cast<std::int64_t>(context_.random() % static_cast<std::uint64_t>(wait.count())) / 2);
+  settings_.answer->Reply(kUnavailable, context_.dialect.RefusalHeaders(wait + jitter), "not run\n");
+  Finish("refused", why);
+}
+
+void forward_exchange::Fail(int status, std::string_view why) {
+  const auto self = shared_from_this();
+  settings_.answer->Reply(status, {}, "outcome unknown\n");
+  Finish("failed", why);
+}
+
+void forward_exchange::Cut(std::string_view why) {
+  const auto self = shared_from_this();
+  settings_.answer->Cut();
+  Finish("cut", why);
+}
+
+void forward_exchange::OnDeadline() {
+  const bool may_have_run =
+      runs_ > 0 || (attempt_ && attempt_->kind() == attempt_kind::kServe);
+  if (answer_begun_) {
+    Cut("time is up");
+  } else if (may_have_run) {
+    Fail(kGatewayTimeout, "time is up");
+  } else {
+    Refuse("time is up");
+  }
+}
+
+void forward_exchange::OnCallerGone() { Finish("caller_gone", ""); }
+
+void forward_exchange::ReleaseHandle() {
+  if (kv_source_.empty()) {
+    return;
+  }
+  kv_source_.clear();
+  /// Tells an engine that a KV cache is no longer needed; nobody waits for the answer.
+  class release : public http1_call_listener {
+   public:
+    head_verdict OnHead(const http1_head& /*head*/) override { return head_verdict::kTake; }
+    void OnBody(std::string_view /*bytes*/) override {}
+    void OnEnd(call_end /*end*/, const std::string& /*reason*/) override {
+      // The KV cache expires by itself when the engine can't be told.
+      loop->Post([kept = std::move(self)] {});
+    }
+    event_loop* loop = nullptr;
+    std::unique_ptr<http1_call> call;
+    std::shared_ptr<release> self;
+  };
+  auto order = std::make_shared<release>();
+  order->loop = &context_.loop;
+  order->call = context_.client.Start(
+      {.address = kv_holder_, .bytes = context_.dialect.EncodeRelease(kv_holder_, kv_handle_)},
+      *order);
+  order->self = order;
+}
+
+void forward_exchange::Finish(std::string_view outcome, std::string_view why) {
+  if (std::exchange(ended_, true)) {
+    return;
+  }
+  const auto self = shared_from_this();
+  const instant now = timer_service::now();
+  const std::string last = attempt_ ? attempt_->backend().id : "";
+  attempt_.reset();
+  silence_timer_.Cancel();
+  deadline_timer_.Cancel();
+  ReleaseHandle();
+  const auto took = now - settings_.received;
+  Log(log_level::kInfo, "request",
+      {{"request", settings_.request.id},
+       {"route", settings_.route->name},
+       {"service", settings_.service},
+       {"outcome", outcome},
+       {"why", why},
+       {"backend", last},
+       {"sends", sends_},
+       {"prefills", prefills_},
+       {"runs", runs_},
+       {"took_ms", took / milliseconds(1)},
+       {"configuration", context_.routes.configuration()->version}});
+  context_.metrics.Count("gateway_requests", {{"outcome", std::string(outcome)}});
+  context_.metrics.Observe("gateway_request_time", {{"outcome", std::string(outcome)}}, took);
+  settings_.on_ended(*this);
+}
+
+}  // namespace jacinthspool
--- /dev/null
+++ b/src/gateway/forward_exchange.h
@@ -0,0 +1,89 @@
+#ifndef JACINTHSPOOL_GATEWAY_FORWARD_EXCHANGE_H_
+#define JACINTHSPOOL_GATEWAY_FORWARD_EXCHANGE_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "jacinthspool/routing/event_splitter.h"
+#include "jacinthspool/routing/next_step.h"
+#include "src/gateway/gateway_context.h"
+#include "src/transport/http1_server.h"
+
+namespace jacinthspool {
+
+/// \brief One request of a caller, from its arrival to the end of its answer.
+///
+/// Sends it to one backend server after the other as `StepAfter` allows, and
+/// gives the caller exactly one answer.
+class forward_exchange : public std::enable_shared_from_this<forward_exchange> {
+ public:
+  struct options {
+    gateway_context& context;
+    forward_request request;
+    std::shared_ptr<const forward_route> route;
+    std::string service;
+    std::shared_ptr<http1_answer> answer;
+    instant received{};
+    /// Called once, when nothing is left to do.
+    std::function<void(forward_exchange&)> on_ended;
+  };
+
+  explicit forward_exchange(options settings);
+  ~forward_exchange();
+
+  void Start();
+
+ private:
+  class attempt;
+  enum class attempt_kind { kPrefill, kServe };
+
+  void SendNext();
+  [[nodiscard]] bool WantsPrefill() const;
+  [[nodiscard]] bool MaySendAgain() const;
+  void StartAttempt(attempt_kind kind, const backend_record& backend);
+  void OnPrefilled(const backend_record& backend, const std::string& handle);
+  void OnPrefillFailed(attempt_failure failure);
+  void OnServeFailed(attempt_failure failure);
+  void OnSilent(attempt& silent);
+  void Deliver(const http1_head& head, std::string_view body);
+  void ForwardEvents(const http1_head& head, const std::vector<stream_event>& events);
+  void EndStream(const http1_head& head);
+  void BeginAnswer(const http1_head& head);
+  void Refuse(std::string_view why);
+  void Fail(int status, std::string_view why);
+  void Cut(std::string_view why);
+  void OnDeadline();
+  void OnCallerGone();
+  void Finish(std::string_view outcome, std::string_view why);
+  void ReleaseHandle();
+  [[nodiscard]] milliseconds TimeLeft(instant now) const;
+  [[nodiscard]] double Cost() const;
+
+  options settings_;
+  gateway_context& context_;
+  instant deadline_{};
+  std::unique_ptr<attempt> attempt_;
+  timer_subscription deadline_timer_;
+  timer_subscription silence_timer_;
+  std::set<std::string> tried_;
+  std::uint32_t sends_ = 0;     ///< To serve, refused ones included.
+  std::uint32_t prefills_ = 0;  ///< Sends that only prefill.
+  std::uint32_t runs_ = 0;
+  bool prefill_given_up_ = false;
+  std::string kv_source_;  ///< Where the prompt's KV cache waits; empty: nowhere.
+  std::string kv_holder_;  ///< Address of the engine that holds it.
+  std::string kv_handle_;
+  instant kv_until_{};
+  bool answer_begun_ = false;
+  std::optional<std::uint64_t> last_event_;
+  std::optional<http1_head> failed_head_;  ///< The newest error of a backend server.
+  std::string failed_body_;
+  bool ended_ = false;
+};
+
+}  // namespace jacinthspool
+
+#endif  // JACINTHSPOOL_GATEWAY_FORWARD_EXCHANGE_H_
--- /dev/null
+++ b/src/gateway/gateway.cc
@@ -0,0 +1,190 @@
+#include "src/gateway/gateway.h"
+
+#include <utility>
+
+#include "jacinthspool/impl/rendezvous.h"
+#include "src/telemetry/log.h"
+
+namespace jacinthspool {
+namespace {
+
+/// How often servers that the publisher has lost are looked through.
+constexpr milliseconds kExpiryPeriod = milliseconds(250);
+/// What callers are told to wait for while nothing is known yet.
+constexpr milliseconds kStartComeBack = milliseconds(400);
+
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+std::string_view ToString(engine_stage stage) {
+  switch (stage) {
+    case engine_stage::kNone:
+      return "none";
+    case engine_stage::kPrefill:
+      return "prefill";
+    case engine_stage::kDecode:
+      return "decode";
+  }
+  return "none";
+}
+
+}  // namespace
+
+gateway::gateway(const options& settings)
+    : context_{.loop = settings.loop,
+               .timers = settings.timers,
+               .client = settings.client,
+               .dialect = settings.dialect,
+               .routes = {},
+               .backends = backend_list({}),
+               .selector = backend_selector({.data_centre = settings.data_centre}),
+               .budget = extra_budget({}),
+               .metrics = {},
+               .random = std::mt19937_64(std::random_device{}())} {
+  expiry_ = settings.timers.Every(kExpiryPeriod, [this](instant now) {
+    if (context_.backends.Expire(now)) {
+      Log(log_level::kInfo, "backends_expired",
+          {{"left", context_.backends.backends().size()},
+           {"list_revision", context_.backends.revision()}});
+      UpdateSelector();
+    }
+  });
+}
+
+gateway::~gateway() = default;
+
+void gateway::ApplySettings(const gateway_settings& settings) {
+  context_.budget.SetLimits(settings.repeat_ratio, seconds(settings.repeat_window_s),
+                            settings.repeat_extra);
+}
+
+void gateway::SetGateways(std::uint32_t gateways) { context_.budget.SetEntries(gateways); }
+
+bool gateway::able() const { return context_.routes.configuration() != nullptr && list_known_; }
+
+edge_limits gateway::limits() const {
+  const auto& configuration = context_.routes.configuration();
+  return configuration ? configuration->limits : edge_limits{};
+}
+
+void gateway::Take(http1_request request, std::shared_ptr<http1_answer> answer) {
+  auto decoded = context_.dialect.DecodeRequest(request.head);
+  if (!decoded) {
+    Refuse(*answer, kBadRequest, "", "a header has no valid value");
+    return;
+  }
+  if (!able()) {
+    Refuse(*answer, kUnavailable, decoded->id, "no configuration or list yet");
+    return;
+  }
+  const auto route = context_.routes.Find(decoded->host, decoded->target);
+  if (!route) {
+    Refuse(*answer, kNotFound, decoded->id, "no route");
+    return;
+  }
+  const std::string* service = ServiceOf(*route, HashKey(decoded->id));
+  if (service == nullptr) {
+    Refuse(*answer, kUnavailable, decoded->id, "route without a service");
+    return;
+  }
+  decoded->body = std::move(request.body);
+  const auto exchange = std::make_shared<forward_exchange>(
+      forward_exchange::options{.context = context_,
+                                .request = std::move(*decoded),
+                                .route = route,
+                                .service = *service,
+                                .answer = std::move(answer),
+                                .received = request.received,
+                                .on_ended = [this](forward_exchange& ended) {
+                                  exchanges_.erase(ended.shared_from_this());
+                                }});
+  exchanges_.insert(exchange);
+  exchange->Start();
+}
+
+void gateway::Refuse(http1_answer& answer, int status, std::string_view id, std::string_view why) {
+  Log(log_level::kWarning, "request_rejected",
+      {{"request", id},
+       {"status", status},
+       {"why", why},
+       {"configuration",
+        context_.routes.configuration() ? context_.routes.configuration()->version : 0}});
+  context_.metrics.Count("gateway_rejected", {{"status", std::to_string(status)}});
+  answer.Reply(status,
+               status == kUnavailable ? context_.dialect.RefusalHeaders(kStartComeBack)
+                                      : http_headers{},
+               std::string(why) + "\n");
+}
+
+void gateway::OnConfiguration(std::shared_ptr<const forward_configuration> next) {
+  const std::uint64_t version = next->version;
+  const std::uint64_t before =
+      context_.routes.configuration() ? context_.routes.configuration()->version : 0;
+  if (context_.routes.Apply(std::move(next))) {
+    Log(log_level::kInfo, "configuration_applied",
+        {{"version", version},
+         {"before", before},
+         {"routes", context_.routes.configuration()->routes.size()}});
+  }
+}
+
+void gateway::UpdateSelector() { context_.selector.Update(context_.backends.backends()); }
+
+void gateway::OnBackends(std::vector<backend_record> records, std::uint64_t revision) {
+  Log(log_level::kInfo, "backends_listed", {{"count", records.size()}, {"revision", revision}});
+  context_.backends.Replace(std::move(records), revision, timer_service::now());
+  list_known_ = true;
+  UpdateSelector();
+}
+
+void gateway::OnBackendPut(backend_record record) {
+  Log(log_level::kInfo, "backend_put",
+      {{"backend", record.id},
+       {"service", record.service},
+       {"leaving", record.leaving},
+       {"stage", ToString(record.stage)},
+       {"revision", record.revision}});
+  context_.backends.Put(std::move(record));
+  UpdateSelector();
+}
+
+void gateway::OnBackendRemoved(const std::string& id, std::uint64_t revision) {
+  Log(log_level::kInfo, "backend_removed", {{"backend", id}, {"revision", revision}});
+  context_.backends.Remove(id, revision, timer_service::now());
+  UpdateSelector();
+}
+
+void gateway::OnPublisherLost(const std::string& /*reason*/) {
+  publisher_lost_ = true;
+  context_.backends.PublisherLost();
+}
+
+void gateway::OnPublisherBack() {
+  if (std::exchange(publisher_lost_, false)) {
+    context_.backends.PublisherBack(timer_service::now());
+  }
+}
+
+void gateway::TakeSnapshot(gateway_snapshot other) {
+  if (other.configuration) {
+    OnConfiguration(std::move(other.configuration));
+  }
+  const bool newer = other.list_revision > context_.backends.revision();
+  if (!other.backends.empty() && (!list_known_ || (publisher_lost_ && newer))) {
+    OnBackends(std::move(other.backends), other.list_revision);
+  }
+}
+
+gateway_snapshot gateway::Snapshot() const {
+  gateway_snapshot own{.configuration = context_.routes.configuration(),
+                       .backends = {},
+                       .list_revision = context_.backends.revision(),
+                       .gateways = 0};
+  for (const auto& [id, record] : context_.backends.backends()) {
+    own.backends.push_back(record);
+  }
+  return own;
+}
+
+}  // namespace jacinthspool
--- /dev/null
+++ b/src/gateway/gateway_context.h
@@ -0,0 +1,34 @@
+#ifndef JACINTHSPOOL_GATEWAY_GATEWAY_CONTEXT_H_
+#define JACINTHSPOOL_GATEWAY_GATEWAY_CONTEXT_H_
+
+#include <random>
+
+#include "jacinthspool/routing/backend_list.h"
+#include "jacinthspool/routing/backend_selector.h"
+#include "jacinthspool/routing/extra_budget.h"
+#include "jacinthspool/routing/route_table.h"
+#include "src/gateway/wire_dialect.h"
+#include "src/telemetry/metrics.h"
+#include "src/transport/event_loop.h"
+#include "src/transport/http1_client.h"
+#include "src/transport/timer_service.h"
+
+namespace jacinthspool {
+
+/// \brief What the requests in progress in one gateway share.
+struct gateway_context {
+  event_loop& loop;
+  timer_service& timers;
+  http1_client& client;
+  const wire_dialect& dialect;
+  route_table routes;
+  backend_list backends;
+  backend_selector selector;
+  extra_budget budget;
+  metrics_registry metrics;
+  std::mt19937_64 random;
+};
+
+}  // namespace jacinthspool
+
+#endif  // JACINTHSPOOL_GATEWAY_GATEWAY_CONTEXT_H_
--- /dev/null
+++ b/src/gateway/gateway_daemon.cc
@@ -0,0 +1,189 @@
+#include "src/gateway/gateway_daemon.h"
+
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+#include "src/gateway/gateway.h"
+#include "src/gateway/peer_exchange.h"
+#include "src/telemetry/log.h"
+#include "src/transport/http1_server.h"
+
+namespace jacinthspool {
+namespace {
+
+constexpr int kSuccess = 0;
+constexpr int kStartFailed = 3;
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+
+/// After the stop signal the balancer still sends callers until it has asked twice in vain.
+constexpr milliseconds kBalancerDelay = milliseconds(3200);
+constexpr milliseconds kStopCheckPeriod = milliseconds(100);
+/// The process ends this long before it would be killed.
+constexpr milliseconds kStopMargin = milliseconds(300);
+
+/// The parts of one gateway process.
+class gateway_daemon {
+ public:
+  gateway_daemon(std::shared_ptr<const process_settings> process, std::string process_file,
+                 gateway_platform platform)
+      : process_(std::move(process)),
+        process_file_(std::move(process_file)),
+        platform_(std::move(platform)),
+        client_({.loop = loop_, .timers = timers_}),
+        gateway_({.loop = loop_,
+                  .timers = timers_,
+                  .client = client_,
+                  .dialect = *platform_.dialect,
+                  .data_centre = process_->data_centre}) {}
+
+  bool Start(std::string& error) {
+    const gateway_settings& settings = *process_->gateway;
+    gateway_.ApplySettings(settings);
+    callers_ = http1_server::Listen(
+        {.loop = loop_,
+         .timers = timers_,
+         .address = process_->listen,
+         .on_request =
+             [this](http1_request request, std::shared_ptr<http1_answer> answer) {
+               callers_->SetLimits(LimitsInForce());
+               gateway_.Take(std::move(request), std::move(answer));
+             }},
+        error);
+    ready_ = !callers_ ? nullptr
+                       : http1_server::Listen(
+                             {.loop = loop_,
+                              .timers = timers_,
+                              .address = settings.ready_listen,
+                              .on_request = [this](const http1_request& /*request*/,
+                                                   const std::shared_ptr<http1_answer>& answer) {
+                                answer->Reply(ready() ? kOk : kUnavailable, {}, "");
+                              }},
+                             error);
+    peers_ = std::make_unique<peer_exchange>(peer_exchange::options{.loop = loop_,
+                                                                    .timers = timers_,
+                                                                    .client = client_,
+                                                                    .owner = gateway_,
+                                                                    .listen = settings.snapshot_listen,
+                                                                    .name = process_->name,
+                                                                    .peers = process_->peers});
+    if (!callers_ || !ready_ || !peers_->Start(error) || !StartMetrics(settings, error)) {
+      return false;
+    }
+    discovery_ = platform_.open_discovery(loop_, timers_, settings.publisher);
+    discovery_->Start(gateway_);
+    loop_.OnSignal(SIGTERM, [this] { Stop(); });
+    loop_.OnSignal(SIGHUP, [this] { Reload(); });
+    Log(log_level::kInfo, "started",
+        {{"role", "gateway"}, {"listen", process_->listen}, {"publisher", settings.publisher}});
+    return true;
+  }
+
+  void Run() { loop_.Run(); }
+
+ private:
+  [[nodiscard]] bool ready() const { return gateway_.able() && !stopping_; }
+
+  [[nodiscard]] http1_limits LimitsInForce() const {
+    const edge_limits limits = gateway_.limits();
+    return {.max_head_bytes = static_cast<std::size_t>(limits.max_head_bytes),
+            .max_body_bytes = static_cast<std::size_t>(limits.max_body_bytes),
+            .head_timeout = limits.head_timeout,
+            .idle_timeout = limits.idle_timeout};
+  }
+
+  bool StartMetrics(const gateway_settings& settings, std::string& error) {
+    if (settings.metrics_listen.empty()) {
+      return true;
+    }
+    metrics_ = http1_server::Listen(
+        {.loop = loop_,
+         .timers = timers_,
+         .address = settings.metrics_listen,
+         .on_request =
+             [this](const http1_request& /*request*/, const std::shared_ptr<http1_answer>& answer) {
+               gateway_.metrics().Set("gateway_requests_in_progress", {},
+                                      static_cast<double>(gateway_.in_progress()));
+               answer->Reply(kOk, {{"Content-Type", "text/plain; version=0.0.4"}},
+                             gateway_.metrics().Render());
+             }},
+        error);
+    return metrics_ != nullptr;
+  }
+
+  void Stop() {
+    if (std::exchange(stopping_, true)) {
+      return;
+    }
+    Log(log_level::kInfo, "stopping", {{"in_progress", callers_->in_progress()}});
+    callers_->CloseAfterAnswers();
+    const instant begun = timer_service::now();
+    const microseconds grace = seconds(process_->gateway->stop_grace_s) - kStopMargin;
+    stop_check_ = timers_.Every(kStopCheckPeriod, [this, begun, grace](instant now) {
+      if (now - begun < kBalancerDelay) {
+        return;
+      }
+      callers_->StopAccepting();
+      if (callers_->in_progress() == 0 || now - begun > grace) {
+        Log(log_level::kInfo, "stopped", {{"in_progress", callers_->in_progress()}});
+        loop_.Stop();
+      }
+    });
+  }
+
+  /// Takes the settings file again; what can't change without a restart stays.
+  void Reload() {
+    std::ifstream file(process_file_);
+    std::stringstream text;
+    text << file.rdbuf();
+    findings found;
+    const auto next = ParseProcess(text.str(), process_file_, found);
+    if (next) {
+      CheckRole(*next, process_role::kGateway, process_file_, found);
+    }
+    if (!next || !found.empty()) {
+      for (const finding& each : found) {
+        Log(log_level::kError, "reload_refused", {{"place", each.place}, {"reason", each.text}});
+      }
+      return;
+    }
+    process_ = next;
+    gateway_.ApplySettings(*process_->gateway);
+    Log(log_level::kInfo, "reloaded", {});
+  }
+
+  std::shared_ptr<const process_settings> process_;
+  std::string process_file_;
+  gateway_platform platform_;
+  event_loop loop_;
+  timer_service timers_{loop_};
+  http1_client client_;
+  gateway gateway_;
+  std::unique_ptr<http1_server> callers_;
+  std::unique_ptr<http1_server> ready_;
+  std::unique_ptr<http1_server> metrics_;
+  std::unique_ptr<peer_exchange> peers_;
+  std::unique_ptr<discovery_source> discovery_;
+  timer_subscription stop_check_;
+  bool stopping_ = false;
+};
+
+}  // namespace
+
+int RunGateway(std::shared_ptr<const process_settings> process, const std::string& process_file,
+               gateway_platform platform) {
+  OpenLog({.process = process->name, .file = process->log_file});
+  gateway_daemon daemon(std::move(process), process_file, std::move(platform));
+  std::string error;
+  if (!daemon.Start(error)) {
+    std::fprintf(stderr, "%s: %s\n", process_file.c_str(), error.c_str());
+    return kStartFailed;
+  }
+  daemon.Run();
+  return kSuccess;
+}
+
+}  // namespace jacinthspool
--- /dev/null
+++ b/src/gateway/snapshot.cc
@@ -0,0 +1,166 @@
+#include "src/gateway/snapshot.h"
+
+#include <utility>
+
+#include "schema/generated/snapshot_generated.h"
+
+namespace jacinthspool {
+namespace {
+
+std::uint32_t Ms(milliseconds value) { return static_cast<std::uint32_t>(value.count()); }
+
+std::shared_ptr<snapshot::listed_route_value> ToWire(const forward_route& route) {
+  auto wire = std::make_shared<snapshot::listed_route_value>();
+  wire->name = route.name;
+  wire->host = route.host;
+  wire->prefix = route.prefix;
+  wire->kind = static_cast<snapshot::request_kind>(route.kind);
+  wire->max_attempts = route.max_attempts;
+  wire->timeout_ms = Ms(route.timeout);
+  wire->latency_objective_ms = Ms(route.latency_objective);
+  wire->priority = route.priority;
+  wire->resumable = route.resumable;
+  for (const route_target& target : route.targets) {
+    auto each = std::make_shared<snapshot::weighted_target_value>();
+    each->service = target.service;
+    each->weight = target.weight;
+    wire->targets.push_back(std::move(each));
+  }
+  return wire;
+}
+
+forward_route FromWire(const snapshot::listed_route_value& wire) {
+  forward_route route{.name = wire.name,
+                      .host = wire.host,
+                      .prefix = wire.prefix,
+                      .kind = static_cast<request_kind>(wire.kind),
+                      .max_attempts = wire.max_attempts,
+                      .timeout = milliseconds(wire.timeout_ms),
+                      .latency_objective = milliseconds(wire.latency_objective_ms),
+                      .priority = wire.priority,
+                      .targets = {},
+                      .resumable = wire.resumable};
+  for (const auto& target : wire.targets) {
+    route.targets.push_back({.service = target->service, .weight = target->weight});
+  }
+  return route;
+}
+
+std::shared_ptr<snapshot::listed_service_value> ToWire(const forward_service& service) {
+  auto wire = std::make_shared<snapshot::listed_service_value>();
+  wire->name = service.name;
+  wire->max_connections = service.max_connections;
+  wire->has_engine = service.engine.has_value();
+  if (service.engine) {
+    wire->kv_tokens = service.engine->kv_tokens;
+    wire->kv_handle_life = static_cast<std::uint64_t>(service.engine->kv_handle_life.count());
+    wire->backs_up_runs = service.engine->backs_up_runs;
+  }
+  return wire;
+}
+
+forward_service FromWire(const snapshot::listed_service_value& wire) {
+  forward_service service{
+      .name = wire.name, .max_connections = wire.max_connections, .engine = std::nullopt};
+  if (wire.has_engine) {
+    service.engine = engine_profile{
+        .kv_tokens = wire.kv_tokens,
+        .kv_handle_life = microseconds(static_cast<std::int64_t>(wire.kv_handle_life)),
+        .backs_up_runs = wire.backs_up_runs};
+  }
+  return service;
+}
+
+std::shared_ptr<snapshot::listed_configuration_value> ToWire(const forward_configuration& value) {
+  auto wire = std::make_shared<snapshot::listed_configuration_value>();
+  wire->version = value.version;
+  for (const forward_route& route : value.routes) {
+    wire->routes.push_back(ToWire(route));
+  }
+  for (const auto& [name, service] : value.services) {
+    wire->services.push_back(ToWire(service));
+  }
+  wire->max_head_bytes = value.limits.max_head_bytes;
+  wire->max_body_bytes = value.limits.max_body_bytes;
+  wire->head_timeout_ms = Ms(value.limits.head_timeout);
+  wire->idle_timeout_ms = Ms(value.limits.idle_timeout);
+  return wire;
+}
+
+std::shared_ptr<const forward_configuration> FromWire(const snapshot::listed_configuration_value& wire) {
+  auto value = std::make_shared<forward_configuration>();
+  value->version = wire.version;
+  for (const auto& route : wire.routes) {
+    value->routes.push_back(FromWire(*route));
+  }
+  for (const auto& service : wire.services) {
+    value->services[service->name] = FromWire(*service);
+  }
+  value->limits = {.max_head_bytes = wire.max_head_bytes,
+                   .max_body_bytes = wire.max_body_bytes,
+                   .head_timeout = milliseconds(wire.head_timeout_ms),
+                   .idle_timeout = milliseconds(wire.idle_timeout_ms)};
+  return value;
+}
+
+std::shared_ptr<snapshot::listed_backend_value> ToWire(const backend_record& record) {
+  auto wire = std::make_shared<snapshot::listed_backend_value>();
+  wire->id = record.id;
+  wire->service = record.service;
+  wire->address = record.address;
+  wire->data_centre = record.data_centre;
+  wire->stage = static_cast<snapshot::engine_stage>(record.stage);
+  wire->slots = record.slots;
+  wire->leaving = record.leaving;
+  wire->revision = record.revision;
+  return wire;
+}
+
+backend_record FromWire(const snapshot::listed_backend_value& wire) {
+  return {.id = wire.id,
+          .service = wire.service,
+          .address = wire.address,
+          .data_centre = wire.data_centre,
+          .stage = static_cast<engine_stage>(wire.stage),
+          .slots = wire.slots,
+          .leaving = wire.leaving,
+          .revision = wire.revision};
+}
+
+}  // namespace
+
+std::string EncodeSnapshot(const gateway_snapshot& value) {
+  snapshot::gateway_snapshot_value wire;
+  if (value.configuration) {
+    wire.configuration = ToWire(*value.configuration);
+  }
+  for (const backend_record& record : value.backends) {
+    wire.backends.push_back(ToWire(record));
+  }
+  wire.list_revision = value.list_revision;
+  wire.gateways = value.gateways;
+  flatbuffers::FlatBufferBuilder builder;
+  builder.Finish(snapshot::gateway_snapshot::Pack(builder, &wire));
+  return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+std::optional<gateway_snapshot> DecodeSnapshot(std::string_view bytes) {
+  flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t*>(bytes.data()),
+                                 bytes.size());
+  if (!snapshot::Verifygateway_snapshotBuffer(verifier)) {
+    return std::nullopt;
+  }
+  snapshot::gateway_snapshot_value wire;
+  snapshot::Getgateway_snapshot(bytes.data())->UnPackTo(&wire);
+  gateway_snapshot value{
+      .configuration = wire.configuration ? FromWire(*wire.configuration) : nullptr,
+      .backends = {},
+      .list_revision = wire.list_revision,
+      .gateways = wire.gateways};
+  for (const auto& record : wire.backends) {
+    value.backends.push_back(FromWire(*record));
+  }
+  return value;
+}
+
+}  // namespace jacinthspool
--- /dev/null
+++ b/src/routing/backend_selector.cc
@@ -0,0 +1,173 @@
+#include "jacinthspool/routing/backend_selector.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace jacinthspool {
+namespace {
+
+/// Weight of the newest attempt in the moving averages.
+constexpr double kNewest = 0.2;
+/// A server whose failed share is above this is left out: two failures in a row reach it.
+constexpr double kFailingShare = 0.35;
+/// Where a server stands after an ejection: the next failure ejects it again.
+constexpr double kProbationShare = 0.2;
+/// How strongly failures count against a server that is still used.
+constexpr double kFailureWeight = 4;
+/// What a server of another data centre is behind one here, as a part of an idle server's load.
+constexpr double kDistance = 0.15;
+/// How much slower than the fastest a server may count.
+constexpr double kSlowest = 8;
+/// How long after an ejection only repeatable requests try a server out.
+constexpr microseconds kProbation = seconds(2);
+/// At most this part of the servers is left out.
+constexpr double kMaxEjectedShare = 0.5;
+
+}  // namespace
+
+void backend_selector::Update(const std::map<std::string, backend_record>& backends) {
+  std::erase_if(members_, [&](const auto& each) { return !backends.contains(each.first); });
+  for (const auto& [id, record] : backends) {
+    members_[id].record = record;
+  }
+}
+
+bool backend_selector::Fits(const member& each, const placement& wanted) const {
+  return !each.record.leaving && each.record.service == wanted.service &&
+         each.record.stage == wanted.stage &&
+         (wanted.tried == nullptr || !wanted.tried->contains(each.record.id));
+}
+
+double backend_selector::Score(const member& each, const placement& wanted,
+                               double fastest_ms) const {
+  const double distance =
+      each.record.data_centre == settings_.data_centre ? 0 : kDistance * wanted.cost;
+  const double slowness =
+      each.latency_ms > 0 && fastest_ms > 0
+          ? std::clamp(each.latency_ms / fastest_ms, 1.0, kSlowest)
+          : 1;
+  return (each.load + wanted.cost + distance) * slowness *
+         (1 + kFailureWeight * each.failure_share);
+}
+
+const backend_record* backend_selector::Choose(const placement& wanted, instant now,
+                                               std::uint64_t random) const {
+  std::vector<const member*> usable;
+  std::vector<const member*> ejected;
+  double fastest_ms = 0;
+  for (const auto& [id, each] : members_) {
+    if (!Fits(each, wanted)) {
+      continue;
+    }
+    const bool on_probation =
+        each.ejections > 0 && !wanted.repeatable && now < each.ejected_until + kProbation;
+    const bool out = each.ejected_until > now || on_probation;
+    (out ? ejected : usable).push_back(&each);
+    if (!out && each.latency_ms > 0 && (fastest_ms == 0 || each.latency_ms < fastest_ms)) {
+      fastest_ms = each.latency_ms;
+    }
+  }
+  const std::size_t all = usable.size() + ejected.size();
+  if (static_cast<double>(ejected.size()) > kMaxEjectedShare * static_cast<double>(all)) {
+    usable.insert(usable.end(), ejected.begin(), ejected.end());
+  }
+  if (usable.empty()) {
+    return nullptr;
+  }
+  const bool some_free = std::any_of(usable.begin(), usable.end(), [&](const member* each) {
+    return each->busy_until <= now;
+  });
+  const member* best = nullptr;
+  double best_score = std::numeric_limits<double>::max();
+  const std::size_t first = random % usable.size();
+  for (std::size_t i = 0; i < usable.size(); ++i) {
+    const member* each = usable[(first + i) % usable.size()];
+    if (some_free && each->busy_until > now) {
+      continue;
+    }
+    const double score = Score(*each, wanted, fastest_ms);
+    if (score < best_score) {
+      best = each;
+      best_score = score;
+    }
+  }
+  return &best->record;
+}
+
+bool backend_selector::Has(std::string_view service, engine_stage stage) const {
+  return std::any_of(members_.begin(), members_.end(), [&](const auto& each) {
+    return Fits(each.second, {.service = service, .stage = stage});
+  });
+}
+
+void backend_selector::OnStarted(const std::string& id, double cost) {
+  if (const auto found = members_.find(id); found != members_.end()) {
+    ++found->second.running;
+    found->second.load += cost;
+  }
+}
+
+void backend_selector::Eject(member& failing, instant now) const {
+  const std::uint32_t doublings = std::min<std::uint32_t>(failing.ejections, 8);
+  const microseconds pause =
+      std::min(settings_.first_ejection * (1U << doublings), settings_.last_ejection);
+  failing.ejected_until = now + pause;
+  failing.failure_share = kProbationShare;
+  ++failing.ejections;
+}
+
+void backend_selector::OnEnded(const std::string& id, double cost, attempt_result result,
+                               microseconds taken, instant now) {
+  const auto found = members_.find(id);
+  if (found == members_.end()) {
+    return;
+  }
+  member& each = found->second;
+  each.running -= each.running > 0 ? 1 : 0;
+  each.load = each.running == 0 ? 0 : std::max(0.0, each.load - cost);
+  switch (result) {
+    case attempt_result::kUnknown:
+      return;
+    case attempt_result::kBusy:
+      each.busy_until = now + settings_.busy_pause;
+      return;
+    case attempt_result::kGood: {
+      const double ms = static_cast<double>(taken.count()) / 1000;
+      each.latency_ms = each.latency_ms == 0 ? ms : each.latency_ms + kNewest * (ms - each.latency_ms);
+      each.failure_share *= 1 - kNewest;
+      if (each.ejected_until <= now) {
+        each.ejections = 0;
+      }
+      return;
+    }
+    case attempt_result::kUnreachable:
+      Eject(each, now);
+      return;
+    case attempt_result::kFailed:
+      CountFailure(each, now);
+      return;
+  }
+}
+
+void backend_selector::OnSilent(const std::string& id, instant now) {
+  if (const auto found = members_.find(id); found != members_.end()) {
+    CountFailure(found->second, now);
+  }
+}
+
+void backend_selector::CountFailure(member& failing, instant now) const {
+  failing.failure_share += kNewest * (1 - failing.failure_share);
+  // Attempts that were under way at an ejection say nothing new.
+  if (failing.ejected_until <= now && failing.failure_share > kFailingShare) {
+    Eject(failing, now);
+  }
+}
+
+std::size_t backend_selector::ejected(instant now) const {
+  return static_cast<std::size_t>(
+      std::count_if(members_.begin(), members_.end(),
+                    [&](const auto& each) { return each.second.ejected_until > now; }));
+}
+
+}  // namespace jacinthspool
--- /dev/null
+++ b/src/routing/extra_budget.cc
@@ -0,0 +1,66 @@
+#include "jacinthspool/routing/extra_budget.h"
+
+#include <algorithm>
+
+namespace jacinthspool {
+namespace {
+
+/// Slices of a window: repeats leave the count one slice late, which errs on the safe side.
+constexpr std::int64_t kSlices = 20;
+/// Part of the allowance that is spent; the rest covers requests counted here that others lose.
+constexpr double kSpent = 0.85;
+
+}  // namespace
+
+void extra_budget::SetLimits(double ratio, microseconds window, double extra) {
+  settings_.ratio = ratio;
+  settings_.extra = extra;
+  if (window != settings_.window && window > microseconds(0)) {
+    settings_.window = window;
+    services_.clear();
+  }
+}
+
+std::int64_t extra_budget::SliceNumber(instant now) const {
+  return now.time_since_epoch() / (settings_.window / kSlices);
+}
+
+extra_budget::slice& extra_budget::Current(instant now, const std::string& service) {
+  std::vector<slice>& slices = services_[service];
+  const std::int64_t number = SliceNumber(now);
+  if (slices.empty() || slices.back().number != number) {
+    std::erase_if(slices, [&](const slice& each) { return each.number < number - kSlices; });
+    slices.push_back({.number = number});
+  }
+  return slices.back();
+}
+
+void extra_budget::CountRequest(instant now, const std::string& service) {
+  ++Current(now, service).requests;
+}
+
+double extra_budget::left(instant now, const std::string& service) const {
+  double requests = 0;
+  double repeats = 0;
+  const std::int64_t number = SliceNumber(now);
+  if (const auto found = services_.find(service); found != services_.end()) {
+    for (const slice& each : found->second) {
+      // The oldest slice is only partly inside the window: its repeats count, its requests don't.
+      repeats += each.number >= number - kSlices ? each.repeats : 0;
+      requests += each.number > number - kSlices ? each.requests : 0;
+    }
+  }
+  const double allowed =
+      settings_.ratio * requests + settings_.extra / static_cast<double>(settings_.entries);
+  return kSpent * allowed - repeats;
+}
+
+bool extra_budget::Draw(instant now, const std::string& service) {
+  if (left(now, service) < 1) {
+    return false;
+  }
+  ++Current(now, service).repeats;
+  return true;
+}
+
+}  // namespace jacinthspool
--- a/src/settings/process_checks.cc
+++ b/src/settings/process_checks.cc
@@ -42,6 +42,19 @@
   CheckAddress(place, "address", backend.address);
 }
 
+void CheckGateway(const gateway_settings& gateway, document_place& place) {
+  const place_scope scope(place, std::string("gateway"));
+  CheckAddress(place, "ready_listen", gateway.ready_listen, port_rule::kMayBeZero);
+  CheckAddress(place, "snapshot_listen", gateway.snapshot_listen, port_rule::kMayBeZero);
+  CheckOptionalAddress(place, "metrics_listen", gateway.metrics_listen, port_rule::kMayBeZero);
+  CheckAddress(place, "publisher", gateway.publisher);
+  CheckNotZero(place, "repeat_window_s", gateway.repeat_window_s);
+  CheckNotZero(place, "stop_grace_s", gateway.stop_grace_s);
+  if (!(gateway.repeat_ratio >= 0 && gateway.repeat_ratio <= 1)) {
+    place.Add("repeat_ratio", "must be between 0 and 1");
+  }
+}
+
 /// Checks the documents that a source of kind "file" embeds.
 void CheckEmbedded(const process_settings& process, std::string_view place, findings& found) {
   document_place at(place, found);
@@ -88,6 +101,9 @@
   if (process.backend) {
     CheckBackendServer(*process.backend, at);
   }
+  if (process.gateway) {
+    CheckGateway(*process.gateway, at);
+  }
   CheckEmbedded(process, place, found);
 }
 
@@ -109,8 +125,19 @@
                findings& found) {
   document_place at(place, found);
   const bool agent = role == process_role::kAgent;
+  const bool gateway = role == process_role::kGateway;
   if (process.listen.empty() && !agent) {
-    at.Add("listen", "is missing: an entry needs the address that callers use");
+    at.Add("listen", gateway ? "is missing: a gateway needs the address that callers use"
+                             : "is missing: an entry needs the address that callers use");
+  }
+  if (!process.gateway && gateway) {
+    at.Add("gateway", "is missing: a gateway needs its own settings");
+  }
+  if (gateway) {
+    return;
+  }
+  if (process.gateway) {
+    at.Add("gateway", "has a meaning in a gateway only");
   }
   if (process.peer_listen.empty() && agent) {
     at.Add("peer_listen", "is missing: an agent needs the address that entries use");
--- a/src/settings/schema_reader.cc
+++ b/src/settings/schema_reader.cc
@@ -3,6 +3,7 @@
 #include <flatbuffers/reflection.h>
 
 #include <algorithm>
+#include <bit>
 #include <cstdint>
 #include <limits>
 #include <numeric>
@@ -118,6 +119,13 @@
       }
       return value.get<bool>() ? 1 : 0;
     }
+    if (type.base_type() == BaseType::Double) {
+      if (!value.is_number()) {
+        WrongType("a number", value);
+        return 0;
+      }
+      return std::bit_cast<std::uint64_t>(value.get<double>());
+    }
     if (value.is_number_integer() && !value.is_number_unsigned()) {
       place_.Add("must not be negative");
       return 0;
@@ -213,6 +221,9 @@
       case BaseType::ULong:
         builder_.AddElement(slot, bits);
         break;
+      case BaseType::Double:
+        builder_.AddElement(slot, std::bit_cast<double>(bits));
+        break;
       default:
         builder_.AddOffset(slot,
                            flatbuffers::Offset<void>(static_cast<flatbuffers::uoffset_t>(bits)));
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -12,6 +12,7 @@
 namespace jacinthspool {
 
 using backend_settings = config::backend_settings_value;
+using gateway_settings = config::gateway_settings_value;
 using limit_settings = config::limit_settings_value;
 using model_route_settings = config::model_route_settings_value;
 using operator_settings = config::operator_settings_value;
@@ -39,7 +40,7 @@
 std::shared_ptr<const team_settings> ParseTeam(std::string_view text, std::string_view place,
                                                findings& found);
 
-enum class process_role { kEntry, kAgent };
+enum class process_role { kEntry, kAgent, kGateway };
 
 /// \brief Adds a finding for each setting that a process of this role lacks or can't use.
 void CheckRole(const process_settings& process, process_role role, std::string_view place,
--- /dev/null
+++ b/src/transport/http1_client.cc
@@ -0,0 +1,345 @@
+#include "src/transport/http1_client.h"
+
+#include <charconv>
+#include <map>
+#include <optional>
+#include <span>
+#include <utility>
+#include <vector>
+
+#include "src/transport/tcp_stream.h"
+
+namespace jacinthspool {
+namespace {
+
+constexpr int kFirstFinalStatus = 200;
+/// A kept connection is given up this long before its owner says it will close it.
+constexpr milliseconds kKeepAliveMargin = milliseconds(500);
+
+/// \returns The idle time that `Keep-Alive: timeout=N` allows, less a margin.
+std::optional<milliseconds> AnnouncedIdleTime(const http1_head& head) {
+  const auto value = head.Find("Keep-Alive");
+  constexpr std::string_view kName = "timeout=";
+  const std::size_t at = value ? value->find(kName) : std::string_view::npos;
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  int announced = 0;
+  const char* begin = value->data() + at + kName.size();
+  const auto result = std::from_chars(begin, value->data() + value->size(), announced);
+  if (result.ec != std::errc()) {
+    return std::nullopt;
+  }
+  return std::max(milliseconds(0), milliseconds(seconds(announced)) - kKeepAliveMargin);
+}
+
+}  // namespace
+
+std::string_view ToString(call_end end) {
+  switch (end) {
+    case call_end::kWhole:
+      return "whole";
+    case call_end::kUnsent:
+      return "unsent";
+    case call_end::kLost:
+      return "lost";
+    case call_end::kCut:
+      return "cut";
+    case call_end::kMalformed:
+      return "malformed";
+  }
+  return "unknown";
+}
+
+struct http1_client::state {
+  explicit state(const options& the_settings) : settings(the_settings) {}
+
+  options settings;
+  std::map<std::string, std::vector<std::shared_ptr<connection>>> idle;
+  std::uint64_t opened = 0;
+  bool closing = false;
+
+  std::shared_ptr<connection> TakeIdle(const http1_call_options& call, instant now);
+  void Keep(const std::shared_ptr<connection>& kept);
+  void Drop(connection& gone);
+};
+
+/// One connection and the call on it. Destroyed only between turns of the loop.
+class http1_client::connection : public tcp_listener,
+                                 public std::enable_shared_from_this<connection> {
+ public:
+  connection(std::shared_ptr<state> owner, const http1_call_options& call)
+      : owner_(std::move(owner)),
+        address_(call.address),
+        reader_({.kind = http1_reader::message_kind::kReply,
+                 .max_head_bytes = 64U << 10U,
+                 .max_body_bytes = owner_->settings.max_body_bytes}),
+        stream_(owner_->settings.loop, call.address, *this,
+                {.user_timeout = owner_->settings.user_timeout}) {
+    ++owner_->opened;
+  }
+
+  /// \returns The number of the call on this connection.
+  std::uint64_t Begin(const http1_call_options& call, http1_call_listener& listener) {
+    listener_ = &listener;
+    ++call_number_;
+    reply_began_ = false;
+    if (!call.expects_body) {
+      reader_.ExpectNoBody();
+    }
+    stream_.Write(std::span(reinterpret_cast<const std::uint8_t*>(call.bytes.data()),
+                            call.bytes.size()));
+    request_bytes_ = call.bytes.size();
+    if (connected_) {
+      // In a later turn, so that a failure is not told before the call is known.
+      owner_->settings.loop.Post([self = shared_from_this()] { self->FlushCall(); });
+    } else {
+      timeout_ = owner_->settings.timers.After(
+          call.connect_timeout, [this](instant /*now*/) { OnBroken("connect timed out"); });
+    }
+    return call_number_;
+  }
+
+  /// The call is no longer wanted: the connection ends with it.
+  void Abandon(std::uint64_t call_number) {
+    if (listener_ != nullptr && call_number == call_number_) {
+      Abandon();
+    }
+  }
+  void Abandon() {
+    listener_ = nullptr;
+    Retire();
+  }
+
+  [[nodiscard]] const std::string& address() const { return address_; }
+  [[nodiscard]] bool Fresh(instant now, milliseconds max_idle) const {
+    return now - idle_since_ < std::min<microseconds>(max_idle, announced_idle_);
+  }
+  void BecomeIdle(instant now) { idle_since_ = now; }
+
+  void OnConnected() override {
+    connected_ = true;
+    timeout_.Cancel();
+    stream_.Flush();
+  }
+
+  void OnBytes(std::span<const std::uint8_t> bytes) override {
+    reader_.Feed({reinterpret_cast<const char*>(bytes.data()), bytes.size()});
+    if (listener_ == nullptr) {
+      // Nothing was asked: what comes belongs to no request.
+      Retire();
+      return;
+    }
+    ReadReply();
+  }
+
+  void OnReadEnd() override {}
+  void OnDrained() override {}
+
+  void OnClosed() override {
+    const auto self = shared_from_this();
+    if (listener_ != nullptr && reply_began_ && reader_.EndsAtClose()) {
+      Finish(call_end::kWhole, "");
+      Retire();
+      return;
+    }
+    OnBroken("closed by the backend server");
+  }
+
+  void OnBroken(const std::string& reason) override {
+    const auto self = shared_from_this();
+    const call_end end = reply_began_ ? call_end::kCut
+                         : Sent()     ? call_end::kLost
+                                      : call_end::kUnsent;
+    Finish(end, reason);
+    Retire();
+  }
+
+ private:
+  void FlushCall() {
+    if (listener_ != nullptr) {
+      stream_.Flush();
+    }
+  }
+
+  [[nodiscard]] bool Sent() const { return connected_ && stream_.queued_bytes() < request_bytes_; }
+
+  void ReadReply() {
+    const auto self = shared_from_this();
+    while (listener_ != nullptr) {
+      http1_event found = reader_.Read();
+      if (std::holds_alternative<http1_need_more>(found)) {
+        return;
+      }
+      std::visit([this](auto& event) { Take(event); }, found);
+    }
+  }
+
+  void Take(const http1_need_more& /*event*/) {}
+
+  void Take(const http1_head& head) {
+    skipping_ = head.status < kFirstFinalStatus;
+    if (skipping_) {
+      return;
+    }
+    const head_verdict verdict = listener_->OnHead(head);
+    if (listener_ == nullptr) {
+      return;
+    }
+    if (verdict == head_verdict::kClose) {
+      Finish(call_end::kMalformed, "reply of another request");
+      Retire();
+      return;
+    }
+    skipping_ = verdict == head_verdict::kSkip;
+    reply_began_ = !skipping_;
+    keep_ = head.keep_alive;
+    if (const auto announced = AnnouncedIdleTime(head)) {
+      announced_idle_ = *announced;
+    }
+  }
+
+  void Take(const http1_body& body) {
+    if (!skipping_) {
+      listener_->OnBody(body.bytes);
+    }
+  }
+
+  void Take(const http1_end& /*event*/) {
+    if (skipping_) {
+      return;
+    }
+    // A reply before the whole request was taken leaves the rest of it in the way.
+    const bool reusable = keep_ && stream_.queued_bytes() == 0 && reader_.buffered() == 0;
+    if (reusable) {
+      owner_->Keep(shared_from_this());
+    }
+    Finish(call_end::kWhole, "");
+    if (!reusable) {
+      Retire();
+    }
+  }
+
+  void Take(const http1_fault& /*event*/) {
+    Finish(call_end::kMalformed, "not an HTTP reply");
+    Retire();
+  }
+
+  void Finish(call_end end, const std::string& reason) {
+    timeout_.Cancel();
+    if (http1_call_listener* listener = std::exchange(listener_, nullptr)) {
+      listener->OnEnd(end, reason);
+    }
+  }
+
+  /// Ends the connection in a later turn, since this may run inside its stream.
+  void Retire() {
+    timeout_.Cancel();
+    owner_->Drop(*this);
+    if (!retired_ && !owner_->closing) {
+      retired_ = true;
+      owner_->settings.loop.Post([self = shared_from_this()] {});
+    }
+  }
+
+  std::shared_ptr<state> owner_;
+  std::string address_;
+  http1_reader reader_;
+  tcp_stream stream_;
+  http1_call_listener* listener_ = nullptr;
+  timer_subscription timeout_;
+  std::size_t request_bytes_ = 0;
+  std::uint64_t call_number_ = 0;
+  bool connected_ = false;
+  bool reply_began_ = false;
+  bool skipping_ = false;
+  bool keep_ = false;
+  bool retired_ = false;
+  instant idle_since_{};
+  microseconds announced_idle_ = seconds(60);
+};
+
+class http1_client::call_handle : public http1_call {
+ public:
+  call_handle(std::shared_ptr<connection> on, std::uint64_t call_number)
+      : connection_(std::move(on)), call_number_(call_number) {}
+  ~call_handle() override { connection_->Abandon(call_number_); }
+  call_handle(const call_handle&) = delete;
+  call_handle& operator=(const call_handle&) = delete;
+
+ private:
+  std::shared_ptr<connection> connection_;
+  std::uint64_t call_number_;
+};
+
+std::shared_ptr<http1_client::connection> http1_client::state::TakeIdle(
+    const http1_call_options& call, instant now) {
+  const auto found = idle.find(call.address);
+  if (found == idle.end()) {
+    return nullptr;
+  }
+  auto& kept = found->second;
+  // The most recently used one first, so that the rest may lapse.
+  while (!kept.empty()) {
+    std::shared_ptr<connection> last = std::move(kept.back());
+    kept.pop_back();
+    if (last->Fresh(now, call.max_idle) && !call.fresh_connection) {
+      return last;
+    }
+    last->Abandon();
+  }
+  return nullptr;
+}
+
+void http1_client::state::Keep(const std::shared_ptr<connection>& kept) {
+  kept->BecomeIdle(timer_service::now());
+  auto& list = idle[kept->address()];
+  list.push_back(kept);
+  if (list.size() > settings.max_idle_connections) {
+    const std::shared_ptr<connection> oldest = list.front();
+    list.erase(list.begin());
+    oldest->Abandon();
+  }
+}
+
+void http1_client::state::Drop(connection& gone) {
+  const auto found = idle.find(gone.address());
+  if (found == idle.end()) {
+    return;
+  }
+  std::erase_if(found->second, [&](const auto& each) { return each.get() == &gone; });
+  if (found->second.empty()) {
+    idle.erase(found);
+  }
+}
+
+http1_client::http1_client(const options& settings) : state_(std::make_shared<state>(settings)) {}
+
+http1_client::~http1_client() {
+  state_->closing = true;
+  std::exchange(state_->idle, {}).clear();
+}
+
+std::unique_ptr<http1_call> http1_client::Start(const http1_call_options& call,
+                                                http1_call_listener& listener) {
+  std::shared_ptr<connection> on = state_->TakeIdle(call, timer_service::now());
+  if (!on) {
+    on = std::make_shared<connection>(state_, call);
+  }
+  const std::uint64_t call_number = on->Begin(call, listener);
+  return std::make_unique<call_handle>(std::move(on), call_number);
+}
+
+void http1_client::Forget(const std::string& address) {
+  const auto found = state_->idle.find(address);
+  if (found == state_->idle.end()) {
+    return;
+  }
+  for (const auto& each : std::exchange(found->second, {})) {
+    each->Abandon();
+  }
+}
+
+std::uint64_t http1_client::connections_opened() const { return state_->opened; }
+
+}  // namespace jacinthspool
--- /dev/null
+++ b/src/transport/http1_server.cc
@@ -0,0 +1,398 @@
+#include "src/transport/http1_server.h"
+
+#include <event2/listener.h>
+#include <sys/socket.h>
+
+#include <cstdio>
+#include <set>
+#include <span>
+#include <utility>
+
+#include "src/transport/socket_address.h"
+#include "src/transport/tcp_stream.h"
+
+namespace jacinthspool {
+namespace {
+
+/// How often connections are checked against their time limits.
+constexpr milliseconds kSweepPeriod = milliseconds(500);
+/// Bytes of later requests that a connection may hold while one is answered.
+constexpr std::size_t kMaxReadAhead = 256U << 10U;
+/// A caller that acknowledges nothing for this long is taken for dead.
+constexpr milliseconds kCallerTimeout = seconds(5);
+
+int StatusOf(http1_fault fault) {
+  switch (fault) {
+    case http1_fault::kMalformed:
+      return 400;
+    case http1_fault::kHeadTooLarge:
+      return 431;
+    case http1_fault::kBodyTooLarge:
+      return 413;
+    case http1_fault::kUnsupportedCoding:
+      return 501;
+  }
+  return 400;
+}
+
+std::string StatusLine(int status) {
+  std::string line = "HTTP/1.1 " + std::to_string(status) + " ";
+  line += ReasonPhrase(status);
+  line += "\r\n";
+  return line;
+}
+
+void AppendHeaders(std::string& text, const http_headers& headers) {
+  for (const auto& [name, value] : headers) {
+    text += name;
+    text += ": ";
+    text += value;
+    text += "\r\n";
+  }
+}
+
+}  // namespace
+
+struct http1_server::state : std::enable_shared_from_this<http1_server::state> {
+  explicit state(options the_settings) : settings(std::move(the_settings)) {}
+
+  options settings;
+  http1_limits limits;
+  listener_handle listener;
+  timer_subscription sweep;
+  std::set<std::shared_ptr<connection>> connections;
+  std::size_t in_progress = 0;
+  bool close_after_answers = false;
+
+  static void OnAccept(evconnlistener* /*unused*/, evutil_socket_t socket, sockaddr* /*unused*/,
+                       int /*unused*/, void* context);
+  void Sweep(instant now);
+};
+
+/// One caller's connection. Destroyed only between turns of the loop.
+class http1_server::connection : public tcp_listener,
+                                 public std::enable_shared_from_this<connection> {
+ public:
+  connection(std::shared_ptr<state> owner, int socket)
+      : owner_(std::move(owner)),
+        reader_({.kind = http1_reader::message_kind::kRequest,
+                 .max_head_bytes = owner_->limits.max_head_bytes,
+                 .max_body_bytes = owner_->limits.max_body_bytes}),
+        stream_(owner_->settings.loop, socket, *this, {.user_timeout = kCallerTimeout}),
+        quiet_since_(timer_service::now()) {}
+
+  void OnConnected() override {}
+  void OnReadEnd() override {}
+
+  void OnBytes(std::span<const std::uint8_t> bytes) override {
+    const auto self = shared_from_this();
+    if (closing_) {
+      return;
+    }
+    if (!reader_.inside_message()) {
+      quiet_since_ = timer_service::now();
+    }
+    reader_.Feed({reinterpret_cast<const char*>(bytes.data()), bytes.size()});
+    if (answering_) {
+      if (reader_.buffered() > kMaxReadAhead) {
+        CallerGone();
+      }
+      return;
+    }
+    ReadRequests();
+  }
+
+  void OnDrained() override {
+    if (closing_) {
+      Retire();
+    }
+  }
+  void OnClosed() override { CallerGone(); }
+  void OnBroken(const std::string& /*reason*/) override { CallerGone(); }
+
+  /// Closes the connection if it has waited too long for a request.
+  void CheckTime(instant now) {
+    if (answering_ || closing_) {
+      return;
+    }
+    const bool in_message = reader_.inside_message();
+    const milliseconds limit = in_message && !head_ ? owner_->limits.head_timeout
+                                                    : owner_->limits.idle_timeout;
+    if (now - quiet_since_ < limit) {
+      return;
+    }
+    if (in_message) {
+      Refuse(408);
+    } else {
+      Retire();
+    }
+  }
+
+  /// Ends a connection that has no request.
+  void CloseIfIdle() {
+    if (!answering_ && !closing_ && !reader_.inside_message()) {
+      Retire();
+    }
+  }
+
+  void SetCallerGone(std::function<void()> action) { caller_gone_ = std::move(action); }
+
+  void BeginAnswer(int status, const http_headers& headers) {
+    std::string text = StatusLine(status);
+    AppendHeaders(text, headers);
+    text += "Transfer-Encoding: chunked\r\n";
+    text += MustClose() ? "Connection: close\r\n\r\n" : "\r\n";
+    Write(text);
+  }
+
+  void SendChunk(std::string_view bytes) {
+    char size[24];
+    const int length = std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+    std::string text(size, static_cast<std::size_t>(length));
+    text += bytes;
+    text += "\r\n";
+    Write(text);
+  }
+
+  void EndChunks() {
+    Write("0\r\n\r\n");
+    FinishAnswer();
+  }
+
+  void CutAnswer() {
+    close_ = true;
+    FinishAnswer();
+  }
+
+  void ReplyWhole(int status, const http_headers& headers, std::string_view body) {
+    std::string text = StatusLine(status);
+    AppendHeaders(text, headers);
+    text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    text += MustClose() ? "Connection: close\r\n\r\n" : "\r\n";
+    if (!head_request_) {
+      text += body;
+    }
+    Write(text);
+    FinishAnswer();
+  }
+
+ private:
+  [[nodiscard]] bool MustClose() {
+    close_ = close_ || owner_->close_after_answers;
+    return close_;
+  }
+
+  void Write(std::string_view text) {
+    if (retired_) {
+      return;
+    }
+    stream_.Write(std::span(reinterpret_cast<const std::uint8_t*>(text.data()), text.size()));
+    stream_.Flush();
+  }
+
+  void ReadRequests() {
+    while (!answering_ && !closing_ && !retired_) {
+      http1_event found = reader_.Read();
+      if (std::holds_alternative<http1_need_more>(found)) {
+        return;
+      }
+      std::visit([this](auto& event) { Take(event); }, found);
+    }
+  }
+
+  void Take(const http1_need_more& /*event*/) {}
+  void Take(http1_head& head) {
+    if (const auto expected = head.Find("Expect");
+        expected && EqualsIgnoringCase(*expected, "100-continue")) {
+      Write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    head_ = std::move(head);
+  }
+  void Take(http1_body& body) { body_ += body.bytes; }
+  void Take(const http1_end& /*event*/);
+  void Take(const http1_fault& fault) { Refuse(StatusOf(fault)); }
+
+  /// Answers what can't be read, and ends the connection since its framing is lost.
+  void Refuse(int status) {
+    close_ = true;
+    answering_ = true;
+    ++owner_->in_progress;
+    head_request_ = false;
+    ReplyWhole(status, {}, ReasonPhrase(status));
+  }
+
+  void FinishAnswer() {
+    if (!answering_) {
+      return;
+    }
+    answering_ = false;
+    caller_gone_ = {};
+    --owner_->in_progress;
+    quiet_since_ = timer_service::now();
+    if (retired_) {
+      return;
+    }
+    if (close_) {
+      closing_ = true;
+      if (stream_.queued_bytes() == 0) {
+        Retire();
+      }
+      return;
+    }
+    if (reader_.buffered() > 0) {
+      owner_->settings.loop.Post([self = shared_from_this()] { self->ReadRequests(); });
+    }
+  }
+
+  void CallerGone() {
+    const auto self = shared_from_this();
+    if (answering_) {
+      answering_ = false;
+      --owner_->in_progress;
+    }
+    const auto action = std::exchange(caller_gone_, {});
+    Retire();
+    if (action) {
+      action();
+    }
+  }
+
+  void Retire() {
+    if (retired_) {
+      return;
+    }
+    retired_ = true;
+    const auto self = shared_from_this();
+    owner_->connections.erase(self);
+    owner_->settings.loop.Post([self] {});
+  }
+
+  std::shared_ptr<state> owner_;
+  http1_reader reader_;
+  tcp_stream stream_;
+  std::optional<http1_head> head_;
+  std::string body_;
+  std::function<void()> caller_gone_;
+  instant quiet_since_;
+  bool answering_ = false;
+  bool head_request_ = false;
+  bool close_ = false;
+  bool closing_ = false;
+  bool retired_ = false;
+};
+
+class http1_server::answer : public http1_answer {
+ public:
+  explicit answer(std::shared_ptr<connection> to) : connection_(std::move(to)) {}
+  /// An answer that was dropped must not leave its caller waiting.
+  ~answer() override {
+    if (connection_) {
+      Cut();
+    }
+  }
+  answer(const answer&) = delete;
+  answer& operator=(const answer&) = delete;
+
+  void Begin(int status, const http_headers& headers) override {
+    if (connection_) {
+      connection_->BeginAnswer(status, headers);
+    }
+  }
+  void Send(std::string_view bytes) override {
+    if (connection_ && !bytes.empty()) {
+      connection_->SendChunk(bytes);
+    }
+  }
+  void End() override {
+    if (const auto to = std::exchange(connection_, nullptr)) {
+      to->EndChunks();
+    }
+  }
+  void Cut() override {
+    if (const auto to = std::exchange(connection_, nullptr)) {
+      to->CutAnswer();
+    }
+  }
+  void Reply(int status, const http_headers& headers, std::string_view body) override {
+    if (const auto to = std::exchange(connection_, nullptr)) {
+      to->ReplyWhole(status, headers, body);
+    }
+  }
+  void OnCallerGone(std::function<void()> action) override {
+    if (connection_) {
+      connection_->SetCallerGone([this, action = std::move(action)] {
+        connection_ = nullptr;
+        action();
+      });
+    }
+  }
+
+ private:
+  std::shared_ptr<connection> connection_;
+};
+
+void http1_server::connection::Take(const http1_end& /*event*/) {
+  http1_request request{
+      .head = std::move(*head_), .body = std::move(body_), .received = timer_service::now()};
+  head_.reset();
+  body_.clear();
+  answering_ = true;
+  ++owner_->in_progress;
+  head_request_ = request.head.method == "HEAD";
+  close_ = !request.head.keep_alive;
+  owner_->settings.on_request(std::move(request), std::make_shared<answer>(shared_from_this()));
+}
+
+void http1_server::state::OnAccept(evconnlistener* /*unused*/, evutil_socket_t socket,
+                                   sockaddr* /*unused*/, int /*unused*/, void* context) {
+  auto* self = static_cast<state*>(context);
+  self->connections.insert(std::make_shared<connection>(self->shared_from_this(), socket));
+}
+
+void http1_server::state::Sweep(instant now) {
+  const std::vector<std::shared_ptr<connection>> all(connections.begin(), connections.end());
+  for (const auto& each : all) {
+    each->CheckTime(now);
+  }
+}
+
+http1_server::http1_server(std::shared_ptr<state> initial) : state_(std::move(initial)) {}
+
+http1_server::~http1_server() {
+  state_->listener.reset();
+  state_->sweep.Cancel();
+  std::exchange(state_->connections, {}).clear();
+}
+
+std::unique_ptr<http1_server> http1_server::Listen(options settings, std::string& error) {
+  auto initial = std::make_shared<state>(std::move(settings));
+  initial->listener = ListenOn(initial->settings.loop.base(), initial->settings.address, error);
+  if (!initial->listener) {
+    return nullptr;
+  }
+  evconnlistener_set_cb(initial->listener.get(), &state::OnAccept, initial.get());
+  initial->sweep = initial->settings.timers.Every(
+      kSweepPeriod, [raw = initial.get()](instant now) { raw->Sweep(now); });
+  return std::unique_ptr<http1_server>(new http1_server(std::move(initial)));
+}
+
+void http1_server::SetLimits(const http1_limits& limits) { state_->limits = limits; }
+
+void http1_server::CloseAfterAnswers() { state_->close_after_answers = true; }
+
+void http1_server::StopAccepting() {
+  state_->listener.reset();
+  const std::vector<std::shared_ptr<connection>> all(state_->connections.begin(),
+                                                     state_->connections.end());
+  for (const auto& each : all) {
+    each->CloseIfIdle();
+  }
+}
+
+std::size_t http1_server::in_progress() const { return state_->in_progress; }
+
+std::uint16_t http1_server::port() const {
+  return LocalPort(evconnlistener_get_fd(state_->listener.get()));
+}
+
+}  // namespace jacinthspool
--- /dev/null
+++ b/src/transport/http1_server.h
@@ -0,0 +1,87 @@
+#ifndef JACINTHSPOOL_TRANSPORT_HTTP1_SERVER_H_
+#define JACINTHSPOOL_TRANSPORT_HTTP1_SERVER_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "jacinthspool/impl/time.h"
+#include "src/transport/event_loop.h"
+#include "src/transport/http1_reader.h"
+#include "src/transport/timer_service.h"
+
+namespace jacinthspool {
+
+/// \brief A request that was read whole.
+struct http1_request {
+  http1_head head;
+  std::string body;
+  instant received{};
+};
+
+/// \brief Answers one request of a kept connection. Every method but the first ends the answer.
+///
+/// Nothing is sent after the caller has gone.
+class http1_answer {
+ public:
+  virtual ~http1_answer() = default;
+  /// \brief Sends the head of an answer whose length is not known.
+  virtual void Begin(int status, const http_headers& headers) = 0;
+  virtual void Send(std::string_view bytes) = 0;
+  virtual void End() = 0;
+  /// \brief Ends a begun answer so that the caller sees that it is not whole.
+  virtual void Cut() = 0;
+  virtual void Reply(int status, const http_headers& headers, std::string_view body) = 0;
+  /// \brief `action` runs once if the caller goes before the answer has ended.
+  virtual void OnCallerGone(std::function<void()> action) = 0;
+};
+
+/// \brief What a server lets its clients do.
+struct http1_limits {
+  std::size_t max_head_bytes = 16U << 10U;
+  std::size_t max_body_bytes = 4U << 20U;
+  milliseconds head_timeout = seconds(3);   ///< From a message's first byte to its head's end.
+  milliseconds idle_timeout = seconds(15);  ///< Between two messages.
+};
+
+/// \brief A strict HTTP/1.1 server: one request at a time on a connection, read whole first.
+class http1_server {
+ public:
+  using handler = std::function<void(http1_request, std::shared_ptr<http1_answer>)>;
+  struct options {
+    event_loop& loop;
+    timer_service& timers;
+    std::string address;  ///< ip:port
+    handler on_request;
+  };
+
+  /// \returns Nothing and fills `error` when the address cannot be bound.
+  static std::unique_ptr<http1_server> Listen(options settings, std::string& error);
+  ~http1_server();
+
+  void SetLimits(const http1_limits& limits);
+
+  /// \brief From now on every answer ends its connection.
+  void CloseAfterAnswers();
+
+  /// \brief Takes no new connections and closes those without a request.
+  void StopAccepting();
+
+  /// \returns Requests that were begun and whose answers have not been written whole.
+  [[nodiscard]] std::size_t in_progress() const;
+
+  [[nodiscard]] std::uint16_t port() const;
+
+ private:
+  struct state;
+  class connection;
+  class answer;
+  explicit http1_server(std::shared_ptr<state> initial);
+  std::shared_ptr<state> state_;
+};
+
+}  // namespace jacinthspool
+
+#endif  // JACINTHSPOOL_TRANSPORT_HTTP1_SERVER_H_
--- a/src/transport/tcp_stream.cc
+++ b/src/transport/tcp_stream.cc
@@ -21,16 +21,14 @@
 constexpr std::size_t kReadBytes = 64U << 10U;
 /// One connection leaves the loop to the others after so many reads.
 constexpr int kReadsPerTurn = 16;
-/// A far end that acknowledges nothing for this long is taken for dead.
-constexpr milliseconds kUserTimeout = seconds(20);
 
 int OpenSocket(const socket_address& target) {
   return socket(target.storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 }
 
-void Tune(int socket) {
+void Tune(int socket, const tcp_options& options) {
   DisableDelay(socket);
-  const auto timeout = static_cast<unsigned>(kUserTimeout.count());
+  const auto timeout = static_cast<unsigned>(options.user_timeout.count());
   setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
 }
 
@@ -45,11 +43,12 @@
   event* readable = nullptr;
   event* writable = nullptr;
   evbuffer* output = evbuffer_new();
+  tcp_options options;
   bool connecting = false;
   bool broken = false;
 
-  state(event_loop& the_loop, tcp_listener& the_listener)
-      : loop(the_loop), listener(the_listener) {}
+  state(event_loop& the_loop, tcp_listener& the_listener, const tcp_options& the_options)
+      : loop(the_loop), listener(the_listener), options(the_options) {}
   state(const state&) = delete;
   state& operator=(const state&) = delete;
 
@@ -66,20 +65,24 @@
 
   void Watch(int the_socket) {
     socket = the_socket;
-    Tune(socket);
+    Tune(socket, options);
     readable = event_new(loop.base(), socket, EV_READ | EV_PERSIST, &state::OnReadable, this);
     writable = event_new(loop.base(), socket, EV_WRITE, &state::OnWritable, this);
   }
 
-  void Break(const std::string& reason) {
-    if (broken) {
-      return;
-    }
+  void StopEvents() {
     broken = true;
     if (readable != nullptr) {
       event_del(readable);
       event_del(writable);
     }
+  }
+
+  void Break(const std::string& reason) {
+    if (broken) {
+      return;
+    }
+    StopEvents();
     listener.OnBroken(reason);
   }
 
@@ -120,8 +123,13 @@
       if (length < 0 && IsTemporary(errno)) {
         break;
       }
-      if (length <= 0) {
-        Break(length == 0 ? "closed by the other side" : std::strerror(errno));
+      if (length < 0) {
+        Break(std::strerror(errno));
+        return;
+      }
+      if (length == 0) {
+        StopEvents();
+        listener.OnClosed();
         return;
       }
       const auto count = static_cast<std::size_t>(length);
@@ -152,15 +160,17 @@
   }
 };
 
-tcp_stream::tcp_stream(event_loop& loop, int socket, tcp_listener& listener)
-    : state_(std::make_unique<state>(loop, listener)) {
+tcp_stream::tcp_stream(event_loop& loop, int socket, tcp_listener& listener,
+                       const tcp_options& options)
+    : state_(std::make_unique<state>(loop, listener, options)) {
   evutil_make_socket_nonblocking(socket);
   state_->Watch(socket);
   event_add(state_->readable, nullptr);
 }
 
-tcp_stream::tcp_stream(event_loop& loop, const std::string& address, tcp_listener& listener)
-    : state_(std::make_unique<state>(loop, listener)) {
+tcp_stream::tcp_stream(event_loop& loop, const std::string& address, tcp_listener& listener,
+                       const tcp_options& options)
+    : state_(std::make_unique<state>(loop, listener, options)) {
   state_->connecting = true;
   socket_address target;
   int descriptor = -1;
--- a/src/transport/tcp_stream.h
+++ b/src/transport/tcp_stream.h
@@ -7,10 +7,16 @@
 #include <span>
 #include <string>
 
+#include "jacinthspool/impl/time.h"
 #include "src/transport/event_loop.h"
 
 namespace jacinthspool {
 
+struct tcp_options {
+  /// A far end that acknowledges nothing for this long is taken for dead.
+  milliseconds user_timeout = seconds(20);
+};
+
 /// \brief What the owner of a TCP stream is told.
 class tcp_listener {
  public:
@@ -22,6 +28,8 @@
   /// \brief The queue has been written.
   virtual void OnDrained() = 0;
   virtual void OnBroken(const std::string& reason) = 0;
+  /// \brief The other side has closed in order; everything that it sent has been told.
+  virtual void OnClosed() { OnBroken("closed by the other side"); }
 };
 
 /// \brief A non-blocking TCP connection; written bytes wait until Flush.
@@ -30,10 +38,12 @@
 class tcp_stream {
  public:
   /// \brief Takes over a connected socket.
-  tcp_stream(event_loop& loop, int socket, tcp_listener& listener);
+  tcp_stream(event_loop& loop, int socket, tcp_listener& listener,
+             const tcp_options& options = {});
 
   /// \brief Connects; the listener is told of the result in a later turn.
-  tcp_stream(event_loop& loop, const std::string& address, tcp_listener& listener);
+  tcp_stream(event_loop& loop, const std::string& address, tcp_listener& listener,
+             const tcp_options& options = {});
 
   ~tcp_stream();
   tcp_stream(const tcp_stream&) = delete;
