Keep room in a decode engine before a prompt is read; queue for it

Ruled out: counting in-flight requests in each gateway; three gateways can give the same room away, the engine can't. Change: a hold at the engine for prompt and expected output before the prefill, a queue of claims (still in time first), refusal when no seat can come in time.

--- a/include/jacinthspool/routing/backend_selector.h
+++ b/include/jacinthspool/routing/backend_selector.h
@@ -30,6 +30,7 @@
   double cost = 1;          ///< Load that it adds: tokens of a model request, else 1.
   bool repeatable = false;  ///< May be used to try out a backend server that has failed.
   const std::set<std::string>* tried = nullptr;  ///< Not to be chosen.
+  bool only_free = false;  ///< None rather than one that is busy.
 };
 
 /// \brief Chooses the backend server for an attempt, from what this entry has seen of each.
@@ -69,6 +70,10 @@
   /// \brief An attempt at it has had no answer for longer than it should take.
   void OnSilent(const std::string& id, instant now);
 
+  /// \brief The server has no room until then.
+  void SetBusy(const std::string& id, instant until);
+  void ClearBusy(const std::string& id);
+
   /// \returns What is left out now, for metrics.
   [[nodiscard]] std::size_t ejected(instant now) const;
 
--- a/include/jacinthspool/routing/configuration.h
+++ b/include/jacinthspool/routing/configuration.h
@@ -48,6 +48,7 @@
 struct engine_profile {
   std::uint64_t kv_tokens = 0;       ///< KV cache of one engine.
   microseconds kv_handle_life{};     ///< How long a prefilled prompt waits to be fetched.
+  microseconds longest_hold{};       ///< Room is kept for a request for so long; 0: never.
   bool backs_up_runs = false;        ///< Engines copy a run's KV cache to another one.
 };
 
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "src/gateway/one_way_call.h"
 #include "src/telemetry/log.h"
 
 namespace jacinthspool {
@@ -27,6 +28,13 @@
 constexpr milliseconds kLongestComeBack = seconds(1);
 constexpr milliseconds kConnectTimeout = milliseconds(400);
 
+/// Time that an engine takes for an output token, when it is well filled.
+constexpr microseconds kOutputTokenTime = microseconds(4500);
+/// From a seat to the first event: prefill, transfer and the first tokens.
+constexpr milliseconds kFirstEventTime = milliseconds(250);
+/// Part of the expected output for which room is kept.
+constexpr double kOutputHeld = 1.0;
+
 constexpr int kOk = 200;
 constexpr int kMultipleChoices = 300;
 constexpr int kBadRequest = 400;
@@ -93,6 +101,9 @@
     const instant heard = head_ ? first_heard_ : timer_service::now();
     owner_.context_.selector.OnEnded(backend_.id, owner_.Cost(), result, heard - started_,
                                      timer_service::now());
+    if (backend_.stage == engine_stage::kDecode) {
+      owner_.settings_.seats.OnRoomFreed(backend_.id);
+    }
   }
 
   head_verdict OnHead(const http1_head& head) override {
@@ -235,9 +246,72 @@
   deadline_timer_ = context_.timers.After(
       std::max<microseconds>(deadline_ - timer_service::now(), microseconds(0)),
       [this](instant /*now*/) { OnDeadline(); });
+  SeatAndSend();
+}
+
+bool forward_exchange::WantsSeat() const {
+  const auto& services = context_.routes.configuration()->services;
+  const auto service = services.find(settings_.service);
+  return settings_.request.model && service != services.end() && service->second.engine &&
+         service->second.engine->longest_hold > microseconds(0) &&
+         context_.selector.Has(settings_.service, engine_stage::kDecode);
+}
+
+seat_claim forward_exchange::ClaimOf(instant now) const {
+  const model_work& work = *settings_.request.model;
+  const double output = static_cast<double>(work.expected_output_tokens);
+  const auto decoding = std::chrono::duration_cast<microseconds>(
+      kOutputTokenTime * static_cast<std::int64_t>(work.expected_output_tokens));
+  return {.service = settings_.service,
+          .tokens = static_cast<double>(work.prompt_tokens) + kOutputHeld * output,
+          .resumes = answer_begun_,
+          .on_time_until = settings_.received + settings_.route->latency_objective - kFirstEventTime,
+          .last_use = std::max(now + kLeastUsefulTime, deadline_ - decoding - kFirstEventTime)};
+}
+
+void forward_exchange::SeatAndSend() {
+  if (!WantsSeat()) {
+    SendNext();
+    return;
+  }
+  EndAttempt();
+  const instant now = timer_service::now();
+  if (TimeLeft(now) < kLeastUsefulTime) {
+    OnServeFailed(attempt_failure::kUnsent);
+    return;
+  }
+  claim_ = settings_.seats.Claim(ClaimOf(now), {.on_seat =
+                                                    [this](decode_seat seat) {
+                                                      claim_ = 0;
+                                                      TakeSeat(std::move(seat));
+                                                    },
+                                                .on_refused =
+                                                    [this](std::string_view /*why*/) {
+                                                      claim_ = 0;
+                                                      OnServeFailed(attempt_failure::kUnsent);
+                                                    }});
+}
+
+void forward_exchange::TakeSeat(decode_seat seat) {
+  context_.selector.OnStarted(seat.backend.id, seat.tokens);
+  seat_ = std::move(seat);
   SendNext();
 }
 
+std::optional<decode_seat> forward_exchange::LeaveSeat() {
+  if (seat_) {
+    context_.selector.OnEnded(seat_->backend.id, seat_->tokens, attempt_result::kUnknown, {},
+                              timer_service::now());
+  }
+  return std::exchange(seat_, std::nullopt);
+}
+
+void forward_exchange::GiveSeatBack() {
+  if (const auto seat = LeaveSeat()) {
+    settings_.seats.Release(*seat);
+  }
+}
+
 milliseconds forward_exchange::TimeLeft(instant now) const {
   return std::chrono::duration_cast<milliseconds>(deadline_ - now);
 }
@@ -260,7 +334,7 @@
 
 void forward_exchange::SendNext() {
   const auto self = shared_from_this();
-  attempt_.reset();
+  EndAttempt();
   const instant now = timer_service::now();
   if (TimeLeft(now) < kLeastUsefulTime) {
     Refuse("no time left");
@@ -274,6 +348,10 @@
   const engine_stage stage = prefill  ? engine_stage::kPrefill
                              : staged ? engine_stage::kDecode
                                       : engine_stage::kNone;
+  if (seat_ && !prefill) {
+    SendToSeat();
+    return;
+  }
   const backend_record* chosen =
       context_.selector.Choose({.service = settings_.service,
                                 .stage = stage,
@@ -303,16 +381,34 @@
   StartAttempt(prefill ? attempt_kind::kPrefill : attempt_kind::kServe, *chosen);
 }
 
+void forward_exchange::SendToSeat() {
+  const instant now = timer_service::now();
+  const auto& listed = context_.backends.backends();
+  const auto record = listed.find(seat_->backend.id);
+  if (now >= seat_->until || record == listed.end() || record->second.leaving) {
+    GiveSeatBack();
+    SeatAndSend();
+    return;
+  }
+  if (sends_ > 0 && !context_.budget.Draw(now, settings_.service)) {
+    OnServeFailed(attempt_failure::kUnsent);
+    return;
+  }
+  StartAttempt(attempt_kind::kServe, record->second);
+}
+
 void forward_exchange::StartAttempt(attempt_kind kind, const backend_record& backend) {
   const bool prefill = kind == attempt_kind::kPrefill;
   ++(prefill ? prefills_ : sends_);
+  const std::optional<decode_seat> seat = prefill ? std::nullopt : LeaveSeat();
   attempt_ = std::make_unique<attempt>(*this, kind, backend);
   const std::string bytes = context_.dialect.EncodeAttempt(
       settings_.request, {.backend_id = backend.id,
                           .time_left = TimeLeft(timer_service::now()),
                           .resume_after = last_event_,
                           .prefill_only = prefill,
-                          .kv_source = prefill ? std::string() : kv_source_});
+                          .kv_source = prefill ? std::string() : kv_source_,
+                          .hold = seat ? seat->hold : std::string()});
   attempt_->Send(bytes, false);
   const double patience = prefill ? kPrefillPatience : kPatience;
   const auto wait = std::chrono::duration_cast<milliseconds>(
@@ -321,6 +417,11 @@
                                          [this](instant /*now*/) { OnSilent(*attempt_); });
 }
 
+void forward_exchange::EndAttempt() {
+  silence_timer_.Cancel();
+  attempt_.reset();
+}
+
 void forward_exchange::OnSilent(attempt& silent) {
   const instant now = timer_service::now();
   if (silent.streaming()) {
@@ -396,7 +497,7 @@
                                                           attempt_ != nullptr && MaySendAgain()});
   switch (step) {
     case next_step::kSendAgain:
-      SendNext();
+      SeatAndSend();
       return;
     case next_step::kRefuse:
       Refuse(ToString(failure));
@@ -427,12 +528,14 @@
 
 void forward_exchange::BeginAnswer(const http1_head& head) {
   if (!std::exchange(answer_begun_, true)) {
+    first_event_ = timer_service::now() - settings_.received;
     settings_.answer->Begin(head.status, EndToEndHeaders(head));
   }
 }
 
 void forward_exchange::ForwardEvents(const http1_head& head,
                                      const std::vector<stream_event>& events) {
+  const auto self = shared_from_this();
   std::string whole;
   for (const stream_event& event : events) {
     if (event.id && last_event_ && *event.id <= *last_event_) {
@@ -500,25 +603,8 @@
     return;
   }
   kv_source_.clear();
-  /// Tells an engine that a KV cache is no longer needed; nobody waits for the answer.
-  class release : public http1_call_listener {
-   public:
-    head_verdict OnHead(const http1_head& /*head*/) override { return head_verdict::kTake; }
-    void OnBody(std::string_view /*bytes*/) override {}
-    void OnEnd(call_end /*end*/, const std::string& /*reason*/) override {
-      // The KV cache expires by itself when the engine can't be told.
-      loop->Post([kept = std::move(self)] {});
-    }
-    event_loop* loop = nullptr;
-    std::unique_ptr<http1_call> call;
-    std::shared_ptr<release> self;
-  };
-  auto order = std::make_shared<release>();
-  order->loop = &context_.loop;
-  order->call = context_.client.Start(
-      {.address = kv_holder_, .bytes = context_.dialect.EncodeRelease(kv_holder_, kv_handle_)},
-      *order);
-  order->self = order;
+  SendOneWay(context_.loop, context_.client, kv_holder_,
+             context_.dialect.EncodeRelease(kv_holder_, kv_handle_));
 }
 
 void forward_exchange::Finish(std::string_view outcome, std::string_view why) {
@@ -528,9 +614,10 @@
   const auto self = shared_from_this();
   const instant now = timer_service::now();
   const std::string last = attempt_ ? attempt_->backend().id : "";
-  attempt_.reset();
-  silence_timer_.Cancel();
+  EndAttempt();
   deadline_timer_.Cancel();
+  settings_.seats.Withdraw(claim_);
+  GiveSeatBack();
   ReleaseHandle();
   const auto took = now - settings_.received;
   Log(log_level::kInfo, "request",
@@ -544,6 +631,12 @@
        {"prefills", prefills_},
        {"runs", runs_},
        {"took_ms", took / milliseconds(1)},
+       {"first_ms", first_event_ / milliseconds(1)},
+       {"prompt_tokens", settings_.request.model ? settings_.request.model->prompt_tokens : 0},
+       {"max_output", settings_.request.model ? settings_.request.model->max_output_tokens : 0},
+       {"expected_output",
+        settings_.request.model ? settings_.request.model->expected_output_tokens : 0},
+       {"events", last_event_.value_or(0)},
        {"configuration", context_.routes.configuration()->version}});
   context_.metrics.Count("gateway_requests", {{"outcome", std::string(outcome)}});
   context_.metrics.Observe("gateway_request_time", {{"outcome", std::string(outcome)}}, took);
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -10,6 +10,7 @@
 #include "jacinthspool/routing/event_splitter.h"
 #include "jacinthspool/routing/next_step.h"
 #include "src/gateway/gateway_context.h"
+#include "src/gateway/seat_dispatcher.h"
 #include "src/transport/http1_server.h"
 
 namespace jacinthspool {
@@ -22,6 +23,7 @@
  public:
   struct options {
     gateway_context& context;
+    seat_dispatcher& seats;
     forward_request request;
     std::shared_ptr<const forward_route> route;
     std::string service;
@@ -40,6 +42,16 @@
   class attempt;
   enum class attempt_kind { kPrefill, kServe };
 
+  /// \brief Waits for a seat where the service's engines keep room, and then sends.
+  void SeatAndSend();
+  [[nodiscard]] bool WantsSeat() const;
+  [[nodiscard]] seat_claim ClaimOf(instant now) const;
+  void TakeSeat(decode_seat seat);
+  /// \brief Sends to the engine that keeps room for it.
+  void SendToSeat();
+  /// \returns The seat, which is now in use or to be given back.
+  std::optional<decode_seat> LeaveSeat();
+  void GiveSeatBack();
   void SendNext();
   [[nodiscard]] bool WantsPrefill() const;
   [[nodiscard]] bool MaySendAgain() const;
@@ -47,6 +59,7 @@
   void OnPrefilled(const backend_record& backend, const std::string& handle);
   void OnPrefillFailed(attempt_failure failure);
   void OnServeFailed(attempt_failure failure);
+  void EndAttempt();
   void OnSilent(attempt& silent);
   void Deliver(const http1_head& head, std::string_view body);
   void ForwardEvents(const http1_head& head, const std::vector<stream_event>& events);
@@ -77,7 +90,10 @@
   std::string kv_holder_;  ///< Address of the engine that holds it.
   std::string kv_handle_;
   instant kv_until_{};
+  std::uint64_t claim_ = 0;  ///< In the queue for a seat; 0: none.
+  std::optional<decode_seat> seat_;
   bool answer_begun_ = false;
+  microseconds first_event_{};  ///< From the request's arrival to the answer's begin.
   std::optional<std::uint64_t> last_event_;
   std::optional<http1_head> failed_head_;  ///< The newest error of a backend server.
   std::string failed_body_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -41,7 +41,8 @@
                .selector = backend_selector({.data_centre = settings.data_centre}),
                .budget = extra_budget({}),
                .metrics = {},
-               .random = std::mt19937_64(std::random_device{}())} {
+               .random = std::mt19937_64(std::random_device{}())},
+      seats_(context_) {
   expiry_ = settings.timers.Every(kExpiryPeriod, [this](instant now) {
     if (context_.backends.Expire(now)) {
       Log(log_level::kInfo, "backends_expired",
@@ -91,6 +92,7 @@
   decoded->body = std::move(request.body);
   const auto exchange = std::make_shared<forward_exchange>(
       forward_exchange::options{.context = context_,
+                                .seats = seats_,
                                 .request = std::move(*decoded),
                                 .route = route,
                                 .service = *service,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -61,6 +61,7 @@
   void Refuse(http1_answer& answer, int status, std::string_view id, std::string_view why);
 
   gateway_context context_;
+  seat_dispatcher seats_;
   std::set<std::shared_ptr<forward_exchange>> exchanges_;
   timer_subscription expiry_;
   bool list_known_ = false;
--- /dev/null
+++ b/src/gateway/seat_dispatcher.cc
@@ -0,0 +1,180 @@
+#include "src/gateway/seat_dispatcher.h"
+
+#include <utility>
+#include <vector>
+
+#include "src/gateway/one_way_call.h"
+#include "src/telemetry/log.h"
+
+namespace jacinthspool {
+namespace {
+
+/// How often waiting claims are tried again.
+constexpr milliseconds kTickPeriod = milliseconds(25);
+/// An engine that has denied a seat is not asked again for so long.
+constexpr milliseconds kDenialPause = milliseconds(40);
+/// How long an engine keeps a seat: a prefill and the way to it fit well.
+constexpr milliseconds kSeatLife = milliseconds(1500);
+constexpr milliseconds kHoldTimeout = milliseconds(250);
+constexpr std::size_t kMaxTries = 8;  ///< Running at once.
+
+constexpr int kOk = 200;
+
+}  // namespace
+
+/// Asks one engine for one seat.
+class seat_dispatcher::hold_call : public http1_call_listener {
+ public:
+  hold_call(seat_dispatcher& owner, std::uint64_t claim, backend_record backend, double tokens)
+      : owner_(owner), claim_(claim), backend_(std::move(backend)), tokens_(tokens) {}
+
+  void Send() {
+    gateway_context& context = owner_.context_;
+    call_ = context.client.Start(
+        {.address = backend_.address,
+         .bytes = context.dialect.EncodeHold(backend_.address, backend_.id,
+                                             static_cast<std::uint64_t>(tokens_), kSeatLife),
+         .connect_timeout = kHoldTimeout},
+        *this);
+    timeout_ = context.timers.After(
+        kHoldTimeout, [this](instant /*now*/) { OnEnd(call_end::kLost, "no answer in time"); });
+  }
+
+  [[nodiscard]] std::uint64_t claim() const { return claim_; }
+  [[nodiscard]] const backend_record& backend() const { return backend_; }
+  [[nodiscard]] double tokens() const { return tokens_; }
+
+  head_verdict OnHead(const http1_head& head) override {
+    status_ = head.status;
+    return head_verdict::kTake;
+  }
+  void OnBody(std::string_view bytes) override { body_ += bytes; }
+  void OnEnd(call_end end, const std::string& /*reason*/) override {
+    timeout_.Cancel();
+    const bool answered = end == call_end::kWhole;
+    std::string hold;
+    if (answered && status_ == kOk) {
+      hold = owner_.context_.dialect.DecodeHold(body_).value_or("");
+    }
+    owner_.OnHoldEnded(*this, hold, answered);
+  }
+
+ private:
+  seat_dispatcher& owner_;
+  std::uint64_t claim_;
+  backend_record backend_;
+  double tokens_;
+  std::unique_ptr<http1_call> call_;
+  timer_subscription timeout_;
+  int status_ = 0;
+  std::string body_;
+};
+
+seat_dispatcher::seat_dispatcher(gateway_context& context) : context_(context), queue_({}) {}
+seat_dispatcher::~seat_dispatcher() = default;
+
+std::uint64_t seat_dispatcher::Claim(seat_claim claim, handlers told) {
+  const auto number = queue_.Add(std::move(claim), timer_service::now());
+  if (!number) {
+    told.on_refused("no seat in time");
+    return 0;
+  }
+  handlers_.emplace(*number, std::move(told));
+  Dispatch();
+  return *number;
+}
+
+void seat_dispatcher::Withdraw(std::uint64_t number) {
+  queue_.Remove(number);
+  handlers_.erase(number);
+}
+
+void seat_dispatcher::Release(const decode_seat& seat) {
+  SendOneWay(context_.loop, context_.client, seat.backend.address,
+             context_.dialect.EncodeHoldRelease(seat.backend.address, seat.hold));
+}
+
+void seat_dispatcher::OnRoomFreed(const std::string& backend_id) {
+  context_.selector.ClearBusy(backend_id);
+  if (queue_.size() > 0) {
+    Dispatch();
+  }
+}
+
+void seat_dispatcher::Dispatch() {
+  const instant now = timer_service::now();
+  while (calls_.size() < kMaxTries && TryNext(now)) {
+  }
+  if (queue_.size() > 0 && !tick_.active()) {
+    tick_ = context_.timers.After(kTickPeriod, [this](instant /*unused*/) { Tick(); });
+  }
+}
+
+void seat_dispatcher::Tick() {
+  for (const std::uint64_t number : queue_.Expire(timer_service::now())) {
+    if (auto found = handlers_.extract(number)) {
+      found.mapped().on_refused("no seat in time");
+    }
+  }
+  tick_ = {};
+  Dispatch();
+}
+
+bool seat_dispatcher::TryNext(instant now) {
+  const auto number = queue_.Next(now);
+  if (!number) {
+    return false;
+  }
+  const seat_claim& claim = *queue_.Find(*number);
+  const backend_record* chosen = context_.selector.Choose({.service = claim.service,
+                                                           .stage = engine_stage::kDecode,
+                                                           .cost = claim.tokens,
+                                                           .repeatable = true,
+                                                           .only_free = true},
+                                                          now, context_.random());
+  if (chosen == nullptr) {
+    return false;
+  }
+  queue_.SetTrying(*number, true);
+  const auto call = std::make_shared<hold_call>(*this, *number, *chosen, claim.tokens);
+  calls_.emplace(call.get(), call);
+  context_.selector.OnStarted(chosen->id, claim.tokens);
+  call->Send();
+  return true;
+}
+
+void seat_dispatcher::OnHoldEnded(hold_call& call, const std::string& hold, bool answered) {
+  const instant now = timer_service::now();
+  auto found = calls_.extract(&call);
+  if (found.empty()) {
+    return;
+  }
+  const std::string id = call.backend().id;
+  context_.metrics.Count("gateway_seats", {{"outcome", !hold.empty() ? "granted"
+                                                       : answered    ? "denied"
+                                                                     : "no_answer"}});
+  if (hold.empty()) {
+    context_.selector.OnEnded(id, call.tokens(),
+                              answered ? attempt_result::kUnknown : attempt_result::kFailed, {},
+                              now);
+    context_.selector.SetBusy(id, now + kDenialPause);
+    queue_.SetTrying(call.claim(), false);
+  } else {
+    context_.selector.OnEnded(id, call.tokens(), attempt_result::kUnknown, {}, now);
+    decode_seat seat{.backend = call.backend(),
+                     .hold = hold,
+                     .tokens = call.tokens(),
+                     .until = now + kSeatLife};
+    queue_.OnSeated(call.claim(), now);
+    if (auto told = handlers_.extract(call.claim())) {
+      told.mapped().on_seat(std::move(seat));
+    } else {
+      Release(seat);
+    }
+  }
+  // The call may be on the stack below.
+  context_.loop.Post([kept = found.mapped()] {});
+  Dispatch();
+}
+
+}  // namespace jacinthspool
--- a/src/gateway/wire_dialect.h
+++ b/src/gateway/wire_dialect.h
@@ -16,6 +16,7 @@
 struct model_work {
   std::uint64_t prompt_tokens = 0;
   std::uint64_t max_output_tokens = 0;
+  std::uint64_t expected_output_tokens = 0;  ///< The caller's guess; often far off.
 };
 
 /// \brief A caller's request in the product's terms.
@@ -38,6 +39,7 @@
   std::optional<std::uint64_t> resume_after;
   bool prefill_only = false;  ///< Only read the prompt and keep its KV cache.
   std::string kv_source = {};  ///< Where the prompt's KV cache waits; empty: nowhere.
+  std::string hold = {};       ///< Room that the backend server keeps for it; empty: none.
   std::string kv_backup = {};  ///< Address that gets a copy of the run's KV cache; empty: none.
 };
 
@@ -79,6 +81,16 @@
   [[nodiscard]] virtual std::string EncodeRelease(std::string_view address,
                                                   std::string_view handle) const = 0;
 
+  /// \returns The bytes of a request that asks a decode engine to keep room.
+  [[nodiscard]] virtual std::string EncodeHold(std::string_view address,
+                                               std::string_view backend_id, std::uint64_t tokens,
+                                               milliseconds life) const = 0;
+  /// \returns The engine's name for the room, or nothing when the body holds none.
+  [[nodiscard]] virtual std::optional<std::string> DecodeHold(std::string_view body) const = 0;
+  /// \returns The bytes of a request that gives such room back.
+  [[nodiscard]] virtual std::string EncodeHoldRelease(std::string_view address,
+                                                      std::string_view hold) const = 0;
+
   /// \returns Headers of a refusal that says when to come back.
   [[nodiscard]] virtual http_headers RefusalHeaders(milliseconds come_back_in) const = 0;
 };
--- a/src/routing/backend_selector.cc
+++ b/src/routing/backend_selector.cc
@@ -78,6 +78,9 @@
   const bool some_free = std::any_of(usable.begin(), usable.end(), [&](const member* each) {
     return each->busy_until <= now;
   });
+  if (wanted.only_free && !some_free) {
+    return nullptr;
+  }
   const member* best = nullptr;
   double best_score = std::numeric_limits<double>::max();
   const std::size_t first = random % usable.size();
@@ -156,6 +159,14 @@
   }
 }
 
+void backend_selector::SetBusy(const std::string& id, instant until) {
+  if (const auto found = members_.find(id); found != members_.end()) {
+    found->second.busy_until = until;
+  }
+}
+
+void backend_selector::ClearBusy(const std::string& id) { SetBusy(id, {}); }
+
 void backend_selector::CountFailure(member& failing, instant now) const {
   failing.failure_share += kNewest * (1 - failing.failure_share);
   // Attempts that were under way at an ejection say nothing new.
