--- a/include/jacinthspool/routing/configuration.h
+++ b/include/jacinthspool/routing/configuration.h
@@ -34,6 +34,8 @@
   std::uint32_t max_attempts = 1;  ///< Backend servers on which one request may run.
   milliseconds timeout{};          ///< Longest time a caller is kept waiting.
   milliseconds latency_objective{};
+  /// Callers leave a stream that is silent for longer, also before its first event; 0: never.
+  milliseconds silence_limit{};
   std::uint32_t priority = 0;  ///< 0 is the most important.
   std::vector<route_target> targets;
   bool resumable = false;  ///< A broken stream may go on at another backend server.
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -262,11 +262,16 @@
   const double output = static_cast<double>(work.expected_output_tokens);
   const auto decoding = std::chrono::duration_cast<microseconds>(
       kOutputTokenTime * static_cast<std::int64_t>(work.expected_output_tokens));
+  instant last_use = deadline_ - decoding - kFirstEventTime;
+  const milliseconds silence = settings_.route->silence_limit;
+  if (silence > milliseconds(0) && !answer_begun_) {
+    last_use = std::min(last_use, settings_.received + silence - kFirstEventTime);
+  }
   return {.service = settings_.service,
           .tokens = static_cast<double>(work.prompt_tokens) + kOutputHeld * output,
           .resumes = answer_begun_,
           .on_time_until = settings_.received + settings_.route->latency_objective - kFirstEventTime,
-          .last_use = std::max(now + kLeastUsefulTime, deadline_ - decoding - kFirstEventTime)};
+          .last_use = std::max(now + kLeastUsefulTime, last_use)};
 }
 
 void forward_exchange::SeatAndSend() {
@@ -295,6 +300,7 @@
 void forward_exchange::TakeSeat(decode_seat seat) {
   context_.selector.OnStarted(seat.backend.id, seat.tokens);
   seat_ = std::move(seat);
+  seat_wait_ = timer_service::now() - settings_.received;
   SendNext();
 }
 
@@ -631,6 +637,7 @@
        {"prefills", prefills_},
        {"runs", runs_},
        {"took_ms", took / milliseconds(1)},
+       {"seat_ms", seat_wait_ / milliseconds(1)},
        {"first_ms", first_event_ / milliseconds(1)},
        {"prompt_tokens", settings_.request.model ? settings_.request.model->prompt_tokens : 0},
        {"max_output", settings_.request.model ? settings_.request.model->max_output_tokens : 0},
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -93,6 +93,7 @@
   std::uint64_t claim_ = 0;  ///< In the queue for a seat; 0: none.
   std::optional<decode_seat> seat_;
   bool answer_begun_ = false;
+  microseconds seat_wait_{};    ///< From the request's arrival to its last seat.
   microseconds first_event_{};  ///< From the request's arrival to the answer's begin.
   std::optional<std::uint64_t> last_event_;
   std::optional<http1_head> failed_head_;  ///< The newest error of a backend server.
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -19,8 +19,9 @@
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 
-/// After the stop signal the balancer still sends callers until it has asked twice in vain.
-constexpr milliseconds kBalancerDelay = milliseconds(3200);
+/// After the stop signal the balancer still sends callers until it has asked twice in vain, once
+/// a second.
+constexpr milliseconds kBalancerDelay = milliseconds(2500);
 constexpr milliseconds kStopCheckPeriod = milliseconds(100);
 /// The process ends this long before it would be killed.
 constexpr milliseconds kStopMargin = milliseconds(300);
--- a/src/gateway/snapshot.cc
+++ b/src/gateway/snapshot.cc
@@ -18,6 +18,7 @@
   wire->max_attempts = route.max_attempts;
   wire->timeout_ms = Ms(route.timeout);
   wire->latency_objective_ms = Ms(route.latency_objective);
+  wire->silence_limit_ms = Ms(route.silence_limit);
   wire->priority = route.priority;
   wire->resumable = route.resumable;
   for (const route_target& target : route.targets) {
@@ -37,6 +38,7 @@
                       .max_attempts = wire.max_attempts,
                       .timeout = milliseconds(wire.timeout_ms),
                       .latency_objective = milliseconds(wire.latency_objective_ms),
+                      .silence_limit = milliseconds(wire.silence_limit_ms),
                       .priority = wire.priority,
                       .targets = {},
                       .resumable = wire.resumable};
--- a/src/transport/http1_client.cc
+++ b/src/transport/http1_client.cc
@@ -75,7 +75,7 @@
                  .max_head_bytes = 64U << 10U,
                  .max_body_bytes = owner_->settings.max_body_bytes}),
         stream_(owner_->settings.loop, call.address, *this,
-                {.user_timeout = owner_->settings.user_timeout}) {
+                {.user_timeout = owner_->settings.user_timeout, .probes_silence = true}) {
     ++owner_->opened;
   }
 
@@ -308,9 +308,6 @@
     return;
   }
   std::erase_if(found->second, [&](const auto& each) { return each.get() == &gone; });
-  if (found->second.empty()) {
-    idle.erase(found);
-  }
 }
 
 http1_client::http1_client(const options& settings) : state_(std::make_shared<state>(settings)) {}
@@ -335,7 +332,9 @@
   if (found == state_->idle.end()) {
     return;
   }
-  for (const auto& each : std::exchange(found->second, {})) {
+  const auto kept = std::move(found->second);
+  state_->idle.erase(found);
+  for (const auto& each : kept) {
     each->Abandon();
   }
 }
--- a/src/transport/tcp_stream.cc
+++ b/src/transport/tcp_stream.cc
@@ -22,6 +22,12 @@
 /// One connection leaves the loop to the others after so many reads.
 constexpr int kReadsPerTurn = 16;
 
+/// Silence after which keep-alive probes begin, and between them, in seconds.
+constexpr int kProbeAfterS = 1;
+constexpr int kProbePeriodS = 1;
+/// Unanswered probes after which the connection is dead.
+constexpr int kProbes = 2;
+
 int OpenSocket(const socket_address& target) {
   return socket(target.storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 }
@@ -30,6 +36,13 @@
   DisableDelay(socket);
   const auto timeout = static_cast<unsigned>(options.user_timeout.count());
   setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+  if (options.probes_silence) {
+    const int on = 1;
+    setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &kProbeAfterS, sizeof(kProbeAfterS));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &kProbePeriodS, sizeof(kProbePeriodS));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof(kProbes));
+  }
 }
 
 bool IsTemporary(int error) { return error == EAGAIN || error == EWOULDBLOCK || error == EINTR; }
--- a/src/transport/tcp_stream.h
+++ b/src/transport/tcp_stream.h
@@ -15,6 +15,8 @@
 struct tcp_options {
   /// A far end that acknowledges nothing for this long is taken for dead.
   milliseconds user_timeout = seconds(20);
+  /// Keep-alive probes find a silent connection although nothing is being sent.
+  bool probes_silence = false;
 };
 
 /// \brief What the owner of a TCP stream is told.
