Learn how long answers really get, and keep room for that

Ruled out: a fixed factor on the callers' guesses (0.5, 1.5: no gain). Change: a regression of the answers' lengths on the guesses, with a margin in standard errors.

--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -21,6 +21,8 @@
 constexpr double kPrefillPatience = 0.6;
 /// A KV cache is not sent for in the last part of its life.
 constexpr double kUsableHandleLife = 0.8;
+/// The life of a KV cache that waits, where the operators don't tell it.
+constexpr microseconds kUnknownHandleLife = milliseconds(300);
 constexpr std::uint32_t kMaxPrefills = 2;
 /// What a refused caller is told to wait, as a part of the time it has left.
 constexpr int kComeBackDivisor = 5;
@@ -32,8 +34,6 @@
 constexpr microseconds kOutputTokenTime = microseconds(4500);
 /// From a seat to the first event: prefill, transfer and the first tokens.
 constexpr milliseconds kFirstEventTime = milliseconds(250);
-/// Part of the expected output for which room is kept.
-constexpr double kOutputHeld = 1.0;
 
 constexpr int kOk = 200;
 constexpr int kMultipleChoices = 300;
@@ -249,26 +249,38 @@
   SeatAndSend();
 }
 
-bool forward_exchange::WantsSeat() const {
+const engine_profile* forward_exchange::Engine() const {
   const auto& services = context_.routes.configuration()->services;
   const auto service = services.find(settings_.service);
-  return settings_.request.model && service != services.end() && service->second.engine &&
-         service->second.engine->longest_hold > microseconds(0) &&
+  const bool known = service != services.end() && service->second.engine;
+  return known ? &*service->second.engine : nullptr;
+}
+
+std::uint64_t forward_exchange::TokensPerEvent() const {
+  const engine_profile* engine = Engine();
+  return engine != nullptr ? engine->tokens_per_event : 1;
+}
+
+bool forward_exchange::WantsSeat() const {
+  const engine_profile* engine = Engine();
+  return settings_.request.model && engine != nullptr &&
+         engine->longest_hold > microseconds(0) &&
          context_.selector.Has(settings_.service, engine_stage::kDecode);
 }
 
 seat_claim forward_exchange::ClaimOf(instant now) const {
   const model_work& work = *settings_.request.model;
-  const double output = static_cast<double>(work.expected_output_tokens);
+  const std::uint64_t output = context_.outputs.RoomFor(
+      settings_.service, work.expected_output_tokens, work.max_output_tokens);
   const auto decoding = std::chrono::duration_cast<microseconds>(
-      kOutputTokenTime * static_cast<std::int64_t>(work.expected_output_tokens));
+      kOutputTokenTime * static_cast<std::int64_t>(output));
   instant last_use = deadline_ - decoding - kFirstEventTime;
   const milliseconds silence = settings_.route->silence_limit;
   if (silence > milliseconds(0) && !answer_begun_) {
     last_use = std::min(last_use, settings_.received + silence - kFirstEventTime);
   }
   return {.service = settings_.service,
-          .tokens = static_cast<double>(work.prompt_tokens) + kOutputHeld * output,
+          .tokens = static_cast<double>(work.prompt_tokens + output),
           .resumes = answer_begun_,
           .on_time_until = settings_.received + settings_.route->latency_objective - kFirstEventTime,
           .last_use = std::max(now + kLeastUsefulTime, last_use)};
@@ -464,11 +476,8 @@
 }
 
 void forward_exchange::OnPrefilled(const backend_record& backend, const std::string& handle) {
-  const auto configuration = context_.routes.configuration();
-  const auto service = configuration->services.find(settings_.service);
-  const bool known = service != configuration->services.end() && service->second.engine;
-  const microseconds life =
-      known ? service->second.engine->kv_handle_life : microseconds(milliseconds(500));
+  const engine_profile* engine = Engine();
+  const microseconds life = engine != nullptr ? engine->kv_handle_life : kUnknownHandleLife;
   kv_source_ = context_.dialect.KvSource(backend.address, handle);
   kv_holder_ = backend.address;
   kv_handle_ = handle;
@@ -560,6 +569,10 @@
   const auto self = shared_from_this();
   BeginAnswer(head);
   settings_.answer->End();
+  if (settings_.request.model && last_event_ && !settings_.request.resume_after) {
+    context_.outputs.Learn(settings_.service, settings_.request.model->expected_output_tokens,
+                           *last_event_ * TokensPerEvent());
+  }
   Finish("served", "");
 }
 
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -74,6 +74,9 @@
   void ReleaseHandle();
   [[nodiscard]] milliseconds TimeLeft(instant now) const;
   [[nodiscard]] double Cost() const;
+  /// \returns What the operators tell of the service's engines, or null.
+  [[nodiscard]] const engine_profile* Engine() const;
+  [[nodiscard]] std::uint64_t TokensPerEvent() const;
 
   options settings_;
   gateway_context& context_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -40,6 +40,7 @@
                .backends = backend_list({}),
                .selector = backend_selector({.data_centre = settings.data_centre}),
                .budget = extra_budget({}),
+               .outputs = output_estimate({}),
                .metrics = {},
                .random = std::mt19937_64(std::random_device{}())},
       seats_(context_) {
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -6,6 +6,7 @@
 #include "jacinthspool/routing/backend_list.h"
 #include "jacinthspool/routing/backend_selector.h"
 #include "jacinthspool/routing/extra_budget.h"
+#include "jacinthspool/routing/output_estimate.h"
 #include "jacinthspool/routing/route_table.h"
 #include "src/gateway/wire_dialect.h"
 #include "src/telemetry/metrics.h"
@@ -25,6 +26,7 @@
   backend_list backends;
   backend_selector selector;
   extra_budget budget;
+  output_estimate outputs;
   metrics_registry metrics;
   std::mt19937_64 random;
 };
--- a/src/gateway/snapshot.cc
+++ b/src/gateway/snapshot.cc
@@ -57,6 +57,7 @@
     wire->kv_tokens = service.engine->kv_tokens;
     wire->kv_handle_life = static_cast<std::uint64_t>(service.engine->kv_handle_life.count());
     wire->longest_hold = static_cast<std::uint64_t>(service.engine->longest_hold.count());
+    wire->tokens_per_event = service.engine->tokens_per_event;
     wire->backs_up_runs = service.engine->backs_up_runs;
   }
   return wire;
@@ -70,6 +71,7 @@
         .kv_tokens = wire.kv_tokens,
         .kv_handle_life = microseconds(static_cast<std::int64_t>(wire.kv_handle_life)),
         .longest_hold = microseconds(static_cast<std::int64_t>(wire.longest_hold)),
+        .tokens_per_event = wire.tokens_per_event,
         .backs_up_runs = wire.backs_up_runs};
   }
   return service;
