Judge a failing server against the others of its service

Tried and taken back: running a repeatable request again on the servers that had run it. Change: a server is left out only when it fails 0.25 more than the others.

--- a/include/jacinthspool/routing/backend_selector.h
+++ b/include/jacinthspool/routing/backend_selector.h
@@ -94,6 +94,8 @@
                              double fastest_ms) const;
   void Eject(member& failing, instant now) const;
   void CountFailure(member& failing, instant now) const;
+  /// \returns The mean failed share of the other servers of its service.
+  [[nodiscard]] double FailureShareOfOthers(const member& one) const;
 
   options settings_;
   std::map<std::string, member> members_;
--- a/src/routing/backend_selector.cc
+++ b/src/routing/backend_selector.cc
@@ -11,6 +11,8 @@
 constexpr double kNewest = 0.2;
 /// A server whose failed share is above this is left out: two failures in a row reach it.
 constexpr double kFailingShare = 0.35;
+/// What all servers of a service fail is no fault of one: it must fail this much more often.
+constexpr double kOutlierDistance = 0.25;
 /// Where a server stands after an ejection: the next failure ejects it again.
 constexpr double kProbationShare = 0.2;
 /// How strongly failures count against a server that is still used.
@@ -167,10 +169,25 @@
 
 void backend_selector::ClearBusy(const std::string& id) { SetBusy(id, {}); }
 
+double backend_selector::FailureShareOfOthers(const member& one) const {
+  double sum = 0;
+  int count = 0;
+  for (const auto& [id, each] : members_) {
+    if (&each != &one && each.record.service == one.record.service &&
+        each.record.stage == one.record.stage) {
+      sum += each.failure_share;
+      ++count;
+    }
+  }
+  return count > 0 ? sum / count : 0;
+}
+
 void backend_selector::CountFailure(member& failing, instant now) const {
   failing.failure_share += kNewest * (1 - failing.failure_share);
   // Attempts that were under way at an ejection say nothing new.
-  if (failing.ejected_until <= now && failing.failure_share > kFailingShare) {
+  const double usual = FailureShareOfOthers(failing);
+  if (failing.ejected_until <= now &&
+      failing.failure_share > std::max(kFailingShare, usual + kOutlierDistance)) {
     Eject(failing, now);
   }
 }
