Give late requests only room to spare in decode engines

Cause: in a burst each gateway queues for itself; seats went to requests that were late already at one gateway while others, still in time, waited at the next. Ruled out: telling the other gateways who waits; it costs messages with the square of their number and is stale when it arrives. Change: a late claim must find 15 % of an engine's memory free beside its own need before it is given a seat; the engine answers that itself.

--- a/include/jacinthspool/routing/seat_queue.h
+++ b/include/jacinthspool/routing/seat_queue.h
@@ -51,6 +51,12 @@
 
   [[nodiscard]] const seat_claim* Find(std::uint64_t number) const;
 
+  /// \returns true when the claim can't be on time any more: it should take only room that is
+  /// left over.
+  [[nodiscard]] static bool IsLate(const seat_claim& claim, instant now) {
+    return !claim.resumes && claim.on_time_until < now;
+  }
+
   /// \brief A claim is being tried at an engine, or no longer.
   void SetTrying(std::uint64_t number, bool trying);
 
--- a/src/gateway/seat_dispatcher.cc
+++ b/src/gateway/seat_dispatcher.cc
@@ -16,6 +16,9 @@
 /// How long an engine keeps a seat: a prefill and the way to it fit well.
 constexpr milliseconds kSeatLife = milliseconds(1500);
 constexpr milliseconds kHoldTimeout = milliseconds(250);
+/// Part of an engine's memory that must be left beside a claim that is late anyway, so that those
+/// still in time, also at other gateways, find room.
+constexpr double kSpareShare = 0.15;
 constexpr std::size_t kMaxTries = 8;  ///< Running at once.
 
 constexpr int kOk = 200;
@@ -25,8 +28,13 @@
 /// Asks one engine for one seat.
 class seat_dispatcher::hold_call : public http1_call_listener {
  public:
-  hold_call(seat_dispatcher& owner, std::uint64_t claim, backend_record backend, double tokens)
-      : owner_(owner), claim_(claim), backend_(std::move(backend)), tokens_(tokens) {}
+  hold_call(seat_dispatcher& owner, std::uint64_t claim, backend_record backend, double tokens,
+            bool probes)
+      : owner_(owner),
+        claim_(claim),
+        backend_(std::move(backend)),
+        tokens_(tokens),
+        probes_(probes) {}
 
   void Send() {
     gateway_context& context = owner_.context_;
@@ -43,6 +51,8 @@
   [[nodiscard]] std::uint64_t claim() const { return claim_; }
   [[nodiscard]] const backend_record& backend() const { return backend_; }
   [[nodiscard]] double tokens() const { return tokens_; }
+  /// \returns true when it only finds out whether there is room to spare.
+  [[nodiscard]] bool probes() const { return probes_; }
 
   head_verdict OnHead(const http1_head& head) override {
     status_ = head.status;
@@ -64,6 +74,7 @@
   std::uint64_t claim_;
   backend_record backend_;
   double tokens_;
+  bool probes_;
   std::unique_ptr<http1_call> call_;
   timer_subscription timeout_;
   int status_ = 0;
@@ -136,11 +147,36 @@
     return false;
   }
   queue_.SetTrying(*number, true);
-  const auto call = std::make_shared<hold_call>(*this, *number, *chosen, claim.tokens);
+  const bool late = seat_queue::IsLate(claim, now);
+  Ask(*number, *chosen, claim.tokens + (late ? SpareRoom(claim.service) : 0), late);
+  return true;
+}
+
+void seat_dispatcher::Ask(std::uint64_t number, const backend_record& backend, double tokens,
+                          bool probes) {
+  const auto call = std::make_shared<hold_call>(*this, number, backend, tokens, probes);
   calls_.emplace(call.get(), call);
-  context_.selector.OnStarted(chosen->id, claim.tokens);
+  context_.selector.OnStarted(backend.id, tokens);
   call->Send();
-  return true;
+}
+
+double seat_dispatcher::SpareRoom(const std::string& service) const {
+  const auto& services = context_.routes.configuration()->services;
+  const auto found = services.find(service);
+  const bool known = found != services.end() && found->second.engine;
+  return known ? kSpareShare * static_cast<double>(found->second.engine->kv_tokens) : 0;
+}
+
+void seat_dispatcher::OnSpareRoom(const hold_call& call, const std::string& hold) {
+  const backend_record backend = call.backend();
+  SendOneWay(context_.loop, context_.client, backend.address,
+             context_.dialect.EncodeHoldRelease(backend.address, hold),
+             [this, number = call.claim(), backend] {
+               const seat_claim* claim = queue_.Find(number);
+               if (claim != nullptr) {
+                 Ask(number, backend, claim->tokens, false);
+               }
+             });
 }
 
 void seat_dispatcher::OnHoldEnded(hold_call& call, const std::string& hold, bool answered) {
@@ -153,7 +189,10 @@
   context_.metrics.Count("gateway_seats", {{"outcome", !hold.empty() ? "granted"
                                                        : answered    ? "denied"
                                                                      : "no_answer"}});
-  if (hold.empty()) {
+  if (call.probes() && !hold.empty()) {
+    context_.selector.OnEnded(id, call.tokens(), attempt_result::kUnknown, {}, now);
+    OnSpareRoom(call, hold);
+  } else if (hold.empty()) {
     context_.selector.OnEnded(id, call.tokens(),
                               answered ? attempt_result::kUnknown : attempt_result::kFailed, {},
                               now);
--- a/src/gateway/seat_dispatcher.h
+++ b/src/gateway/seat_dispatcher.h
@@ -54,7 +54,11 @@
   class hold_call;
   void Dispatch();
   bool TryNext(instant now);
-  void OnHoldEnded(hold_call& call, const std::string& hold, bool denied);
+  void Ask(std::uint64_t number, const backend_record& backend, double tokens, bool probes);
+  void OnHoldEnded(hold_call& call, const std::string& hold, bool answered);
+  /// \brief An engine has room to spare: asks it for what the claim needs.
+  void OnSpareRoom(const hold_call& call, const std::string& hold);
+  [[nodiscard]] double SpareRoom(const std::string& service) const;
   void Tick();
 
   gateway_context& context_;
--- a/src/routing/seat_queue.cc
+++ b/src/routing/seat_queue.cc
@@ -30,7 +30,7 @@
 
 std::optional<std::uint64_t> seat_queue::Next(instant now) const {
   const auto rank = [&](const seat_claim& claim) {
-    return claim.resumes ? 0 : claim.on_time_until >= now ? 1 : 2;
+    return claim.resumes ? 0 : IsLate(claim, now) ? 2 : 1;
   };
   std::optional<std::uint64_t> best;
   int best_rank = 0;
