--- a/src/gateway/seat_dispatcher.cc
+++ b/src/gateway/seat_dispatcher.cc
@@ -18,7 +18,7 @@
 constexpr milliseconds kHoldTimeout = milliseconds(250);
 /// Part of an engine's memory that must be left beside a claim that is late anyway, so that those
 /// still in time, also at other gateways, find room.
-constexpr double kSpareShare = 0.15;
+constexpr double kSpareShare = 0.2;
 constexpr std::size_t kMaxTries = 8;  ///< Running at once.
 
 constexpr int kOk = 200;
