--- a/include/jacinthspool/routing/backend_selector.h
+++ b/include/jacinthspool/routing/backend_selector.h
@@ -46,7 +46,9 @@
     std::string data_centre;                     ///< Preferred among servers of equal load.
     microseconds first_ejection = seconds(1);    ///< How long a failing server is left out.
     microseconds last_ejection = seconds(8);
-    microseconds busy_pause = milliseconds(150);  ///< A full server is passed over for so long.
+    /// A server that refuses is passed over for so long, doubled while it goes on refusing.
+    microseconds busy_pause = milliseconds(150);
+    microseconds last_busy_pause = milliseconds(1200);
   };
 
   explicit backend_selector(const options& settings) : settings_(settings) {}
@@ -87,6 +89,7 @@
     instant ejected_until{};
     instant busy_until{};
     std::uint32_t ejections = 0;  ///< In a row.
+    std::uint32_t refusals = 0;   ///< In a row.
   };
 
   [[nodiscard]] bool Fits(const member& each, const placement& wanted) const;
--- a/include/jacinthspool/routing/extra_budget.h
+++ b/include/jacinthspool/routing/extra_budget.h
@@ -34,6 +34,9 @@
   /// \returns false when there is none left; nothing is taken then.
   [[nodiscard]] bool Draw(instant now, const std::string& service);
 
+  /// \brief Counts a repeat that was only found to be one afterwards.
+  void Charge(instant now, const std::string& service);
+
   /// \returns Repeats that are left now.
   [[nodiscard]] double left(instant now, const std::string& service) const;
 
--- a/src/cli/command_line.cc
+++ b/src/cli/command_line.cc
@@ -23,6 +23,7 @@
 constexpr command kCommands[] = {
     {"entry", "serve callers and route their requests", &RunEntryCommand},
     {"gateway", "forward requests by host and path to backend servers", &RunGatewayCommand},
+    {"sidecar", "run beside one engine and give it orders", &RunSidecarCommand},
     {"agent", "run beside one backend server", &RunAgentCommand},
     {"check", "check settings documents and print every finding", &RunCheck},
     {"status", "print what a running process says of itself", &RunStatus},
--- a/src/cli/daemon_commands.cc
+++ b/src/cli/daemon_commands.cc
@@ -10,6 +10,7 @@
 #include "src/cli/exit_code.h"
 #include "src/entry/entry_daemon.h"
 #include "src/gateway/gateway_daemon.h"
+#include "src/sidecar/sidecar_daemon.h"
 #include "src/settings/settings.h"
 
 namespace jacinthspool {
@@ -35,6 +36,10 @@
     "reads the settings file again.\n"
     "Exit code: 0 stopped as planned, 2 usage, 3 cannot start.";
 
+constexpr const char* kSidecarSummary =
+    "Runs beside one engine and gives it all orders: makes it decode when too many prefill.\n"
+    "SIGTERM ends it. Exit code: 0 stopped as planned, 2 usage, 3 cannot start.";
+
 struct daemon_command {
   const char* name;
   const char* summary;
@@ -82,6 +87,11 @@
   return RunGateway(std::move(process), process_file, platform::OpenGatewayPlatform());
 }
 
+int RunSidecarOnPlatform(std::shared_ptr<const process_settings> process,
+                         const std::string& /*process_file*/) {
+  return RunSidecar(std::move(process), platform::OpenGatewayPlatform());
+}
+
 }  // namespace
 
 int RunEntryCommand(const std::vector<std::string>& arguments) {
@@ -93,6 +103,11 @@
                    arguments);
 }
 
+int RunSidecarCommand(const std::vector<std::string>& arguments) {
+  return RunDaemon({"sidecar", kSidecarSummary, process_role::kSidecar, &RunSidecarOnPlatform},
+                   arguments);
+}
+
 int RunAgentCommand(const std::vector<std::string>& arguments) {
   return RunDaemon({"agent", kAgentSummary, process_role::kAgent, &RunAgent}, arguments);
 }
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -386,8 +386,12 @@
     OnServeFailed(attempt_failure::kUnsent);
     return;
   }
-  const bool repeat = prefill ? prefills_ > 0 : sends_ > 0;
-  if (repeat && !context_.budget.Draw(now, settings_.service)) {
+  // Of the prefills the first that an engine takes is free; what a refused one costs is known
+  // afterwards.
+  const bool allowed = prefill      ? prefills_ == 0 || context_.budget.left(now, settings_.service) >= 1
+                       : sends_ > 0 ? context_.budget.Draw(now, settings_.service)
+                                    : true;
+  if (!allowed) {
     prefill_given_up_ = true;
     if (prefill) {
       SendNext();
@@ -487,6 +491,9 @@
 }
 
 void forward_exchange::OnPrefillFailed(attempt_failure failure) {
+  if (failure != attempt_failure::kUnsent) {
+    context_.budget.Charge(timer_service::now(), settings_.service);
+  }
   if (attempt_) {
     tried_.insert(attempt_->backend().id);
   }
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -8,13 +8,10 @@
 namespace jacinthspool {
 namespace {
 
-constexpr std::string_view kPath = "/jacinthspool/snapshot";
-constexpr std::string_view kNameHeader = "X-Jacinthspool-Gateway";
 /// Between two questions while the publisher answers.
 constexpr milliseconds kCalmPeriod = milliseconds(2000);
 /// Between two rounds of questions to all peers while it does not.
 constexpr milliseconds kLostPeriod = milliseconds(400);
-constexpr milliseconds kAnswerTimeout = milliseconds(600);
 /// A gateway that has not asked for this long is not counted.
 constexpr milliseconds kForgetAfter = seconds(10);
 
@@ -23,55 +20,6 @@
 
 }  // namespace
 
-/// One question to one peer.
-class peer_exchange::question : public http1_call_listener {
- public:
-  question(peer_exchange& owner, std::string address)
-      : owner_(owner), address_(std::move(address)) {
-    const std::string bytes = "GET " + std::string(kPath) + " HTTP/1.1\r\nHost: " + address_ +
-                              "\r\n" + std::string(kNameHeader) + ": " + owner.settings_.name +
-                              "\r\n\r\n";
-    call_ = owner.settings_.client.Start(
-        {.address = address_, .bytes = bytes, .connect_timeout = kAnswerTimeout}, *this);
-    timeout_ = owner.settings_.timers.After(
-        kAnswerTimeout, [this](instant /*now*/) { OnEnd(call_end::kLost, "no answer in time"); });
-  }
-
-  head_verdict OnHead(const http1_head& head) override {
-    status_ = head.status;
-    return head_verdict::kTake;
-  }
-  void OnBody(std::string_view bytes) override { body_ += bytes; }
-  void OnEnd(call_end end, const std::string& reason) override {
-    if (end == call_end::kWhole && status_ == kOk) {
-      if (auto snapshot = DecodeSnapshot(body_)) {
-        owner_.told_gateways_[address_] = snapshot->gateways;
-        owner_.settings_.owner.TakeSnapshot(std::move(*snapshot));
-      } else {
-        Log(log_level::kWarning, "snapshot_unreadable", {{"peer", address_}});
-      }
-    } else {
-      Log(log_level::kDebug, "peer_unreachable", {{"peer", address_}, {"reason", reason}});
-    }
-    // Destroys this in a later turn, since this may run inside the call.
-    owner_.settings_.loop.Post([&owner = owner_, address = address_, number = this] {
-      const auto found = owner.questions_.find(address);
-      if (found != owner.questions_.end() && found->second.get() == number) {
-        owner.questions_.erase(found);
-      }
-    });
-    timeout_.Cancel();
-  }
-
- private:
-  peer_exchange& owner_;
-  std::string address_;
-  std::unique_ptr<http1_call> call_;
-  timer_subscription timeout_;
-  int status_ = 0;
-  std::string body_;
-};
-
 peer_exchange::peer_exchange(options settings)
     : settings_(std::move(settings)), random_(std::random_device{}()) {
   std::erase(settings_.peers, settings_.listen);
@@ -95,12 +43,12 @@
 }
 
 void peer_exchange::Answer(const http1_request& request, http1_answer& answer) {
-  if (request.head.target != kPath) {
+  if (request.head.target != kSnapshotPath) {
     answer.Reply(kNotFound, {}, "");
     return;
   }
   const instant now = timer_service::now();
-  if (const auto name = request.head.Find(kNameHeader)) {
+  if (const auto name = request.head.Find(kGatewayNameHeader)) {
     heard_from_[std::string(*name)] = now;
   }
   gateway_snapshot snapshot = settings_.owner.Snapshot();
@@ -116,9 +64,21 @@
 }
 
 void peer_exchange::AskPeer(const std::string& address) {
-  if (!questions_.contains(address)) {
-    questions_[address] = std::make_unique<question>(*this, address);
+  std::unique_ptr<snapshot_question>& question = questions_[address];
+  if (question && !question->answered()) {
+    return;
   }
+  question = std::make_unique<snapshot_question>(snapshot_question::options{
+      .timers = settings_.timers,
+      .client = settings_.client,
+      .address = address,
+      .gateway = settings_.name,
+      .on_answer = [this, address](std::optional<gateway_snapshot> snapshot) {
+        if (snapshot) {
+          told_gateways_[address] = snapshot->gateways;
+          settings_.owner.TakeSnapshot(std::move(*snapshot));
+        }
+      }});
 }
 
 void peer_exchange::Ask() {
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "src/gateway/gateway.h"
+#include "src/gateway/snapshot_question.h"
 #include "src/transport/http1_client.h"
 #include "src/transport/http1_server.h"
 
@@ -37,7 +38,6 @@
   bool Start(std::string& error);
 
  private:
-  class question;
   void Ask();
   void AskPeer(const std::string& address);
   void Answer(const http1_request& request, http1_answer& answer);
@@ -45,7 +45,7 @@
 
   options settings_;
   std::unique_ptr<http1_server> server_;
-  std::map<std::string, std::unique_ptr<question>> questions_;  ///< By peer.
+  std::map<std::string, std::unique_ptr<snapshot_question>> questions_;  ///< By peer.
   std::map<std::string, instant> heard_from_;  ///< When each gateway asked last.
   std::map<std::string, std::uint32_t> told_gateways_;  ///< What each peer has counted.
   timer_subscription next_;
--- /dev/null
+++ b/src/gateway/snapshot_question.cc
@@ -0,0 +1,49 @@
+#include "src/gateway/snapshot_question.h"
+
+#include <utility>
+
+#include "src/telemetry/log.h"
+
+namespace jacinthspool {
+namespace {
+
+constexpr milliseconds kAnswerTimeout = milliseconds(600);
+constexpr int kOk = 200;
+
+}  // namespace
+
+snapshot_question::snapshot_question(options settings) : settings_(std::move(settings)) {
+  std::string bytes = "GET " + std::string(kSnapshotPath) +
+                      " HTTP/1.1\r\nHost: " + settings_.address + "\r\n";
+  if (!settings_.gateway.empty()) {
+    bytes += std::string(kGatewayNameHeader) + ": " + settings_.gateway + "\r\n";
+  }
+  bytes += "\r\n";
+  call_ = settings_.client.Start(
+      {.address = settings_.address, .bytes = bytes, .connect_timeout = kAnswerTimeout}, *this);
+  timeout_ = settings_.timers.After(
+      kAnswerTimeout, [this](instant /*now*/) { OnEnd(call_end::kLost, "no answer in time"); });
+}
+
+head_verdict snapshot_question::OnHead(const http1_head& head) {
+  status_ = head.status;
+  return head_verdict::kTake;
+}
+
+void snapshot_question::OnEnd(call_end end, const std::string& reason) {
+  if (std::exchange(answered_, true)) {
+    return;
+  }
+  timeout_.Cancel();
+  std::optional<gateway_snapshot> snapshot;
+  if (end == call_end::kWhole && status_ == kOk) {
+    snapshot = DecodeSnapshot(body_);
+  }
+  if (!snapshot) {
+    Log(log_level::kDebug, "no_snapshot",
+        {{"peer", settings_.address}, {"status", status_}, {"reason", reason}});
+  }
+  settings_.on_answer(std::move(snapshot));
+}
+
+}  // namespace jacinthspool
--- a/src/gateway/wire_dialect.h
+++ b/src/gateway/wire_dialect.h
@@ -91,6 +91,13 @@
   [[nodiscard]] virtual std::string EncodeHoldRelease(std::string_view address,
                                                       std::string_view hold) const = 0;
 
+  /// \returns The bytes of an order that makes an engine decode.
+  /// \param fence Rises with every order that one engine gets.
+  [[nodiscard]] virtual std::string EncodeDecodeOrder(std::string_view address,
+                                                      std::string_view backend_id,
+                                                      std::string_view holder,
+                                                      std::uint64_t fence) const = 0;
+
   /// \returns Headers of a refusal that says when to come back.
   [[nodiscard]] virtual http_headers RefusalHeaders(milliseconds come_back_in) const = 0;
 };
--- a/src/routing/backend_selector.cc
+++ b/src/routing/backend_selector.cc
@@ -26,6 +26,11 @@
 /// At most this part of the servers is left out.
 constexpr double kMaxEjectedShare = 0.5;
 
+microseconds Doubled(microseconds first, std::uint32_t times, microseconds last) {
+  constexpr std::uint32_t kMostDoublings = 8;
+  return std::min(first * (1U << std::min(times, kMostDoublings)), last);
+}
+
 }  // namespace
 
 void backend_selector::Update(const std::map<std::string, backend_record>& backends) {
@@ -114,10 +119,8 @@
 }
 
 void backend_selector::Eject(member& failing, instant now) const {
-  const std::uint32_t doublings = std::min<std::uint32_t>(failing.ejections, 8);
-  const microseconds pause =
-      std::min(settings_.first_ejection * (1U << doublings), settings_.last_ejection);
-  failing.ejected_until = now + pause;
+  failing.ejected_until =
+      now + Doubled(settings_.first_ejection, failing.ejections, settings_.last_ejection);
   failing.failure_share = kProbationShare;
   ++failing.ejections;
 }
@@ -135,12 +138,14 @@
     case attempt_result::kUnknown:
       return;
     case attempt_result::kBusy:
-      each.busy_until = now + settings_.busy_pause;
+      each.busy_until =
+          now + Doubled(settings_.busy_pause, each.refusals++, settings_.last_busy_pause);
       return;
     case attempt_result::kGood: {
       const double ms = static_cast<double>(taken.count()) / 1000;
       each.latency_ms = each.latency_ms == 0 ? ms : each.latency_ms + kNewest * (ms - each.latency_ms);
       each.failure_share *= 1 - kNewest;
+      each.refusals = 0;
       if (each.ejected_until <= now) {
         each.ejections = 0;
       }
--- a/src/routing/extra_budget.cc
+++ b/src/routing/extra_budget.cc
@@ -59,8 +59,12 @@
   if (left(now, service) < 1) {
     return false;
   }
-  ++Current(now, service).repeats;
+  Charge(now, service);
   return true;
 }
 
+void extra_budget::Charge(instant now, const std::string& service) {
+  ++Current(now, service).repeats;
+}
+
 }  // namespace jacinthspool
--- a/src/settings/process_checks.cc
+++ b/src/settings/process_checks.cc
@@ -55,6 +55,14 @@
   }
 }
 
+void CheckSidecar(const sidecar_settings& sidecar, document_place& place) {
+  const place_scope scope(place, std::string("sidecar"));
+  CheckAddress(place, "engine", sidecar.engine);
+  if (sidecar.prefill_percent > 100) {
+    place.Add("prefill_percent", "must be at most 100");
+  }
+}
+
 /// Checks the documents that a source of kind "file" embeds.
 void CheckEmbedded(const process_settings& process, std::string_view place, findings& found) {
   document_place at(place, found);
@@ -104,6 +112,9 @@
   if (process.gateway) {
     CheckGateway(*process.gateway, at);
   }
+  if (process.sidecar) {
+    CheckSidecar(*process.sidecar, at);
+  }
   CheckEmbedded(process, place, found);
 }
 
@@ -126,6 +137,16 @@
   document_place at(place, found);
   const bool agent = role == process_role::kAgent;
   const bool gateway = role == process_role::kGateway;
+  const bool sidecar = role == process_role::kSidecar;
+  if (!process.sidecar && sidecar) {
+    at.Add("sidecar", "is missing: a sidecar needs its own settings");
+  }
+  if (process.sidecar && !sidecar) {
+    at.Add("sidecar", "has a meaning in a sidecar only");
+  }
+  if (sidecar) {
+    return;
+  }
   if (process.listen.empty() && !agent) {
     at.Add("listen", gateway ? "is missing: a gateway needs the address that callers use"
                              : "is missing: an entry needs the address that callers use");
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -19,6 +19,7 @@
 using pool_settings = config::pool_settings_value;
 using process_settings = config::process_settings_value;
 using route_settings = config::route_settings_value;
+using sidecar_settings = config::sidecar_settings_value;
 using team_access_settings = config::team_access_settings_value;
 using team_settings = config::team_settings_value;
 using timing_settings = config::timing_settings_value;
@@ -40,7 +41,7 @@
 std::shared_ptr<const team_settings> ParseTeam(std::string_view text, std::string_view place,
                                                findings& found);
 
-enum class process_role { kEntry, kAgent, kGateway };
+enum class process_role { kEntry, kAgent, kGateway, kSidecar };
 
 /// \brief Adds a finding for each setting that a process of this role lacks or can't use.
 void CheckRole(const process_settings& process, process_role role, std::string_view place,
--- /dev/null
+++ b/src/sidecar/sidecar_daemon.cc
@@ -0,0 +1,128 @@
+#include "src/sidecar/sidecar_daemon.h"
+
+#include <csignal>
+#include <random>
+#include <utility>
+#include <vector>
+
+#include "jacinthspool/routing/stage_plan.h"
+#include "src/gateway/one_way_call.h"
+#include "src/gateway/snapshot_question.h"
+#include "src/telemetry/log.h"
+
+namespace jacinthspool {
+namespace {
+
+constexpr int kSuccess = 0;
+
+/// Between two looks at the list.
+constexpr milliseconds kLookPeriod = milliseconds(1500);
+/// The first look, after the gateways have read their list.
+constexpr milliseconds kFirstLook = milliseconds(700);
+/// The list must have had the same engines for so long before an order follows from it.
+constexpr milliseconds kSettledFor = milliseconds(2000);
+/// An order is given again only after this long; the engine needs seconds to carry it out.
+constexpr milliseconds kOrderPause = seconds(20);
+
+class sidecar_daemon {
+ public:
+  sidecar_daemon(std::shared_ptr<const process_settings> process, gateway_platform platform)
+      : process_(std::move(process)),
+        platform_(std::move(platform)),
+        client_({.loop = loop_, .timers = timers_}),
+        plan_({.prefill_percent = process_->sidecar->prefill_percent}),
+        random_(std::random_device{}()) {}
+
+  void Run() {
+    Log(log_level::kInfo, "started", {{"role", "sidecar"}, {"engine", process_->sidecar->engine}});
+    loop_.OnSignal(SIGTERM, [this] {
+      Log(log_level::kInfo, "stopped", {});
+      loop_.Stop();
+    });
+    // A sidecar has nothing that a changed settings file could change without a restart.
+    loop_.OnSignal(SIGHUP, [] { Log(log_level::kInfo, "reload_ignored", {}); });
+    LookIn(kFirstLook);
+    loop_.Run();
+  }
+
+ private:
+  void LookIn(milliseconds delay) {
+    const auto jitter = milliseconds(
+        static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(delay.count() / 3)));
+    look_ = timers_.After(delay + jitter, [this](instant /*now*/) { Look(); });
+  }
+
+  void Look() {
+    if (!process_->peers.empty()) {
+      question_ = std::make_unique<snapshot_question>(snapshot_question::options{
+          .timers = timers_,
+          .client = client_,
+          .address = process_->peers[random_() % process_->peers.size()],
+          .gateway = {},
+          .on_answer = [this](std::optional<gateway_snapshot> snapshot) {
+            if (snapshot) {
+              Decide(*snapshot);
+            }
+          }});
+    }
+    LookIn(kLookPeriod);
+  }
+
+  void Decide(const gateway_snapshot& snapshot) {
+    std::vector<backend_record> engines;
+    const backend_record* own = nullptr;
+    std::vector<std::string> ids;
+    for (const backend_record& record : snapshot.backends) {
+      if (record.service == process_->sidecar->service) {
+        engines.push_back(record);
+        ids.push_back(record.id);
+      }
+      if (record.address == process_->sidecar->engine &&
+          (own == nullptr || record.revision > own->revision)) {
+        own = &record;
+      }
+    }
+    const instant now = timer_service::now();
+    if (ids != known_) {
+      known_ = std::move(ids);
+      known_since_ = now;
+    }
+    if (own == nullptr || now - known_since_ < kSettledFor ||
+        (ordered_ != instant{} && now - ordered_ < kOrderPause) ||
+        !plan_.ShouldDecode(engines, own->id)) {
+      return;
+    }
+    ordered_ = now;
+    Log(log_level::kInfo, "decode_ordered",
+        {{"backend", own->id},
+         {"engines", engines.size()},
+         {"list_revision", snapshot.list_revision}});
+    SendOneWay(loop_, client_, own->address,
+               platform_.dialect->EncodeDecodeOrder(own->address, own->id, process_->name,
+                                                    snapshot.list_revision));
+  }
+
+  std::shared_ptr<const process_settings> process_;
+  gateway_platform platform_;
+  event_loop loop_;
+  timer_service timers_{loop_};
+  http1_client client_;
+  stage_plan plan_;
+  std::mt19937_64 random_;
+  std::unique_ptr<snapshot_question> question_;
+  timer_subscription look_;
+  std::vector<std::string> known_;  ///< Engines of the service, as last listed.
+  instant known_since_{};
+  instant ordered_{};
+};
+
+}  // namespace
+
+int RunSidecar(std::shared_ptr<const process_settings> process, gateway_platform platform) {
+  OpenLog({.process = process->name, .file = process->log_file});
+  sidecar_daemon daemon(std::move(process), std::move(platform));
+  daemon.Run();
+  return kSuccess;
+}
+
+}  // namespace jacinthspool
