--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -162,6 +162,9 @@
     const int status = head_->status;
     if (facts_.not_run || facts_.other_backend) {
       LogFailure("not_run", "");
+      if (!facts_.other_backend && !owner_.settings_.request.model) {
+        owner_.context_.shedder.OnFull(owner_.settings_.service, timer_service::now());
+      }
       End(facts_.other_backend ? attempt_result::kUnreachable : attempt_result::kBusy,
           attempt_failure::kNotRun);
       return;
@@ -183,9 +186,11 @@
     } else if (success || (status >= kBadRequest && status < kServerError &&
                            !PromisesNotRun(status))) {
       Report(attempt_result::kGood);
+      owner_.ReportAnswer(first_heard_ - started_);
       owner_.Deliver(*head_, body_);
     } else {
       LogFailure("error", "");
+      owner_.ReportAnswer(first_heard_ - started_);
       owner_.failed_head_ = std::move(head_);
       owner_.failed_body_ = std::move(body_);
       End(attempt_result::kFailed, attempt_failure::kFailedReply);
@@ -246,7 +251,19 @@
   deadline_timer_ = context_.timers.After(
       std::max<microseconds>(deadline_ - timer_service::now(), microseconds(0)),
       [this](instant /*now*/) { OnDeadline(); });
-  SeatAndSend();
+  if (settings_.request.model ||
+      context_.shedder.Admit(settings_.service, CameBack(), context_.random(),
+                             settings_.received)) {
+    SeatAndSend();
+  } else {
+    Refuse("service overloaded");
+  }
+}
+
+bool forward_exchange::CameBack() const {
+  // A caller that waits for less than the route allows has used up some of its time elsewhere.
+  const auto& left = settings_.request.time_left;
+  return left && *left < settings_.route->timeout - settings_.route->latency_objective;
 }
 
 const engine_profile* forward_exchange::Engine() const {
@@ -439,6 +456,13 @@
                                          [this](instant /*now*/) { OnSilent(*attempt_); });
 }
 
+void forward_exchange::ReportAnswer(microseconds taken) {
+  if (!settings_.request.model) {
+    context_.shedder.OnAnswer(settings_.service, taken, settings_.route->latency_objective,
+                              timer_service::now());
+  }
+}
+
 void forward_exchange::EndAttempt() {
   silence_timer_.Cancel();
   attempt_.reset();
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -6,6 +6,7 @@
 #include "jacinthspool/routing/backend_list.h"
 #include "jacinthspool/routing/backend_selector.h"
 #include "jacinthspool/routing/extra_budget.h"
+#include "jacinthspool/routing/load_shedder.h"
 #include "jacinthspool/routing/output_estimate.h"
 #include "jacinthspool/routing/route_table.h"
 #include "src/gateway/wire_dialect.h"
@@ -27,6 +28,7 @@
   backend_selector selector;
   extra_budget budget;
   output_estimate outputs;
+  load_shedder shedder;
   metrics_registry metrics;
   std::mt19937_64 random;
 };
--- /dev/null
+++ b/src/routing/load_shedder.cc
@@ -0,0 +1,48 @@
+#include "jacinthspool/routing/load_shedder.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace jacinthspool {
+
+double load_shedder::refused_share(const std::string& service, instant now) const {
+  const auto found = services_.find(service);
+  if (found == services_.end()) {
+    return 0;
+  }
+  const std::chrono::duration<double> idle = now - found->second.updated;
+  const std::chrono::duration<double> half = settings_.half_life;
+  return found->second.refused * std::exp2(-idle / half);
+}
+
+bool load_shedder::Admit(const std::string& service, bool late, std::uint64_t random,
+                         instant now) const {
+  const double refused = refused_share(service, now);
+  if (refused < settings_.least) {
+    return true;
+  }
+  const double let_in = 1 - refused;
+  const double chance = late ? std::pow(let_in, settings_.late_power) : let_in;
+  const double drawn = static_cast<double>(random) /
+                       static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+  return drawn <= chance;
+}
+
+void load_shedder::Move(const std::string& service, double by, instant now) {
+  const double moved = refused_share(service, now) + by;
+  services_[service] = {.refused = std::clamp(moved, 0.0, settings_.most), .updated = now};
+}
+
+void load_shedder::OnAnswer(const std::string& service, microseconds taken, microseconds objective,
+                            instant now) {
+  const std::chrono::duration<double> slow =
+      settings_.slow_share * std::chrono::duration<double>(objective);
+  Move(service, taken > slow ? settings_.rise : -settings_.fall, now);
+}
+
+void load_shedder::OnFull(const std::string& service, instant now) {
+  Move(service, settings_.rise, now);
+}
+
+}  // namespace jacinthspool
