Test routing decisions without a network; let failed shares fade

Cause: the test of a server that recovers failed first (0 of 400 requests): its failed share fell only with good answers, and no request reached it while others were idle. Change: the share halves in 3 s and is forgotten under 0.02. Refused callers are told a quarter of the time they have (was a fifth, at most 1 s), up to 4 s, so that they return after a burst, not into it.

--- a/include/jacinthspool/routing/backend_list.h
+++ b/include/jacinthspool/routing/backend_list.h
@@ -15,10 +15,10 @@
 
 /// \brief One published backend server.
 struct backend_record {
-  std::string id;  ///< Names one incarnation.
-  std::string service;
-  std::string address;  ///< ip:port
-  std::string data_centre;
+  std::string id = {};  ///< Names one incarnation.
+  std::string service = {};
+  std::string address = {};  ///< ip:port
+  std::string data_centre = {};
   engine_stage stage = engine_stage::kNone;
   std::uint32_t slots = 1;
   bool leaving = false;
--- a/include/jacinthspool/routing/backend_selector.h
+++ b/include/jacinthspool/routing/backend_selector.h
@@ -46,6 +46,7 @@
     std::string data_centre;                     ///< Preferred among servers of equal load.
     microseconds first_ejection = seconds(1);    ///< How long a failing server is left out.
     microseconds last_ejection = seconds(8);
+    microseconds failure_half_life = seconds(3);  ///< In which the failed share fades by half.
     /// A server that refuses is passed over for so long, doubled while it goes on refusing.
     microseconds busy_pause = milliseconds(150);
     microseconds last_busy_pause = milliseconds(1200);
@@ -84,7 +85,8 @@
     backend_record record;
     std::uint32_t running = 0;
     double load = 0;
-    double failure_share = 0;  ///< Moving average of failed attempts.
+    double failure_share = 0;  ///< Moving average of failed attempts, as of `judged`.
+    instant judged{};
     double latency_ms = 0;     ///< Moving average of good answers; 0: none yet.
     instant ejected_until{};
     instant busy_until{};
@@ -93,12 +95,15 @@
   };
 
   [[nodiscard]] bool Fits(const member& each, const placement& wanted) const;
-  [[nodiscard]] double Score(const member& each, const placement& wanted,
-                             double fastest_ms) const;
+  [[nodiscard]] double Score(const member& each, const placement& wanted, double fastest_ms,
+                             instant now) const;
+  /// \returns The failed share, which fades while nothing new is learnt.
+  [[nodiscard]] double FailureShare(const member& each, instant now) const;
+  static void SetFailureShare(member& each, double share, instant now);
   void Eject(member& failing, instant now) const;
   void CountFailure(member& failing, instant now) const;
   /// \returns The mean failed share of the other servers of its service.
-  [[nodiscard]] double FailureShareOfOthers(const member& one) const;
+  [[nodiscard]] double FailureShareOfOthers(const member& one, instant now) const;
 
   options settings_;
   std::map<std::string, member> members_;
--- a/include/jacinthspool/routing/configuration.h
+++ b/include/jacinthspool/routing/configuration.h
@@ -22,14 +22,14 @@
 };
 
 struct route_target {
-  std::string service;
+  std::string service = {};
   std::uint32_t weight = 1;
 };
 
 struct forward_route {
-  std::string name;
-  std::string host;
-  std::string prefix;  ///< Begins and ends with a slash.
+  std::string name = {};
+  std::string host = {};
+  std::string prefix = {};  ///< Begins and ends with a slash.
   request_kind kind = request_kind::kNonIdempotent;
   std::uint32_t max_attempts = 1;  ///< Backend servers on which one request may run.
   milliseconds timeout{};          ///< Longest time a caller is kept waiting.
@@ -37,7 +37,7 @@
   /// Callers leave a stream that is silent for longer, also before its first event; 0: never.
   milliseconds silence_limit{};
   std::uint32_t priority = 0;  ///< 0 is the most important.
-  std::vector<route_target> targets;
+  std::vector<route_target> targets = {};
   bool resumable = false;  ///< A broken stream may go on at another backend server.
 
   /// \returns true when a request may run a second time after it may have run once.
@@ -56,9 +56,9 @@
 };
 
 struct forward_service {
-  std::string name;
+  std::string name = {};
   std::uint32_t max_connections = 0;  ///< One backend server takes from all entries; 0: unknown.
-  std::optional<engine_profile> engine;
+  std::optional<engine_profile> engine = {};
 };
 
 /// \brief What clients may send.
@@ -71,9 +71,9 @@
 
 struct forward_configuration {
   std::uint64_t version = 0;
-  std::vector<forward_route> routes;
-  std::map<std::string, forward_service> services;
-  edge_limits limits;
+  std::vector<forward_route> routes = {};
+  std::map<std::string, forward_service> services = {};
+  edge_limits limits = {};
 };
 
 }  // namespace jacinthspool
--- a/include/jacinthspool/routing/seat_queue.h
+++ b/include/jacinthspool/routing/seat_queue.h
@@ -15,7 +15,7 @@
 
 /// \brief A request that waits for room in a decode engine.
 struct seat_claim {
-  std::string service;
+  std::string service = {};
   double tokens = 0;         ///< KV cache that it needs.
   bool resumes = false;      ///< Its caller already has a part of the answer.
   instant on_time_until{};   ///< Seated by then, it still meets its latency objective.
@@ -84,8 +84,8 @@
   [[nodiscard]] std::size_t Waiting(std::string_view service) const;
 
   options settings_;
-  std::map<std::uint64_t, waiting_claim> claims_;  ///< In order of arrival.
-  std::map<std::string, pace, std::less<>> paces_;
+  std::map<std::uint64_t, waiting_claim> claims_ = {};  ///< In order of arrival.
+  std::map<std::string, pace, std::less<>> paces_ = {};
   std::uint64_t last_number_ = 0;
 };
 
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -25,9 +25,9 @@
 constexpr microseconds kUnknownHandleLife = milliseconds(300);
 constexpr std::uint32_t kMaxPrefills = 2;
 /// What a refused caller is told to wait, as a part of the time it has left.
-constexpr int kComeBackDivisor = 5;
+constexpr int kComeBackDivisor = 4;
 constexpr milliseconds kShortestComeBack = milliseconds(50);
-constexpr milliseconds kLongestComeBack = seconds(1);
+constexpr milliseconds kLongestComeBack = seconds(4);
 constexpr milliseconds kConnectTimeout = milliseconds(400);
 
 /// Time that an engine takes for an output token, when it is well filled.
@@ -615,9 +615,9 @@
   }
   const milliseconds share = TimeLeft(timer_service::now()) / kComeBackDivisor;
   const milliseconds wait = std::clamp(share, kShortestComeBack, kLongestComeBack);
-  // Spread over half of the wait, so that callers refused together don't return together.
+  // Spread over a quarter of the wait, so that callers refused together don't return together.
   const auto jitter = milliseconds(
-      static_cast<std::int64_t>(context_.random() % static_cast<std::uint64_t>(wait.count())) / 2);
+      static_cast<std::int64_t>(context_.random() % static_cast<std::uint64_t>(wait.count())) / 4);
   settings_.answer->Reply(kUnavailable, context_.dialect.RefusalHeaders(wait + jitter), "not run\n");
   Finish("refused", why);
 }
--- a/src/gateway/seat_dispatcher.h
+++ b/src/gateway/seat_dispatcher.h
@@ -15,8 +15,8 @@
 
 /// \brief Room that a decode engine keeps for one request.
 struct decode_seat {
-  backend_record backend;
-  std::string hold;   ///< The engine's name for it.
+  backend_record backend = {};
+  std::string hold = {};   ///< The engine's name for it.
   double tokens = 0;
   instant until{};    ///< The engine frees it then, unless it was used.
 };
@@ -63,8 +63,8 @@
 
   gateway_context& context_;
   seat_queue queue_;
-  std::map<std::uint64_t, handlers> handlers_;
-  std::map<hold_call*, std::shared_ptr<hold_call>> calls_;
+  std::map<std::uint64_t, handlers> handlers_ = {};
+  std::map<hold_call*, std::shared_ptr<hold_call>> calls_ = {};
   timer_subscription tick_;
 };
 
--- a/src/gateway/wire_dialect.h
+++ b/src/gateway/wire_dialect.h
@@ -21,22 +21,22 @@
 
 /// \brief A caller's request in the product's terms.
 struct forward_request {
-  std::string id;  ///< The caller's, new for each of its tries.
-  std::string method;
-  std::string target;
-  std::string host;
-  std::optional<milliseconds> time_left;      ///< How long the caller will wait.
-  std::optional<std::uint64_t> resume_after;  ///< The caller has the stream up to this event.
-  std::optional<model_work> model;
-  http_headers passed;  ///< Headers that go to the backend server as they came.
-  std::string body;
+  std::string id = {};  ///< The caller's, new for each of its tries.
+  std::string method = {};
+  std::string target = {};
+  std::string host = {};
+  std::optional<milliseconds> time_left = {};      ///< How long the caller will wait.
+  std::optional<std::uint64_t> resume_after = {};  ///< The caller has the stream up to this event.
+  std::optional<model_work> model = {};
+  http_headers passed = {};  ///< Headers that go to the backend server as they came.
+  std::string body = {};
 };
 
 /// \brief What is added to a request for one attempt.
 struct attempt_fields {
-  std::string backend_id;  ///< Any other backend server must refuse.
+  std::string backend_id = {};  ///< Any other backend server must refuse.
   milliseconds time_left{};
-  std::optional<std::uint64_t> resume_after;
+  std::optional<std::uint64_t> resume_after = {};
   bool prefill_only = false;  ///< Only read the prompt and keep its KV cache.
   std::string kv_source = {};  ///< Where the prompt's KV cache waits; empty: nowhere.
   std::string hold = {};       ///< Room that the backend server keeps for it; empty: none.
--- a/src/routing/backend_selector.cc
+++ b/src/routing/backend_selector.cc
@@ -1,6 +1,7 @@
 #include "jacinthspool/routing/backend_selector.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -13,6 +14,9 @@
 constexpr double kFailingShare = 0.35;
 /// What all servers of a service fail is no fault of one: it must fail this much more often.
 constexpr double kOutlierDistance = 0.25;
+/// A smaller failed share counts as none, so that a server that has recovered is chosen again
+/// among idle ones.
+constexpr double kForgottenShare = 0.02;
 /// Where a server stands after an ejection: the next failure ejects it again.
 constexpr double kProbationShare = 0.2;
 /// How strongly failures count against a server that is still used.
@@ -46,8 +50,20 @@
          (wanted.tried == nullptr || !wanted.tried->contains(each.record.id));
 }
 
-double backend_selector::Score(const member& each, const placement& wanted,
-                               double fastest_ms) const {
+double backend_selector::FailureShare(const member& each, instant now) const {
+  const std::chrono::duration<double> age = now - each.judged;
+  const std::chrono::duration<double> half = settings_.failure_half_life;
+  const double faded = each.failure_share * std::exp2(-std::max(age.count(), 0.0) / half.count());
+  return faded < kForgottenShare ? 0 : faded;
+}
+
+void backend_selector::SetFailureShare(member& each, double share, instant now) {
+  each.failure_share = share;
+  each.judged = now;
+}
+
+double backend_selector::Score(const member& each, const placement& wanted, double fastest_ms,
+                               instant now) const {
   const double distance =
       each.record.data_centre == settings_.data_centre ? 0 : kDistance * wanted.cost;
   const double slowness =
@@ -55,7 +71,7 @@
           ? std::clamp(each.latency_ms / fastest_ms, 1.0, kSlowest)
           : 1;
   return (each.load + wanted.cost + distance) * slowness *
-         (1 + kFailureWeight * each.failure_share);
+         (1 + kFailureWeight * FailureShare(each, now));
 }
 
 const backend_record* backend_selector::Choose(const placement& wanted, instant now,
@@ -96,7 +112,7 @@
     if (some_free && each->busy_until > now) {
       continue;
     }
-    const double score = Score(*each, wanted, fastest_ms);
+    const double score = Score(*each, wanted, fastest_ms, now);
     if (score < best_score) {
       best = each;
       best_score = score;
@@ -121,7 +137,7 @@
 void backend_selector::Eject(member& failing, instant now) const {
   failing.ejected_until =
       now + Doubled(settings_.first_ejection, failing.ejections, settings_.last_ejection);
-  failing.failure_share = kProbationShare;
+  SetFailureShare(failing, kProbationShare, failing.ejected_until);
   ++failing.ejections;
 }
 
@@ -144,7 +160,7 @@
     case attempt_result::kGood: {
       const double ms = static_cast<double>(taken.count()) / 1000;
       each.latency_ms = each.latency_ms == 0 ? ms : each.latency_ms + kNewest * (ms - each.latency_ms);
-      each.failure_share *= 1 - kNewest;
+      SetFailureShare(each, (1 - kNewest) * FailureShare(each, now), now);
       each.refusals = 0;
       if (each.ejected_until <= now) {
         each.ejections = 0;
@@ -174,13 +190,13 @@
 
 void backend_selector::ClearBusy(const std::string& id) { SetBusy(id, {}); }
 
-double backend_selector::FailureShareOfOthers(const member& one) const {
+double backend_selector::FailureShareOfOthers(const member& one, instant now) const {
   double sum = 0;
   int count = 0;
   for (const auto& [id, each] : members_) {
     if (&each != &one && each.record.service == one.record.service &&
         each.record.stage == one.record.stage) {
-      sum += each.failure_share;
+      sum += FailureShare(each, now);
       ++count;
     }
   }
@@ -188,9 +204,10 @@
 }
 
 void backend_selector::CountFailure(member& failing, instant now) const {
-  failing.failure_share += kNewest * (1 - failing.failure_share);
+  const double before = FailureShare(failing, now);
+  SetFailureShare(failing, before + kNewest * (1 - before), now);
   // Attempts that were under way at an ejection say nothing new.
-  const double usual = FailureShareOfOthers(failing);
+  const double usual = FailureShareOfOthers(failing, now);
   if (failing.ejected_until <= now &&
       failing.failure_share > std::max(kFailingShare, usual + kOutlierDistance)) {
     Eject(failing, now);
--- a/src/transport/http1_reader.h
+++ b/src/transport/http1_reader.h
@@ -15,13 +15,13 @@
 
 /// \brief Start line and header fields of an HTTP/1.1 message.
 struct http1_head {
-  std::string method;  ///< Requests only.
-  std::string target;  ///< Requests only: path and query.
+  std::string method = {};  ///< Requests only.
+  std::string target = {};  ///< Requests only: path and query.
   int status = 0;      ///< Replies only.
-  http_headers headers;
+  http_headers headers = {};
   bool keep_alive = true;                       ///< What version and `Connection` say.
   bool chunked = false;
-  std::optional<std::uint64_t> content_length;  ///< Of a body that states it.
+  std::optional<std::uint64_t> content_length = {};  ///< Of a body that states it.
 
   /// \returns The first header of that name in any case, or nothing.
   [[nodiscard]] std::optional<std::string_view> Find(std::string_view name) const;
@@ -41,7 +41,7 @@
 /// \brief What a reader found next.
 struct http1_need_more {};
 struct http1_body {
-  std::string bytes;
+  std::string bytes = {};
 };
 struct http1_end {};
 using http1_event =
--- /dev/null
+++ b/tests/platform/replica_dialect_test.cc
@@ -0,0 +1,74 @@
+#include "platform/replica_dialect.h"
+
+#include <doctest/doctest.h>
+
+namespace jacinthspool::platform {
+namespace {
+
+http1_head Head(http_headers headers) {
+  return {.method = "POST", .target = "/a/b?c", .status = 200, .headers = std::move(headers)};
+}
+
+TEST_CASE("a client's headers pass, but for those that the gateway or one connection sets") {
+  const replica_dialect dialect;
+  const auto request = dialect.DecodeRequest(
+      Head({{"Host", "h.example"},
+            {"X-Request-Id", "r1"},
+            {"X-Deadline-Ms", "14000"},
+            {"X-Token-Count", "1460,80"},
+            {"X-Length-Hint", "40"},
+            {"Last-Event-Id", "12"},
+            {"X-Kv-Hold", "forged"},
+            {"x-kv-source", "forged"},
+            {"X-Pin-Ms", "9"},
+            {"X-Kv-Backup", "forged"},
+            {"X-Stage", "prefill"},
+            {"Kv-Fetch", "forged"},
+            {"Connection", "X-Private, keep-alive"},
+            {"X-Private", "1"},
+            {"X-Other", "kept"}}));
+  REQUIRE(request);
+  CHECK(request->id == "r1");
+  CHECK(request->time_left == seconds(14));
+  CHECK(request->resume_after == 12);
+  CHECK(request->model->prompt_tokens == 1460);
+  CHECK(request->model->expected_output_tokens == 40);
+
+  const std::string bytes = dialect.EncodeAttempt(
+      *request, {.backend_id = "i-1", .time_left = milliseconds(900), .resume_after = 15});
+  CHECK(bytes.starts_with("POST /a/b?c HTTP/1.1\r\n"));
+  for (const char* wanted : {"X-Request-Id: r1\r\n", "X-Deadline-Ms: 900\r\n", "X-Other: kept\r\n",
+                             "X-Expect-Instance: i-1\r\n", "Last-Event-Id: 15\r\n"}) {
+    CHECK(bytes.find(wanted) != std::string::npos);
+  }
+  for (const char* banned : {"forged", "X-Pin-Ms", "X-Stage", "X-Private", "14000"}) {
+    CHECK(bytes.find(banned) == std::string::npos);
+  }
+}
+
+TEST_CASE("a request with a time that is no number is not passed on") {
+  const replica_dialect dialect;
+  CHECK_FALSE(dialect.DecodeRequest(Head({{"Host", "h"}, {"X-Deadline-Ms", "-5"}})));
+  CHECK_FALSE(dialect.DecodeRequest(Head({{"Host", "h"}, {"X-Deadline-Ms", "soon"}})));
+}
+
+TEST_CASE("an answer is genuine only with the server's mark and the request's id") {
+  const replica_dialect dialect;
+  const forward_request asked{.id = "r1"};
+  CHECK(dialect.DecodeReply(Head({{"X-Request-Id", "r1"}, {"X-Server-Stamp", "s"}}), asked).sound);
+  CHECK_FALSE(dialect.DecodeReply(Head({{"X-Request-Id", "r1"}}), asked).sound);
+  CHECK_FALSE(dialect.DecodeReply(Head({{"X-Server-Stamp", "s"}}), asked).sound);
+  CHECK_FALSE(dialect
+                  .DecodeReply(Head({{"X-Request-Id", "r1"},
+                                     {"X-Server-Stamp", "s"},
+                                     {"Content-Encoding", "gzip"}}),
+                               asked)
+                  .sound);
+  CHECK_FALSE(
+      dialect.DecodeReply(Head({{"X-Request-Id", "r2"}, {"X-Server-Stamp", "s"}}), asked)
+          .same_request);
+  CHECK(dialect.DecodeReply(Head({{"X-Not-Run", "1"}}), asked).not_run);
+}
+
+}  // namespace
+}  // namespace jacinthspool::platform
--- /dev/null
+++ b/tests/routing/backend_selector_test.cc
@@ -0,0 +1,117 @@
+#include "jacinthspool/routing/backend_selector.h"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+namespace jacinthspool {
+namespace {
+
+constexpr std::uint64_t kSeed = 17;
+
+std::map<std::string, backend_record> Servers(int count) {
+  std::map<std::string, backend_record> made;
+  for (int i = 0; i < count; ++i) {
+    const std::string id = "b" + std::to_string(i);
+    made[id] = {.id = id, .service = "s", .data_centre = "dc"};
+  }
+  return made;
+}
+
+/// Plays requests one after the other, of which `failing` fails `share`.
+int FailuresOf(backend_selector& selector, const std::string& failing, double share,
+               instant start) {
+  std::mt19937_64 random(kSeed);
+  std::uniform_real_distribution<double> chance;
+  int failures = 0;
+  for (int i = 0; i < 400; ++i) {
+    const instant now = start + milliseconds(20) * i;
+    const backend_record* chosen =
+        selector.Choose({.service = "s", .repeatable = true}, now, random());
+    REQUIRE(chosen != nullptr);
+    const bool fails = chosen->id == failing && chance(random) < share;
+    failures += fails ? 1 : 0;
+    selector.OnStarted(chosen->id, 1);
+    selector.OnEnded(chosen->id, 1, fails ? attempt_result::kFailed : attempt_result::kGood,
+                     milliseconds(10), now + milliseconds(10));
+  }
+  return failures;
+}
+
+TEST_CASE("a server that fails part of its requests gets few of them") {
+  const instant start{seconds(100)};
+  backend_selector selector({.data_centre = "dc"});
+  selector.Update(Servers(4));
+  // A quarter of 400 requests would be 100, of which 45 fail.
+  CHECK(FailuresOf(selector, "b1", 0.45, start) < 20);
+
+  SUBCASE("and its share again once it has recovered") {
+    std::mt19937_64 random(kSeed);
+    int chosen = 0;
+    for (int i = 0; i < 400; ++i) {
+      const instant now = start + seconds(30) + milliseconds(20) * i;
+      const std::string id =
+          selector.Choose({.service = "s", .repeatable = true}, now, random())->id;
+      chosen += id == "b1" ? 1 : 0;
+      selector.OnStarted(id, 1);
+      selector.OnEnded(id, 1, attempt_result::kGood, milliseconds(10), now + milliseconds(10));
+    }
+    CHECK(chosen > 50);
+  }
+}
+
+TEST_CASE("errors that all servers give put none of them out") {
+  const instant start{seconds(100)};
+  backend_selector selector({.data_centre = "dc"});
+  selector.Update(Servers(3));
+  for (int i = 0; i < 300; ++i) {
+    const instant now = start + milliseconds(20) * i;
+    const std::string id = "b" + std::to_string(i % 3);
+    selector.OnStarted(id, 1);
+    selector.OnEnded(id, 1, i % 10 < 3 ? attempt_result::kFailed : attempt_result::kGood,
+                     milliseconds(10), now);
+    CHECK(selector.ejected(now) <= 1);
+  }
+}
+
+TEST_CASE("a server without a connection is left out, and tried by repeatable requests first") {
+  const instant start{seconds(100)};
+  backend_selector selector({.data_centre = "dc", .first_ejection = seconds(1)});
+  selector.Update(Servers(4));
+  selector.OnStarted("b0", 1);
+  selector.OnEnded("b0", 1, attempt_result::kUnreachable, {}, start);
+  for (std::uint64_t random = 0; random < 20; ++random) {
+    CHECK(selector.Choose({.service = "s", .repeatable = true}, start, random)->id != "b0");
+    CHECK(selector.Choose({.service = "s"}, start + milliseconds(1500), random)->id != "b0");
+  }
+
+  SUBCASE("but never more than half of the servers") {
+    for (const char* id : {"b1", "b2", "b3"}) {
+      selector.OnStarted(id, 1);
+      selector.OnEnded(id, 1, attempt_result::kUnreachable, {}, start);
+    }
+    CHECK(selector.Choose({.service = "s"}, start, 0) != nullptr);
+  }
+}
+
+TEST_CASE("what is leaving, tried, busy or of another stage is not chosen") {
+  const instant now{seconds(100)};
+  backend_selector selector({.data_centre = "dc"});
+  auto servers = Servers(3);
+  servers["b0"].leaving = true;
+  servers["b1"].stage = engine_stage::kDecode;
+  selector.Update(servers);
+  const std::set<std::string> tried = {"b2"};
+  CHECK(selector.Choose({.service = "s"}, now, 0)->id == "b2");
+  CHECK(selector.Choose({.service = "s", .tried = &tried}, now, 0) == nullptr);
+  CHECK(selector.Choose({.service = "s", .stage = engine_stage::kDecode}, now, 0)->id == "b1");
+  selector.SetBusy("b1", now + milliseconds(50));
+  CHECK(selector.Choose({.service = "s", .stage = engine_stage::kDecode, .only_free = true}, now,
+                        0) == nullptr);
+  selector.ClearBusy("b1");
+  CHECK(selector.Choose({.service = "s", .stage = engine_stage::kDecode, .only_free = true}, now,
+                        0) != nullptr);
+}
+
+}  // namespace
+}  // namespace jacinthspool
--- /dev/null
+++ b/tests/routing/load_shedder_test.cc
@@ -0,0 +1,84 @@
+#include "jacinthspool/routing/load_shedder.h"
+
+#include <doctest/doctest.h>
+
+#include <deque>
+#include <random>
+
+namespace jacinthspool {
+namespace {
+
+constexpr std::uint64_t kSeed = 41;
+constexpr milliseconds kObjective = milliseconds(300);
+
+/// One server that takes 10 ms for each request in turn, and the callers of 10 s.
+struct played_day {
+  int on_time = 0;
+  int late = 0;
+  int refused = 0;
+
+  played_day(double load, bool sheds) {
+    const instant start{seconds(100)};
+    constexpr milliseconds kWork = milliseconds(10);
+    constexpr std::size_t kQueue = 60;
+    load_shedder shedder({});
+    std::mt19937_64 random(kSeed);
+    std::exponential_distribution<double> gap(load / 10.0);
+    instant free_at = start;
+    std::deque<std::pair<instant, instant>> running;  // end, begin
+    for (double at = 0; at < 10000; at += gap(random)) {
+      const instant now = start + microseconds(static_cast<std::int64_t>(at * 1000));
+      while (!running.empty() && running.front().first <= now) {
+        const auto [end, begin] = running.front();
+        shedder.OnAnswer("s", end - begin, kObjective, end);
+        running.pop_front();
+      }
+      if ((sheds && !shedder.Admit("s", false, random(), now)) || running.size() >= kQueue) {
+        ++refused;
+        if (running.size() >= kQueue) {
+          shedder.OnFull("s", now);
+        }
+        continue;
+      }
+      free_at = std::max(free_at, now) + kWork;
+      running.emplace_back(free_at, now);
+      ++(free_at - now <= kObjective ? on_time : late);
+    }
+  }
+};
+
+TEST_CASE("an overloaded service answers those let in on time") {
+  const played_day queued(1.5, false);
+  const played_day shed(1.5, true);
+  // 1,000 of the 1,500 callers can be answered at all.
+  CHECK(queued.on_time < 200);
+  CHECK(shed.on_time > 800);
+  CHECK(shed.late < 100);
+}
+
+TEST_CASE("nobody is refused while the service keeps up") {
+  const played_day calm(0.6, true);
+  CHECK(calm.refused == 0);
+  CHECK(calm.late == 0);
+}
+
+TEST_CASE("late callers are refused first, and the share falls off when no answers come") {
+  const instant start{seconds(100)};
+  load_shedder shedder({});
+  for (int i = 0; i < 10; ++i) {
+    shedder.OnAnswer("s", seconds(1), kObjective, start);
+  }
+  std::mt19937_64 random(kSeed);
+  int fresh = 0;
+  int late = 0;
+  for (int i = 0; i < 1000; ++i) {
+    fresh += shedder.Admit("s", false, random(), start) ? 1 : 0;
+    late += shedder.Admit("s", true, random(), start) ? 1 : 0;
+  }
+  CHECK(fresh > 400);
+  CHECK(late < fresh / 2);
+  CHECK(shedder.refused_share("s", start + seconds(10)) < 0.05);
+}
+
+}  // namespace
+}  // namespace jacinthspool
--- /dev/null
+++ b/tests/routing/output_estimate_test.cc
@@ -0,0 +1,51 @@
+#include "jacinthspool/routing/output_estimate.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+namespace jacinthspool {
+namespace {
+
+constexpr std::uint64_t kSeed = 29;
+constexpr std::uint64_t kMost = 1920;
+
+TEST_CASE("room follows what answers need, not what their callers guess") {
+  std::mt19937_64 random(kSeed);
+  std::normal_distribution<double> spread(0, 0.7);
+  std::normal_distribution<double> error(0, 0.5);
+  output_estimate learnt({});
+  int outgrown = 0;
+  int outgrown_guess = 0;
+  double held = 0;
+  double held_guess = 0;
+  constexpr int kAnswers = 2000;
+  constexpr int kLearning = 500;
+  for (int i = 0; i < kAnswers; ++i) {
+    const double length = std::min(600 * std::exp(spread(random)), double{kMost});
+    const auto guess = static_cast<std::uint64_t>(
+        std::clamp(length * std::exp(error(random)), 1.0, double{kMost}));
+    const auto produced = static_cast<std::uint64_t>(length);
+    const std::uint64_t room = learnt.RoomFor("s", guess, kMost);
+    CHECK(room <= kMost);
+    if (i >= kLearning) {
+      outgrown += produced > room ? 1 : 0;
+      outgrown_guess += produced > guess ? 1 : 0;
+      held += static_cast<double>(room);
+      held_guess += static_cast<double>(guess);
+    }
+    learnt.Learn("s", guess, produced);
+  }
+  // Half as many answers outgrow their room, for little more room.
+  CHECK(outgrown * 2 < outgrown_guess);
+  CHECK(held < 1.45 * held_guess);
+
+  SUBCASE("and a guess stands where nothing was learnt") {
+    CHECK(output_estimate({.margin = 0}).RoomFor("other", 500, kMost) == 500);
+  }
+}
+
+}  // namespace
+}  // namespace jacinthspool
