--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -118,6 +118,10 @@
     streaming_ = kind_ == attempt_kind::kServe &&
                  owner_.settings_.route->kind == request_kind::kStreaming &&
                  head.status == kOk && facts_.sound;
+    if (streaming_) {
+      // The engine has taken the prompt's KV cache; there is nothing left to free.
+      owner_.kv_source_.clear();
+    }
     return head_verdict::kTake;
   }
 
--- a/src/transport/http1_client.cc
+++ b/src/transport/http1_client.cc
@@ -234,11 +234,12 @@
 
   /// Ends the connection in a later turn, since this may run inside its stream.
   void Retire() {
+    // The list of idle connections may be the only owner.
+    auto self = shared_from_this();
     timeout_.Cancel();
     owner_->Drop(*this);
-    if (!retired_ && !owner_->closing) {
-      retired_ = true;
-      owner_->settings.loop.Post([self = shared_from_this()] {});
+    if (!std::exchange(retired_, true) && !owner_->closing) {
+      owner_->settings.loop.Post([kept = std::move(self)] {});
     }
   }
 
--- /dev/null
+++ b/tests/gateway/played_platform.h
@@ -0,0 +1,170 @@
+#ifndef JACINTHSPOOL_TESTS_GATEWAY_PLAYED_PLATFORM_H_
+#define JACINTHSPOOL_TESTS_GATEWAY_PLAYED_PLATFORM_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "platform/replica_dialect.h"
+#include "src/gateway/gateway.h"
+#include "src/transport/http1_server.h"
+#include "tests/transport/loop_until.h"
+#include "tests/transport/raw_socket.h"
+
+namespace jacinthspool {
+
+/// \brief A backend server of the platform whose answers the test gives.
+struct played_backend {
+  std::string id;
+  std::vector<http1_request> requests;
+  std::vector<std::shared_ptr<http1_answer>> answers;
+  /// Answers at once when set; else the answer waits in `answers`.
+  std::function<void(const http1_request&, http1_answer&)> script = {};
+  int callers_gone = 0;
+  std::string error;
+  std::unique_ptr<http1_server> server;
+
+  played_backend(event_loop& loop, timer_service& timers, std::string the_id)
+      : id(std::move(the_id)),
+        server(http1_server::Listen(
+            {.loop = loop,
+             .timers = timers,
+             .address = "127.0.0.1:0",
+             .on_request =
+                 [this](http1_request request, std::shared_ptr<http1_answer> answer) {
+                   requests.push_back(std::move(request));
+                   answers.push_back(std::move(answer));
+                   answers.back()->OnCallerGone([this] { ++callers_gone; });
+                   if (script) {
+                     script(requests.back(), *answers.back());
+                   }
+                 }},
+            error)) {}
+
+  [[nodiscard]] std::string address() const {
+    return "127.0.0.1:" + std::to_string(server->port());
+  }
+
+  /// \returns The headers of a genuine answer to a request.
+  static http_headers Genuine(const http1_request& request) {
+    return {{"X-Request-Id", std::string(request.head.Find("X-Request-Id").value_or(""))},
+            {"X-Server-Stamp", "stamp"}};
+  }
+  static void Serve(const http1_request& request, http1_answer& answer) {
+    answer.Reply(200, Genuine(request), "answer");
+  }
+  static void Reject(const http1_request& request, http1_answer& answer) {
+    http_headers headers = Genuine(request);
+    headers.emplace_back("X-Not-Run", "1");
+    answer.Reply(503, headers, "");
+  }
+  static std::string Event(int id) {
+    return "id: " + std::to_string(id) + "\ndata: token\n\n";
+  }
+};
+
+/// \brief A gateway with its callers' edge, and backend servers that the test plays.
+struct played_platform {
+  event_loop loop;
+  timer_service timers{loop};
+  http1_client client{{.loop = loop, .timers = timers}};
+  platform::replica_dialect dialect;
+  gateway router{{.loop = loop,
+                  .timers = timers,
+                  .client = client,
+                  .dialect = dialect,
+                  .data_centre = "dc"}};
+  std::string error;
+  std::unique_ptr<http1_server> edge = http1_server::Listen(
+      {.loop = loop,
+       .timers = timers,
+       .address = "127.0.0.1:0",
+       .on_request =
+           [this](http1_request request, std::shared_ptr<http1_answer> answer) {
+             router.Take(std::move(request), std::move(answer));
+           }},
+      error);
+  std::vector<std::unique_ptr<played_backend>> backends;
+  std::uint64_t revision = 0;
+
+  played_backend& AddBackend(const std::string& service, engine_stage stage = engine_stage::kNone) {
+    const std::string id = "i-" + std::to_string(backends.size());
+    backends.push_back(std::make_unique<played_backend>(loop, timers, id));
+    Publish(*backends.back(), service, stage, false);
+    return *backends.back();
+  }
+
+  void Publish(const played_backend& backend, const std::string& service, engine_stage stage,
+               bool leaving) {
+    router.OnBackendPut({.id = backend.id,
+                         .service = service,
+                         .address = backend.address(),
+                         .data_centre = "dc",
+                         .stage = stage,
+                         .slots = 4,
+                         .leaving = leaving,
+                         .revision = ++revision});
+  }
+
+  /// Three routes: /once/ and /again/ to service "plain", /stream/ to service "model".
+  void Configure(milliseconds timeout = seconds(5)) {
+    auto made = std::make_shared<forward_configuration>();
+    made->version = 1;
+    const auto add = [&](const char* prefix, request_kind kind, bool resumable,
+                         const char* service) {
+      made->routes.push_back({.name = prefix,
+                              .host = "h",
+                              .prefix = prefix,
+                              .kind = kind,
+                              .max_attempts = 2,
+                              .timeout = timeout,
+                              .latency_objective = milliseconds(300),
+                              .silence_limit = seconds(2),
+                              .targets = {{.service = service}},
+                              .resumable = resumable});
+    };
+    add("/once/", request_kind::kNonIdempotent, false, "plain");
+    add("/again/", request_kind::kIdempotent, false, "plain");
+    add("/stream/", request_kind::kStreaming, true, "model");
+    add("/brittle/", request_kind::kStreaming, false, "model");
+    made->services["plain"] = {.name = "plain"};
+    made->services["model"] = {.name = "model",
+                               .engine = engine_profile{.kv_tokens = 20000,
+                                                        .kv_handle_life = milliseconds(500),
+                                                        .longest_hold = seconds(2)}};
+    router.OnConfiguration(std::move(made));
+    router.OnBackends({}, ++revision);
+  }
+};
+
+/// \brief One caller of a played platform.
+struct played_caller {
+  played_platform& platform;
+  raw_socket socket;
+  std::string received;
+  bool open = true;
+
+  explicit played_caller(played_platform& the_platform)
+      : platform(the_platform), socket(raw_socket::Connect(the_platform.edge->port())) {}
+
+  void Ask(const std::string& path, const std::string& headers = "") {
+    socket.Write("POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n" + headers +
+                 "X-Deadline-Ms: 4000\r\nContent-Length: 4\r\n\r\nbody");
+  }
+  bool Wait(const std::function<bool()>& condition) {
+    return RunUntil(platform.loop, [&] {
+      open = open && socket.Read(received);
+      return condition();
+    });
+  }
+  bool Receives(std::string_view text) {
+    return Wait([&] { return received.find(text) != std::string::npos || !open; }) &&
+           received.find(text) != std::string::npos;
+  }
+};
+
+}  // namespace jacinthspool
+
+#endif  // JACINTHSPOOL_TESTS_GATEWAY_PLAYED_PLATFORM_H_
--- /dev/null
+++ b/tests/gateway/snapshot_test.cc
@@ -0,0 +1,52 @@
+#include "src/gateway/snapshot.h"
+
+#include <doctest/doctest.h>
+
+#include "src/gateway/peer_exchange.h"
+#include "tests/gateway/played_platform.h"
+
+namespace jacinthspool {
+namespace {
+
+TEST_CASE("a snapshot comes back as it was told") {
+  played_platform platform;
+  platform.Configure();
+  platform.AddBackend("model", engine_stage::kDecode);
+  const gateway_snapshot told = platform.router.Snapshot();
+  const auto read = DecodeSnapshot(EncodeSnapshot(told));
+  REQUIRE(read);
+  CHECK(read->configuration->version == 1);
+  REQUIRE(read->configuration->routes.size() == told.configuration->routes.size());
+  CHECK(read->configuration->routes[2].resumable);
+  CHECK(read->configuration->routes[2].silence_limit == seconds(2));
+  CHECK(read->configuration->services.at("model").engine->longest_hold == seconds(2));
+  REQUIRE(read->backends.size() == 1);
+  CHECK(read->backends[0].stage == engine_stage::kDecode);
+  CHECK(read->list_revision == told.list_revision);
+
+  SUBCASE("and bytes that are none are refused") {
+    CHECK_FALSE(DecodeSnapshot(""));
+    CHECK_FALSE(DecodeSnapshot("not a snapshot at all"));
+    CHECK_FALSE(DecodeSnapshot(EncodeSnapshot(told).substr(0, 40)));
+  }
+}
+
+TEST_CASE("a gateway that starts while the publisher is away learns from another") {
+  played_platform knows;
+  knows.Configure();
+  knows.AddBackend("plain");
+  played_platform starts;
+  REQUIRE_FALSE(starts.router.able());
+  starts.router.TakeSnapshot(knows.router.Snapshot());
+  CHECK(starts.router.able());
+
+  SUBCASE("and keeps its own list while the publisher answers it") {
+    starts.router.OnPublisherBack();
+    starts.router.OnBackends({}, 100);
+    starts.router.TakeSnapshot(knows.router.Snapshot());
+    CHECK(starts.router.Snapshot().backends.empty());
+  }
+}
+
+}  // namespace
+}  // namespace jacinthspool
--- /dev/null
+++ b/tests/gateway/streaming_test.cc
@@ -0,0 +1,137 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "tests/gateway/played_platform.h"
+
+namespace jacinthspool {
+namespace {
+
+constexpr const char* kSizes = "X-Token-Count: 3000,100\r\nX-Length-Hint: 50\r\n";
+
+/// A prefill engine and two decode engines that keep room for whoever asks.
+struct played_engines : played_platform {
+  std::vector<std::string> calls;  ///< What each engine was asked for, in order.
+  bool denies = false;             ///< Decode engines have no room.
+  std::function<void(const http1_request&, http1_answer&)> decode;
+  played_backend* prefill = nullptr;
+
+  played_engines() {
+    Configure();
+    prefill = &AddBackend("model", engine_stage::kPrefill);
+    prefill->script = [this](const http1_request& request, http1_answer& answer) {
+      calls.push_back("prefill");
+      CHECK(request.head.Find("X-Stage") == "prefill");
+      answer.Reply(200, played_backend::Genuine(request), R"({"handle":"kv1","tokens":3000})");
+    };
+    for (int i = 0; i < 2; ++i) {
+      AddBackend("model", engine_stage::kDecode).script = [this](const http1_request& request,
+                                                                 http1_answer& answer) {
+        if (request.head.target == "/v1/hold-take") {
+          calls.push_back("hold");
+          answer.Reply(denies ? 503 : 200, {}, denies ? "{}" : R"({"hold":"room1"})");
+        } else if (request.head.method == "DELETE") {
+          calls.push_back("release");
+          answer.Reply(200, {}, "");
+        } else {
+          calls.push_back("decode");
+          decode(request, answer);
+        }
+      };
+    }
+  }
+  [[nodiscard]] std::ptrdiff_t Count(const char* what) const {
+    return std::count(calls.begin(), calls.end(), what);
+  }
+};
+
+void ServeEvents(const http1_request& request, http1_answer& answer, int first, int last) {
+  answer.Begin(200, played_backend::Genuine(request));
+  for (int id = first; id <= last; ++id) {
+    answer.Send(played_backend::Event(id));
+  }
+}
+
+TEST_CASE("a stream finds room first, then its prompt is read, then it decodes") {
+  played_engines engines;
+  std::string source;
+  engines.decode = [&](const http1_request& request, http1_answer& answer) {
+    source = std::string(request.head.Find("X-Kv-Source").value_or(""));
+    CHECK(request.head.Find("X-Kv-Hold") == "room1");
+    ServeEvents(request, answer, 1, 3);
+    answer.End();
+  };
+  played_caller caller(engines);
+  caller.Ask("/stream/", kSizes);
+  REQUIRE(caller.Receives("0\r\n\r\n"));
+  CHECK(engines.calls == std::vector<std::string>{"hold", "prefill", "decode"});
+  CHECK(source == engines.prefill->address() + "/kv1");
+  for (int id = 1; id <= 3; ++id) {
+    CHECK(caller.received.find(played_backend::Event(id)) != std::string::npos);
+  }
+}
+
+TEST_CASE("without room no prompt is read, and the caller is told before it would leave") {
+  played_engines engines;
+  engines.denies = true;
+  played_caller caller(engines);
+  const instant start = timer_service::now();
+  caller.Ask("/stream/", kSizes);
+  REQUIRE(caller.Receives("Retry-After"));
+  CHECK(caller.received.starts_with("HTTP/1.1 503"));
+  CHECK(timer_service::now() - start < seconds(2));
+  CHECK(engines.Count("prefill") == 0);
+}
+
+TEST_CASE("a stream that breaks off") {
+  played_engines engines;
+  std::vector<std::string> resumed;
+  engines.decode = [&](const http1_request& request, http1_answer& answer) {
+    resumed.emplace_back(request.head.Find("Last-Event-Id").value_or("none"));
+    if (resumed.size() == 1) {
+      ServeEvents(request, answer, 1, 2);
+      answer.Send("id: 3\ndata: to");
+      answer.Cut();
+    } else {
+      ServeEvents(request, answer, 3, 4);
+      answer.End();
+    }
+  };
+  played_caller caller(engines);
+
+  SUBCASE("goes on elsewhere after its last whole event, within the same answer") {
+    caller.Ask("/stream/", kSizes);
+    REQUIRE(caller.Receives("0\r\n\r\n"));
+    CHECK(resumed == std::vector<std::string>{"none", "2"});
+    std::size_t at = 0;
+    for (int id = 1; id <= 4; ++id) {
+      const std::size_t found = caller.received.find(played_backend::Event(id), at);
+      CHECK(found != std::string::npos);
+      at = found;
+    }
+    CHECK(caller.received.find("id: 3\ndata: toid") == std::string::npos);
+  }
+  SUBCASE("is cut, and looks cut, when it may not be resumed") {
+    caller.Ask("/brittle/", kSizes);
+    CHECK(caller.Wait([&] { return !caller.open; }));
+    CHECK(caller.received.find(played_backend::Event(2)) != std::string::npos);
+    CHECK(caller.received.find("0\r\n\r\n") == std::string::npos);
+    CHECK(resumed.size() == 1);
+  }
+}
+
+TEST_CASE("a caller that leaves frees what is held for it") {
+  played_engines engines;
+  engines.prefill->script = [&](const http1_request&, http1_answer&) {
+    engines.calls.emplace_back("prefill");
+  };
+  played_caller caller(engines);
+  caller.Ask("/stream/", kSizes);
+  REQUIRE(caller.Wait([&] { return engines.Count("prefill") == 1; }));
+  caller.socket.Close();
+  CHECK(RunUntil(engines.loop, [&] { return engines.Count("release") == 1; }));
+  CHECK(engines.prefill->callers_gone == 1);
+}
+
+}  // namespace
+}  // namespace jacinthspool
--- a/tests/transport/raw_socket.h
+++ b/tests/transport/raw_socket.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "src/transport/socket_address.h"
 
@@ -20,7 +21,10 @@
   raw_socket(raw_socket&& other) noexcept : descriptor_(other.descriptor_) {
     other.descriptor_ = -1;
   }
-  raw_socket& operator=(raw_socket&&) = delete;
+  raw_socket& operator=(raw_socket&& other) noexcept {
+    std::swap(descriptor_, other.descriptor_);
+    return *this;
+  }
   ~raw_socket() { Close(); }
 
   static raw_socket Connect(std::uint16_t port) {
