Explain a gateway's request by its caller's id; write logs without waiting

Cause: explain took only ids of entries; the log blocked on a reader that stops, and a refused seat was logged as 'unsent'.

--- a/src/cli/explain_command.cc
+++ b/src/cli/explain_command.cc
@@ -119,6 +119,14 @@
   return lines;
 }
 
+/// \returns true for what callers of a gateway use as ids: letters and digits only.
+bool IsCallersId(const std::string& text) {
+  constexpr std::size_t kShortest = 8;
+  return text.size() >= kShortest && std::all_of(text.begin(), text.end(), [](char letter) {
+           return std::isalnum(static_cast<unsigned char>(letter)) != 0;
+         });
+}
+
 std::string FirstTeam(const std::vector<nlohmann::json>& lines) {
   for (const nlohmann::json& line : lines) {
     if (std::string team = TextOf(line, "team"); !team.empty()) {
@@ -131,7 +139,11 @@
 }  // namespace
 
 std::size_t ExplainRequest(std::istream& log, request_id request, std::ostream& out) {
-  std::vector<nlohmann::json> lines = LinesOf(log, ToString(request));
+  return ExplainById(log, ToString(request), out);
+}
+
+std::size_t ExplainById(std::istream& log, const std::string& request, std::ostream& out) {
+  std::vector<nlohmann::json> lines = LinesOf(log, request);
   if (lines.empty()) {
     return 0;
   }
@@ -139,7 +151,7 @@
                    [](const nlohmann::json& left, const nlohmann::json& right) {
                      return TextOf(left, "time") < TextOf(right, "time");
                    });
-  out << "request " << ToString(request) << " of team " << FirstTeam(lines) << '\n';
+  out << "request " << request << " of team " << FirstTeam(lines) << '\n';
   for (const nlohmann::json& line : lines) {
     PrintLine(line, out);
   }
@@ -156,7 +168,7 @@
     return *code;
   }
   request_id request;
-  if (!ParseRequestId(id.getValue(), request)) {
+  if (!ParseRequestId(id.getValue(), request) && !IsCallersId(id.getValue())) {
     return PrintUsageError("explain", "'" + id.getValue() + "' is not a request id");
   }
   std::ifstream opened;
@@ -166,7 +178,7 @@
     return kExitFailed;
   }
   std::istream& log = file.getValue() == "-" ? std::cin : opened;
-  if (ExplainRequest(log, request, std::cout) == 0) {
+  if (ExplainById(log, id.getValue(), std::cout) == 0) {
     PrintError("explain: nothing about request " + id.getValue() + " in " + file.getValue());
     return kExitFailed;
   }
--- a/src/cli/explain_command.h
+++ b/src/cli/explain_command.h
@@ -17,6 +17,9 @@
 /// \returns The number of lines that tell of the request.
 std::size_t ExplainRequest(std::istream& log, request_id request, std::ostream& out);
 
+/// \brief The same for a request of a gateway, whose id is its caller's.
+std::size_t ExplainById(std::istream& log, const std::string& request, std::ostream& out);
+
 }  // namespace jacinthspool
 
 #endif  // JACINTHSPOOL_CLI_EXPLAIN_COMMAND_H_
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -14,8 +14,7 @@
 constexpr milliseconds kLeastUsefulTime = milliseconds(20);
 /// A repeatable request is sent elsewhere after this part of its latency objective in silence.
 constexpr double kPatience = 1.3;
-/// A stream is taken for stalled after this many times the pause that its route allows.
-constexpr int kStallPauses = 4;
+/// A stream is taken for stalled after this silence, or its latency objective if that is longer.
 constexpr milliseconds kShortestStall = milliseconds(1200);
 /// Part of the latency objective that a prefill may take.
 constexpr double kPrefillPatience = 0.6;
@@ -323,8 +322,9 @@
                                                       TakeSeat(std::move(seat));
                                                     },
                                                 .on_refused =
-                                                    [this](std::string_view /*why*/) {
+                                                    [this](std::string_view why) {
                                                       claim_ = 0;
+                                                      given_up_because_ = why;
                                                       OnServeFailed(attempt_failure::kUnsent);
                                                     }});
 }
@@ -403,6 +403,7 @@
     return;
   }
   if (chosen == nullptr) {
+    given_up_because_ = "no backend server";
     OnServeFailed(attempt_failure::kUnsent);
     return;
   }
@@ -548,7 +549,7 @@
       SeatAndSend();
       return;
     case next_step::kRefuse:
-      Refuse(ToString(failure));
+      Refuse(given_up_because_.empty() ? ToString(failure) : given_up_because_);
       return;
     case next_step::kPassReply:
       if (failed_head_ && !PromisesNotRun(failed_head_->status)) {
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -105,6 +105,7 @@
   std::optional<std::uint64_t> last_event_;
   std::optional<http1_head> failed_head_;  ///< The newest error of a backend server.
   std::string failed_body_;
+  std::string_view given_up_because_;  ///< A literal; empty: the last attempt's failure.
   bool ended_ = false;
 };
 
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -32,8 +32,10 @@
       {.loop = settings_.loop,
        .timers = settings_.timers,
        .address = settings_.listen,
-       .on_request = [this](http1_request request,
-                            std::shared_ptr<http1_answer> answer) { Answer(request, *answer); }},
+       .on_request =
+           [this](const http1_request& request, const std::shared_ptr<http1_answer>& answer) {
+             Answer(request, *answer);
+           }},
       error);
   if (!server_) {
     return false;
--- a/src/gateway/seat_dispatcher.cc
+++ b/src/gateway/seat_dispatcher.cc
@@ -168,7 +168,7 @@
 }
 
 void seat_dispatcher::OnSpareRoom(const hold_call& call, const std::string& hold) {
-  const backend_record backend = call.backend();
+  const backend_record& backend = call.backend();
   SendOneWay(context_.loop, context_.client, backend.address,
              context_.dialect.EncodeHoldRelease(backend.address, hold),
              [this, number = call.claim(), backend] {
--- a/src/telemetry/log.cc
+++ b/src/telemetry/log.cc
@@ -2,7 +2,11 @@
 
 #define ELPP_NO_DEFAULT_LOG_FILE
 #include <easylogging++.h>
+#include <poll.h>
+#include <unistd.h>
 
+#include <algorithm>
+#include <cerrno>
 #include <chrono>
 #include <cstdio>
 #include <ctime>
@@ -17,6 +21,7 @@
   std::string process;
   log_level lowest = log_level::kInfo;
   bool open = false;
+  bool to_file = false;
 };
 
 log_settings& Settings() {
@@ -24,6 +29,72 @@
   return settings;
 }
 
+/// Writes lines to standard output without ever waiting for its reader.
+///
+/// What the reader does not take at once is kept up to a bound; lines beyond it
+/// are dropped and counted.
+class output_writer {
+ public:
+  void Write(std::string line) {
+    if (kept_.size() + line.size() > kMostKept) {
+      ++dropped_;
+      Drain();
+      return;
+    }
+    kept_ += line;
+    kept_ += '\n';
+    Drain();
+  }
+
+  /// \returns Lines dropped since the last call.
+  std::size_t TakeDropped() {
+    return kept_.size() < kMostKept / 2 ? std::exchange(dropped_, 0) : 0;
+  }
+
+ private:
+  static constexpr std::size_t kMostKept = 256U << 10U;
+  /// A pipe that is ready takes at least so much without blocking (PIPE_BUF).
+  static constexpr std::size_t kPiece = 4096;
+
+  void Drain() {
+    std::size_t done = 0;
+    while (done < kept_.size() && Ready()) {
+      const std::size_t size = std::min(kPiece, kept_.size() - done);
+      const ssize_t written = write(STDOUT_FILENO, kept_.data() + done, size);
+      if (written < 0 && errno != EINTR && errno != EAGAIN) {
+        // Nobody can be told that standard output is gone.
+        done = kept_.size();
+      } else if (written > 0) {
+        done += static_cast<std::size_t>(written);
+      }
+    }
+    kept_.erase(0, done);
+  }
+
+  static bool Ready() {
+    pollfd output{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+    return poll(&output, 1, 0) == 1;
+  }
+
+  std::string kept_;
+  std::size_t dropped_ = 0;
+};
+
+output_writer& Output() {
+  static output_writer writer;
+  return writer;
+}
+
+/// Takes what easylogging++ would print.
+class output_dispatch : public el::LogDispatchCallback {
+ protected:
+  void handle(const el::LogDispatchData* data) override {
+    if (!Settings().to_file) {
+      Output().Write(data->logMessage()->message());
+    }
+  }
+};
+
 std::string_view NameOf(log_level level) {
   switch (level) {
     case log_level::kDebug:
@@ -66,10 +137,12 @@
     configuration.setGlobally(el::ConfigurationType::Filename, options.file);
   }
   configuration.setGlobally(el::ConfigurationType::ToFile, to_file ? "true" : "false");
-  configuration.setGlobally(el::ConfigurationType::ToStandardOutput, to_file ? "false" : "true");
+  configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
   el::Loggers::addFlag(el::LoggingFlag::ImmediateFlush);
   el::Loggers::reconfigureAllLoggers(configuration);
-  Settings() = {.process = options.process, .lowest = options.lowest, .open = true};
+  el::Helpers::installLogDispatchCallback<output_dispatch>("output");
+  Settings() = {
+      .process = options.process, .lowest = options.lowest, .open = true, .to_file = to_file};
 }
 
 void Log(log_level level, std::string_view event, nlohmann::json fields) {
@@ -87,6 +160,9 @@
   line["level"] = NameOf(level);
   line["process"] = Settings().process;
   line["event"] = event;
+  if (const std::size_t dropped = Output().TakeDropped(); dropped > 0) {
+    line["lines_dropped"] = dropped;
+  }
   // Bytes that are not UTF-8 are replaced.
   LOG(INFO) << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
--- a/tests/cli/command_line_test.cc
+++ b/tests/cli/command_line_test.cc
@@ -93,7 +93,8 @@
   CHECK(Run({"--version"}).out.starts_with("jacinthspool "));
   const command_result help = Run({"--help"});
   CHECK(help.code == kExitOk);
-  for (const std::string command : {"entry", "agent", "check", "status", "explain"}) {
+  for (const std::string command :
+       {"entry", "agent", "gateway", "sidecar", "check", "status", "explain"}) {
     CHECK(help.out.find(command) != std::string::npos);
     const command_result own = Run({command, "--help"});
     CHECK(own.code == kExitOk);
@@ -178,6 +179,16 @@
   }
 }
 
+TEST_CASE("explain finds a gateway's request by its caller's id") {
+  std::istringstream log(
+      R"({"time":"1","process":"g1","event":"attempt_failed","request":"615fdb27541a0777","backend":"i-1"})"
+      "\n"
+      R"({"time":"2","process":"g1","event":"request","request":"615fdb27541a0777","outcome":"cut"})");
+  std::ostringstream out;
+  CHECK(ExplainById(log, "615fdb27541a0777", out) == 2);
+  CHECK(out.str().find("outcome = cut") != std::string::npos);
+}
+
 TEST_CASE("status prints values and lists") {
   std::ostringstream out;
   PrintStatus(
