Estimate the number of gateways on the safe side

Change: the count rises at once, falls after 30 s, and is taken for high in the first 3 s, in which all peers are asked.

--- a/include/jacinthspool/routing/load_shedder.h
+++ b/include/jacinthspool/routing/load_shedder.h
@@ -15,26 +15,22 @@
 /// servers queue, every answer gets late, and callers gain nothing from being
 /// let in. The share that is refused follows the answers: it rises with each
 /// that takes most of its latency objective and falls with each that doesn't,
-/// so that those let in are answered in time. Callers that are late anyway are
-/// refused first.
+/// so that those let in are answered in time.
 class load_shedder {
  public:
   struct options {
-    double slow_share = 0.6;  ///< An answer is slow above this part of the objective.
-    double rise = 0.05;       ///< Of the refused share, with each slow answer.
-    double fall = 0.03;       ///< Of the refused share, with each timely answer.
-    double least = 0.1;       ///< A smaller share refuses nobody.
-    double most = 0.85;       ///< Some are always let in, to find out when it is over.
-    double late_power = 3;    ///< Late requests pass with the share let in to this power.
+    double slow_share = 0.6;              ///< An answer is slow above this part of the objective.
+    double rise = 0.05;                   ///< Of the refused share, with each slow answer.
+    double fall = 0.03;                   ///< Of the refused share, with each timely answer.
+    double least = 0.1;                   ///< A smaller share refuses nobody.
+    double most = 0.85;                   ///< Some are always let in, to find out when it is over.
     microseconds half_life = seconds(2);  ///< The share halves in this time without answers.
   };
 
   explicit load_shedder(const options& settings) : settings_(settings) {}
 
-  /// \param late The caller can't be answered in time any more.
   /// \param random Any random number.
-  [[nodiscard]] bool Admit(const std::string& service, bool late, std::uint64_t random,
-                           instant now) const;
+  [[nodiscard]] bool Admit(const std::string& service, std::uint64_t random, instant now) const;
 
   /// \brief A server has answered after `taken`, queueing included.
   void OnAnswer(const std::string& service, microseconds taken, microseconds objective,
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -254,20 +254,14 @@
   deadline_timer_ = context_.timers.After(
       std::max<microseconds>(deadline_ - timer_service::now(), microseconds(0)),
       [this](instant /*now*/) { OnDeadline(); });
-  if (settings_.request.model || context_.shedder.Admit(settings_.service, CameBack(),
-                                                        context_.random(), settings_.received)) {
+  if (settings_.request.model ||
+      context_.shedder.Admit(settings_.service, context_.random(), settings_.received)) {
     SeatAndSend();
   } else {
     Refuse("service overloaded");
   }
 }
 
-bool forward_exchange::CameBack() const {
-  // A caller that waits for less than the route allows has used up some of its time elsewhere.
-  const auto& left = settings_.request.time_left;
-  return left && *left < settings_.route->timeout - settings_.route->latency_objective;
-}
-
 const engine_profile* forward_exchange::Engine() const {
   const auto& services = context_.routes.configuration()->services;
   const auto service = services.find(settings_.service);
@@ -683,6 +677,8 @@
        {"prefills", prefills_},
        {"runs", runs_},
        {"took_ms", took / milliseconds(1)},
+       {"allowed_ms", settings_.route->timeout.count()},
+       {"caller_waits_ms", settings_.request.time_left.value_or(milliseconds(0)).count()},
        {"seat_ms", seat_wait_ / milliseconds(1)},
        {"first_ms", first_event_ / milliseconds(1)},
        {"prompt_tokens", settings_.request.model ? settings_.request.model->prompt_tokens : 0},
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -61,8 +61,6 @@
   void OnServeFailed(attempt_failure failure);
   /// \brief Tells the load shedder how long a plain service took.
   void ReportAnswer(microseconds taken);
-  /// \returns true when the caller has been elsewhere before and can't be on time any more.
-  [[nodiscard]] bool CameBack() const;
   void EndAttempt();
   void OnSilent(attempt& silent);
   void Deliver(const http1_head& head, std::string_view body);
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -12,6 +12,8 @@
 constexpr milliseconds kCalmPeriod = milliseconds(2000);
 /// Between two rounds of questions to all peers while it does not.
 constexpr milliseconds kLostPeriod = milliseconds(400);
+/// After the start all peers are asked often for so long.
+constexpr milliseconds kSettleTime = seconds(3);
 /// A gateway that has not asked for this long is not counted.
 constexpr milliseconds kForgetAfter = seconds(10);
 
@@ -21,7 +23,10 @@
 }  // namespace
 
 peer_exchange::peer_exchange(options settings)
-    : settings_(std::move(settings)), random_(std::random_device{}()) {
+    : settings_(std::move(settings)),
+      start_(timer_service::now()),
+      members_({.settle = kSettleTime}, start_),
+      random_(std::random_device{}()) {
   std::erase(settings_.peers, settings_.listen);
 }
 
@@ -89,8 +94,10 @@
   for (const auto& [peer, count] : told_gateways_) {
     gateways = std::max(gateways, count);
   }
-  settings_.owner.SetGateways(gateways);
-  const bool calm = settings_.owner.able() && !settings_.owner.publisher_lost();
+  settings_.owner.SetGateways(members_.Update(gateways, timer_service::now()));
+  // At first all are asked, so that each soon knows how many there are.
+  const bool settled = timer_service::now() - start_ > kSettleTime;
+  const bool calm = settled && settings_.owner.able() && !settings_.owner.publisher_lost();
   if (calm && !settings_.peers.empty()) {
     AskPeer(settings_.peers[random_() % settings_.peers.size()]);
   } else {
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "jacinthspool/routing/member_estimate.h"
 #include "src/gateway/gateway.h"
 #include "src/gateway/snapshot_question.h"
 #include "src/transport/http1_client.h"
@@ -48,6 +49,8 @@
   std::map<std::string, std::unique_ptr<snapshot_question>> questions_;  ///< By peer.
   std::map<std::string, instant> heard_from_;           ///< When each gateway asked last.
   std::map<std::string, std::uint32_t> told_gateways_;  ///< What each peer has counted.
+  instant start_;
+  member_estimate members_;
   timer_subscription next_;
   std::mt19937_64 random_;
 };
--- a/src/routing/load_shedder.cc
+++ b/src/routing/load_shedder.cc
@@ -16,17 +16,14 @@
   return found->second.refused * std::exp2(-idle / half);
 }
 
-bool load_shedder::Admit(const std::string& service, bool late, std::uint64_t random,
-                         instant now) const {
+bool load_shedder::Admit(const std::string& service, std::uint64_t random, instant now) const {
   const double refused = refused_share(service, now);
   if (refused < settings_.least) {
     return true;
   }
-  const double let_in = 1 - refused;
-  const double chance = late ? std::pow(let_in, settings_.late_power) : let_in;
   const double drawn =
       static_cast<double>(random) / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-  return drawn <= chance;
+  return drawn <= 1 - refused;
 }
 
 void load_shedder::Move(const std::string& service, double by, instant now) {
