--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -45,6 +45,8 @@
                .metrics = {},
                .random = std::mt19937_64(std::random_device{}())},
       seats_(context_) {
+  // What the publisher went through before this process started is not known.
+  context_.backends.PublisherLost();
   expiry_ = settings.timers.Every(kExpiryPeriod, [this](instant now) {
     if (context_.backends.Expire(now)) {
       Log(log_level::kInfo, "backends_expired",
