Give requests in progress the time of a newer configuration

Change: at its time-out a request looks at the configuration in force and goes on where that allows more; servers are told the time that the caller waits, not the route's.

--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -244,16 +244,10 @@
 forward_exchange::~forward_exchange() = default;
 
 void forward_exchange::Start() {
-  microseconds allowed = settings_.route->timeout;
-  if (settings_.request.time_left) {
-    allowed = std::min<microseconds>(allowed, *settings_.request.time_left);
-  }
-  deadline_ = settings_.received + allowed;
+  deadline_ = DeadlineOf(*settings_.route);
   context_.budget.CountRequest(settings_.received, settings_.service);
   settings_.answer->OnCallerGone([this] { OnCallerGone(); });
-  deadline_timer_ = context_.timers.After(
-      std::max<microseconds>(deadline_ - timer_service::now(), microseconds(0)),
-      [this](instant /*now*/) { OnDeadline(); });
+  ArmDeadline();
   if (settings_.request.model ||
       context_.shedder.Admit(settings_.service, context_.random(), settings_.received)) {
     SeatAndSend();
@@ -441,7 +435,7 @@
   attempt_ = std::make_unique<attempt>(*this, kind, backend);
   const std::string bytes = context_.dialect.EncodeAttempt(
       settings_.request, {.backend_id = backend.id,
-                          .time_left = TimeLeft(timer_service::now()),
+                          .time_left = CallerTimeLeft(timer_service::now()),
                           .resume_after = last_event_,
                           .prefill_only = prefill,
                           .kv_source = prefill ? std::string() : kv_source_,
@@ -631,7 +625,34 @@
   Finish("cut", why);
 }
 
+instant forward_exchange::DeadlineOf(const forward_route& route) const {
+  microseconds allowed = route.timeout;
+  if (settings_.request.time_left) {
+    allowed = std::min<microseconds>(allowed, *settings_.request.time_left);
+  }
+  return settings_.received + allowed;
+}
+
+milliseconds forward_exchange::CallerTimeLeft(instant now) const {
+  const auto& waits = settings_.request.time_left;
+  return waits ? std::chrono::duration_cast<milliseconds>(settings_.received + *waits - now)
+               : TimeLeft(now);
+}
+
+void forward_exchange::ArmDeadline() {
+  deadline_timer_ = context_.timers.After(
+      std::max<microseconds>(deadline_ - timer_service::now(), microseconds(0)),
+      [this](instant /*now*/) { OnDeadline(); });
+}
+
 void forward_exchange::OnDeadline() {
+  // A configuration that has come since may allow more time.
+  const auto route = context_.routes.Find(settings_.request.host, settings_.request.target);
+  if (route && DeadlineOf(*route) > timer_service::now()) {
+    deadline_ = DeadlineOf(*route);
+    ArmDeadline();
+    return;
+  }
   const bool may_have_run = runs_ > 0 || (attempt_ && attempt_->kind() == attempt_kind::kServe);
   if (answer_begun_) {
     Cut("time is up");
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -70,6 +70,11 @@
   void Refuse(std::string_view why);
   void Fail(int status, std::string_view why);
   void Cut(std::string_view why);
+  /// \returns When a request of that route must have its answer.
+  [[nodiscard]] instant DeadlineOf(const forward_route& route) const;
+  /// \returns How long the caller still waits, whatever the route allows.
+  [[nodiscard]] milliseconds CallerTimeLeft(instant now) const;
+  void ArmDeadline();
   void OnDeadline();
   void OnCallerGone();
   void Finish(std::string_view outcome, std::string_view why);
--- a/tests/gateway/forwarding_test.cc
+++ b/tests/gateway/forwarding_test.cc
@@ -119,6 +119,35 @@
   CHECK(sent() == 2);
 }
 
+TEST_CASE("a configuration that gives a route more time gives it to requests in progress") {
+  played_platform platform;
+  platform.Configure(milliseconds(300));
+  played_backend& server = platform.AddBackend("plain");
+  played_caller caller(platform);
+  caller.Ask("/once/");
+  REQUIRE(caller.Wait([&] { return server.requests.size() == 1; }));
+  // What the server is told is the caller's time, which no configuration changes.
+  CHECK(std::stoi(std::string(*server.requests[0].head.Find("X-Deadline-Ms"))) > 3000);
+  platform.Configure(seconds(3), 2);
+  const instant start = timer_service::now();
+  caller.Wait([&] { return timer_service::now() - start > milliseconds(600); });
+  CHECK(caller.received.empty());
+  played_backend::Serve(server.requests[0], *server.answers[0]);
+  CHECK(caller.Receives("answer"));
+
+  SUBCASE("and one that gives it less takes nothing from them") {
+    caller.received.clear();
+    caller.Ask("/once/");
+    REQUIRE(caller.Wait([&] { return server.requests.size() == 2; }));
+    platform.Configure(milliseconds(100), 3);
+    const instant then = timer_service::now();
+    caller.Wait([&] { return timer_service::now() - then > milliseconds(400); });
+    CHECK(caller.received.empty());
+    played_backend::Serve(server.requests[1], *server.answers[1]);
+    CHECK(caller.Receives("answer"));
+  }
+}
+
 TEST_CASE("a caller that leaves ends its request at the server") {
   played_platform platform;
   platform.Configure();
--- a/tests/gateway/played_platform.h
+++ b/tests/gateway/played_platform.h
@@ -104,9 +104,9 @@
   }
 
   /// Three routes: /once/ and /again/ to service "plain", /stream/ to service "model".
-  void Configure(milliseconds timeout = seconds(5)) {
+  void Configure(milliseconds timeout = seconds(5), std::uint64_t version = 1) {
     auto made = std::make_shared<forward_configuration>();
-    made->version = 1;
+    made->version = version;
     const auto add = [&](const char* prefix, request_kind kind, bool resumable,
                          const char* service) {
       made->routes.push_back({.name = prefix,
@@ -130,7 +130,9 @@
         .engine = engine_profile{
             .kv_tokens = 20000, .kv_handle_life = milliseconds(500), .longest_hold = seconds(2)}};
     router.OnConfiguration(std::move(made));
-    router.OnBackends({}, ++revision);
+    if (version == 1) {
+      router.OnBackends({}, ++revision);
+    }
   }
 };
 
