--- a/include/jacinthspool/jacinthspool.h
+++ b/include/jacinthspool/jacinthspool.h
@@ -27,5 +27,17 @@
 #include "jacinthspool/impl/stream_assembler.h"
 #include "jacinthspool/impl/subset.h"
 #include "jacinthspool/impl/time.h"
+#include "jacinthspool/routing/backend_list.h"
+#include "jacinthspool/routing/backend_selector.h"
+#include "jacinthspool/routing/configuration.h"
+#include "jacinthspool/routing/event_splitter.h"
+#include "jacinthspool/routing/extra_budget.h"
+#include "jacinthspool/routing/load_shedder.h"
+#include "jacinthspool/routing/member_estimate.h"
+#include "jacinthspool/routing/next_step.h"
+#include "jacinthspool/routing/output_estimate.h"
+#include "jacinthspool/routing/route_table.h"
+#include "jacinthspool/routing/seat_queue.h"
+#include "jacinthspool/routing/stage_plan.h"
 
 #endif  // JACINTHSPOOL_JACINTHSPOOL_H_
