Look up a service's engines in one place; drop what nothing calls

Found on reading the change again: the same look-up stood in the exchange and in the seat dispatcher; fresh_connection and Forget had no caller; an exchange that found no time left before a send refused by itself, also when the request had run before, where its twin in SeatAndSend lets StepAfter decide (a false 'not run' was possible for a resumable stream that got its second seat in its last 20 ms; seen by reading, no run shows it). Behaviour is otherwise the same. Measured: gateway_test (14) and transport_test (24) pass, the linter on the three changed sources is clean.

--- a/include/jacinthspool/routing/configuration.h
+++ b/include/jacinthspool/routing/configuration.h
@@ -74,6 +74,13 @@
   std::vector<forward_route> routes = {};
   std::map<std::string, forward_service> services = {};
   edge_limits limits = {};
+
+  /// \returns What the operators tell of the service's engines, or null.
+  [[nodiscard]] const engine_profile* FindEngine(const std::string& service) const {
+    const auto found = services.find(service);
+    const bool known = found != services.end() && found->second.engine;
+    return known ? &*found->second.engine : nullptr;
+  }
 };
 
 }  // namespace jacinthspool
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -78,11 +78,10 @@
   attempt(const attempt&) = delete;
   attempt& operator=(const attempt&) = delete;
 
-  void Send(const std::string& bytes, bool fresh_connection) {
+  void Send(const std::string& bytes) {
     call_ = owner_.context_.client.Start({.address = backend_.address,
                                           .bytes = bytes,
                                           .expects_body = owner_.settings_.request.method != "HEAD",
-                                          .fresh_connection = fresh_connection,
                                           .connect_timeout = kConnectTimeout},
                                          *this);
   }
@@ -257,10 +256,7 @@
 }
 
 const engine_profile* forward_exchange::Engine() const {
-  const auto& services = context_.routes.configuration()->services;
-  const auto service = services.find(settings_.service);
-  const bool known = service != services.end() && service->second.engine;
-  return known ? &*service->second.engine : nullptr;
+  return context_.routes.configuration()->FindEngine(settings_.service);
 }
 
 std::uint64_t forward_exchange::TokensPerEvent() const {
@@ -363,7 +359,9 @@
   EndAttempt();
   const instant now = timer_service::now();
   if (TimeLeft(now) < kLeastUsefulTime) {
-    Refuse("no time left");
+    // It may have run before: whether that is a refusal is decided with all else.
+    given_up_because_ = "no time left";
+    OnServeFailed(attempt_failure::kUnsent);
     return;
   }
   if (!kv_source_.empty() && now >= kv_until_) {
@@ -440,7 +438,7 @@
                           .prefill_only = prefill,
                           .kv_source = prefill ? std::string() : kv_source_,
                           .hold = seat ? seat->hold : std::string()});
-  attempt_->Send(bytes, false);
+  attempt_->Send(bytes);
   const double patience = prefill ? kPrefillPatience : kPatience;
   const auto wait = std::chrono::duration_cast<milliseconds>(
       patience * std::chrono::duration<double, std::milli>(settings_.route->latency_objective));
--- a/src/gateway/seat_dispatcher.cc
+++ b/src/gateway/seat_dispatcher.cc
@@ -161,10 +161,8 @@
 }
 
 double seat_dispatcher::SpareRoom(const std::string& service) const {
-  const auto& services = context_.routes.configuration()->services;
-  const auto found = services.find(service);
-  const bool known = found != services.end() && found->second.engine;
-  return known ? kSpareShare * static_cast<double>(found->second.engine->kv_tokens) : 0;
+  const engine_profile* engine = context_.routes.configuration()->FindEngine(service);
+  return engine != nullptr ? kSpareShare * static_cast<double>(engine->kv_tokens) : 0;
 }
 
 void seat_dispatcher::OnSpareRoom(const hold_call& call, const std::string& hold) {
--- a/src/transport/http1_client.cc
+++ b/src/transport/http1_client.cc
@@ -284,7 +284,7 @@
   while (!kept.empty()) {
     std::shared_ptr<connection> last = std::move(kept.back());
     kept.pop_back();
-    if (last->Fresh(now, call.max_idle) && !call.fresh_connection) {
+    if (last->Fresh(now, call.max_idle)) {
       return last;
     }
     last->Abandon();
@@ -328,18 +328,6 @@
   return std::make_unique<call_handle>(std::move(on), call_number);
 }
 
-void http1_client::Forget(const std::string& address) {
-  const auto found = state_->idle.find(address);
-  if (found == state_->idle.end()) {
-    return;
-  }
-  const auto kept = std::move(found->second);
-  state_->idle.erase(found);
-  for (const auto& each : kept) {
-    each->Abandon();
-  }
-}
-
 std::uint64_t http1_client::connections_opened() const { return state_->opened; }
 
 }  // namespace jacinthspool
--- a/src/transport/http1_client.h
+++ b/src/transport/http1_client.h
@@ -48,10 +48,9 @@
 };
 
 struct http1_call_options {
-  std::string address;            ///< ip:port
-  std::string bytes;              ///< The whole request as it goes out.
-  bool expects_body = true;       ///< false for HEAD.
-  bool fresh_connection = false;  ///< Never reuse a kept connection.
+  std::string address;       ///< ip:port
+  std::string bytes;         ///< The whole request as it goes out.
+  bool expects_body = true;  ///< false for HEAD.
   milliseconds connect_timeout = seconds(1);
   milliseconds max_idle = seconds(4);  ///< A connection idle for longer is not reused.
 };
@@ -78,9 +77,6 @@
   [[nodiscard]] std::unique_ptr<http1_call> Start(const http1_call_options& call,
                                                   http1_call_listener& listener);
 
-  /// \brief Closes idle connections to an address whose owner has left.
-  void Forget(const std::string& address);
-
   /// \returns New connections opened so far.
   [[nodiscard]] std::uint64_t connections_opened() const;
 
