Risk no first prefill that the budget of repeats could not pay for

Cause: a prefill that an engine refuses counts as a repeat. A request's first one was always sent and charged afterwards, so a service whose prefill engines refuse much used up more than the budget.

Ruled out: uncounted repeats (107 refused and 146 silent prefills in ten seconds are the whole of it), the number of gateways.

Change: without a repeat left, the decode engine reads the prompt itself.

Test: streaming_test, 150 prefills where 80 are allowed, before.

--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -398,9 +398,9 @@
     OnServeFailed(attempt_failure::kUnsent);
     return;
   }
-  // Of the prefills the first that an engine takes is free; what a refused one costs is known
-  // afterwards.
-  const bool allowed = prefill ? prefills_ == 0 || context_.budget.left(now, settings_.service) >= 1
+  // The first prefill that an engine takes is free, and a refused one costs a repeat: none is risked
+  // that could not be paid for.
+  const bool allowed = prefill      ? context_.budget.left(now, settings_.service) >= 1
                        : sends_ > 0 ? context_.budget.Draw(now, settings_.service)
                                     : true;
   if (!allowed) {
--- a/tests/gateway/streaming_test.cc
+++ b/tests/gateway/streaming_test.cc
@@ -83,6 +83,28 @@
   CHECK(engines.Count("prefill") == 0);
 }
 
+TEST_CASE("prefill engines that refuse everything use up no more than the budget") {
+  played_engines engines;
+  engines.prefill->script = [&](const http1_request& request, http1_answer& answer) {
+    engines.calls.emplace_back("prefill");
+    played_backend::Reject(request, answer);
+  };
+  engines.decode = [](const http1_request& request, http1_answer& answer) {
+    ServeEvents(request, answer, 1, 2);
+    answer.End();
+  };
+  constexpr int kRequests = 150;
+  for (int i = 0; i < kRequests; ++i) {
+    played_caller caller(engines);
+    caller.Ask("/stream/", kSizes);
+    REQUIRE(caller.Receives("0\r\n\r\n"));
+  }
+  CHECK(engines.Count("decode") == kRequests);
+  const extra_budget::options budget;
+  CHECK(engines.Count("prefill") > 0);
+  CHECK(static_cast<double>(engines.Count("prefill")) <= budget.ratio * kRequests + budget.extra);
+}
+
 TEST_CASE("a stream that breaks off") {
   played_engines engines;
   std::vector<std::string> resumed;
