Add a fault soak of gateways and a sidecar as real processes

`soak_test` starts three gateways and a sidecar and plays the rest: the store (ranges, watches, lost history, outages, lost answers), plain servers, prefill and decode engines, callers that keep their connections. From a seed come kills, pauses, planned stops and reloads of gateways, cut, stalled and half-stalled links, servers that are full, fail or fall silent, leaving and new servers, new configurations, all overlapping. It checks what callers and servers see: at most once, "not run" is true, whole answers of the right request, planned stops cut nothing and end in their grace, leaving servers get no new work, configuration in force within its bound, repeats in their budget, nothing kept for callers that left, no process that ends by itself.

--- /dev/null
+++ b/tests/soak/store_standin.cc
@@ -0,0 +1,198 @@
+#include "tests/soak/store_standin.h"
+
+#include <sodium.h>
+
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace jacinthspool::testing {
+namespace {
+
+using json = nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kHistoryGone = 410;
+constexpr int kUnavailable = 503;
+
+std::string Base64(const std::string& bytes) {
+  std::string text(sodium_base64_encoded_len(bytes.size(), sodium_base64_VARIANT_ORIGINAL), '\0');
+  sodium_bin2base64(text.data(), text.size(),
+                    reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(),
+                    sodium_base64_VARIANT_ORIGINAL);
+  text.pop_back();  // the terminating zero
+  return text;
+}
+
+json Encoded(const std::string& key, const std::string& value, std::uint64_t revision) {
+  return {{"key", key},
+          {"value", Base64(value)},
+          {"rev", revision},
+          {"createRev", revision},
+          {"lease", 0}};
+}
+
+/// \returns The parameter of a query, or an empty text.
+std::string Parameter(const std::string& target, const std::string& name) {
+  for (const char* mark : {"?", "&"}) {
+    const std::size_t at = target.find(mark + name + "=");
+    if (at != std::string::npos) {
+      const std::size_t begin = at + name.size() + 2;
+      return target.substr(begin, target.find('&', begin) - begin);
+    }
+  }
+  return "";
+}
+
+std::uint64_t NumberOf(const std::string& text) {
+  std::uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+}  // namespace
+
+store_standin::store_standin(event_loop& loop, timer_service& timers)
+    : timers_(timers),
+      server_(http1_server::Listen(
+          {.loop = loop,
+           .timers = timers,
+           .address = "127.0.0.1:0",
+           .on_request = [this](const http1_request& request,
+                                const std::shared_ptr<http1_answer>& answer) {
+             Take(request, answer);
+           }},
+          error_)) {}
+
+std::string store_standin::address() const {
+  return "127.0.0.1:" + std::to_string(server_->port());
+}
+
+void store_standin::Put(const std::string& key, const std::string& value) {
+  Change(key, {.value = value, .revision = ++revision_});
+}
+
+void store_standin::Remove(const std::string& key) {
+  Change(key, {.value = "", .revision = ++revision_, .removed = true});
+}
+
+void store_standin::Change(const std::string& key, item state) {
+  history_.push_back({.key = key, .state = state});
+  if (state.removed) {
+    items_.erase(key);
+  } else {
+    items_[key] = std::move(state);
+  }
+  Tell();
+}
+
+void store_standin::Compact() {
+  history_.clear();
+  oldest_known_ = revision_;
+  // Watches are cut; those that had not caught up learn from the 410 that follows.
+  for (waiting_watch& each : std::exchange(watches_, {})) {
+    each.answer->Cut();
+  }
+}
+
+void store_standin::Behave(conduct next) {
+  conduct_ = next;
+  if (next == conduct::kServing) {
+    unanswered_.clear();
+    Tell();
+  } else {
+    for (waiting_watch& each : std::exchange(watches_, {})) {
+      unanswered_.push_back(std::move(each.answer));
+    }
+  }
+}
+
+void store_standin::Take(const http1_request& request,
+                         const std::shared_ptr<http1_answer>& answer) {
+  ++calls_;
+  if (conduct_ == conduct::kBusy) {
+    answer->Reply(kUnavailable, {}, "");
+    return;
+  }
+  if (conduct_ == conduct::kSilent || (conduct_ == conduct::kLosing && calls_ % 2 == 0)) {
+    unanswered_.push_back(answer);
+    return;
+  }
+  const std::string& target = request.head.target;
+  const std::string prefix = Parameter(target, "prefix");
+  if (target.starts_with("/v1/kv-range")) {
+    Range(prefix, *answer);
+  } else if (target.starts_with("/v1/kv-watch")) {
+    Watch({.prefix = prefix, .after = NumberOf(Parameter(target, "after")), .answer = answer},
+          milliseconds(static_cast<std::int64_t>(NumberOf(Parameter(target, "waitMs")))));
+  } else {
+    answer->Reply(kNotFound, {}, "");
+  }
+}
+
+void store_standin::Range(const std::string& prefix, http1_answer& answer) const {
+  json items = json::array();
+  for (const auto& [key, state] : items_) {
+    if (key.starts_with(prefix)) {
+      items.push_back(Encoded(key, state.value, state.revision));
+    }
+  }
+  answer.Reply(kOk, {},
+               json{{"items", items}, {"truncated", false}, {"storeRevision", revision_}}.dump());
+}
+
+std::string store_standin::ChangesAfter(const waiting_watch& watch) const {
+  json events = json::array();
+  for (const auto& [key, state] : history_) {
+    if (state.revision <= watch.after || !key.starts_with(watch.prefix)) {
+      continue;
+    }
+    events.push_back(state.removed
+                         ? json{{"key", key}, {"rev", state.revision}, {"tombstone", true}}
+                         : Encoded(key, state.value, state.revision));
+  }
+  return events.empty() ? "" : json{{"events", events}, {"storeRevision", revision_}}.dump();
+}
+
+void store_standin::Watch(waiting_watch watch, milliseconds wait) {
+  if (watch.after < oldest_known_) {
+    watch.answer->Reply(kHistoryGone, {}, "");
+    return;
+  }
+  if (const std::string changes = ChangesAfter(watch); !changes.empty()) {
+    watch.answer->Reply(kOk, {}, changes);
+    return;
+  }
+  watches_.push_back(std::move(watch));
+  const auto place = std::prev(watches_.end());
+  place->timeout = timers_.After(wait, [this, answer = place->answer.get()](instant /*now*/) {
+    const auto found = std::find_if(watches_.begin(), watches_.end(), [&](const auto& each) {
+      return each.answer.get() == answer;
+    });
+    if (found != watches_.end()) {
+      const std::shared_ptr<http1_answer> kept = found->answer;
+      watches_.erase(found);
+      kept->Reply(kOk, {}, json{{"events", json::array()}, {"storeRevision", revision_}}.dump());
+    }
+  });
+}
+
+void store_standin::Tell() {
+  if (conduct_ != conduct::kServing) {
+    return;
+  }
+  for (auto each = watches_.begin(); each != watches_.end();) {
+    const std::string changes = ChangesAfter(*each);
+    if (changes.empty()) {
+      ++each;
+      continue;
+    }
+    const std::shared_ptr<http1_answer> kept = each->answer;
+    each = watches_.erase(each);
+    kept->Reply(kOk, {}, changes);
+  }
+}
+
+}  // namespace jacinthspool::testing
