One type for an edge's limits, set when a configuration comes into force

The gateway copied the limits into the edge at each request, from a twin type; `edge_limits` now has a header of its own and serves both. The platform's daemons use the program's exit codes.

--- a/include/jacinthspool/jacinthspool.h
+++ b/include/jacinthspool/jacinthspool.h
@@ -31,6 +31,7 @@
 #include "jacinthspool/routing/backend_selector.h"
 #include "jacinthspool/routing/caller_patience.h"
 #include "jacinthspool/routing/configuration.h"
+#include "jacinthspool/routing/edge_limits.h"
 #include "jacinthspool/routing/event_splitter.h"
 #include "jacinthspool/routing/extra_budget.h"
 #include "jacinthspool/routing/load_shedder.h"
--- a/include/jacinthspool/routing/configuration.h
+++ b/include/jacinthspool/routing/configuration.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "jacinthspool/impl/time.h"
+#include "jacinthspool/routing/edge_limits.h"
 
 /// \file
 /// \brief What operators configure for requests that are forwarded by host and path.
@@ -52,23 +53,13 @@
   microseconds kv_handle_life{};       ///< How long a prefilled prompt waits to be fetched.
   microseconds longest_hold{};         ///< Room is kept for a request for so long; 0: never.
   std::uint32_t tokens_per_event = 1;  ///< Of a streamed answer.
-  bool backs_up_runs = false;          ///< Engines copy a run's KV cache to another one.
 };
 
 struct forward_service {
   std::string name = {};
-  std::uint32_t max_connections = 0;  ///< One backend server takes from all entries; 0: unknown.
   std::optional<engine_profile> engine = {};
 };
 
-/// \brief What clients may send.
-struct edge_limits {
-  std::uint64_t max_head_bytes = 16U << 10U;
-  std::uint64_t max_body_bytes = 4U << 20U;
-  milliseconds head_timeout = seconds(3);
-  milliseconds idle_timeout = seconds(15);
-};
-
 struct forward_configuration {
   std::uint64_t version = 0;
   std::vector<forward_route> routes = {};
--- /dev/null
+++ b/include/jacinthspool/routing/edge_limits.h
@@ -0,0 +1,20 @@
+#ifndef JACINTHSPOOL_ROUTING_EDGE_LIMITS_H_
+#define JACINTHSPOOL_ROUTING_EDGE_LIMITS_H_
+
+#include <cstddef>
+
+#include "jacinthspool/impl/time.h"
+
+namespace jacinthspool {
+
+/// \brief What a server lets its clients do.
+struct edge_limits {
+  std::size_t max_head_bytes = 16U << 10U;
+  std::size_t max_body_bytes = 4U << 20U;
+  milliseconds head_timeout = seconds(3);   ///< From a message's first byte to its head's end.
+  milliseconds idle_timeout = seconds(15);  ///< Between two messages.
+};
+
+}  // namespace jacinthspool
+
+#endif  // JACINTHSPOOL_ROUTING_EDGE_LIMITS_H_
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -45,7 +45,8 @@
                .shedder = load_shedder({}),
                .metrics = {},
                .random = std::mt19937_64(std::random_device{}())},
-      seats_(context_) {
+      seats_(context_),
+      on_limits_(settings.on_limits) {
   // What the publisher went through before this process started is not known.
   context_.backends.PublisherLost();
   expiry_ = settings.timers.Every(kExpiryPeriod, [this](instant now) {
@@ -69,11 +70,6 @@
 
 bool gateway::able() const { return context_.routes.configuration() != nullptr && list_known_; }
 
-edge_limits gateway::limits() const {
-  const auto& configuration = context_.routes.configuration();
-  return configuration ? configuration->limits : edge_limits{};
-}
-
 void gateway::Take(http1_request request, std::shared_ptr<http1_answer> answer) {
   auto decoded = context_.dialect.DecodeRequest(request.head);
   if (!decoded) {
@@ -131,6 +127,9 @@
         {{"version", version},
          {"before", before},
          {"routes", context_.routes.configuration()->routes.size()}});
+    if (on_limits_) {
+      on_limits_(context_.routes.configuration()->limits);
+    }
   }
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,6 +1,7 @@
 #ifndef JACINTHSPOOL_GATEWAY_GATEWAY_H_
 #define JACINTHSPOOL_GATEWAY_GATEWAY_H_
 
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -23,6 +24,8 @@
     http1_client& client;
     const wire_dialect& dialect;
     std::string data_centre;
+    /// Told the limits of each configuration that comes into force.
+    std::function<void(const edge_limits&)> on_limits = {};
   };
 
   explicit gateway(const options& settings);
@@ -53,8 +56,6 @@
   [[nodiscard]] bool publisher_lost() const { return publisher_lost_; }
   [[nodiscard]] std::size_t in_progress() const { return exchanges_.size(); }
   [[nodiscard]] metrics_registry& metrics() { return context_.metrics; }
-  /// \returns The limits of the configuration in force.
-  [[nodiscard]] edge_limits limits() const;
 
  private:
   void UpdateSelector();
@@ -62,6 +63,7 @@
 
   gateway_context context_;
   seat_dispatcher seats_;
+  std::function<void(const edge_limits&)> on_limits_;
   std::set<std::shared_ptr<forward_exchange>> exchanges_;
   timer_subscription expiry_;
   bool list_known_ = false;
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -6,6 +6,7 @@
 #include <sstream>
 #include <utility>
 
+#include "src/cli/exit_code.h"
 #include "src/gateway/gateway.h"
 #include "src/gateway/peer_exchange.h"
 #include "src/telemetry/log.h"
@@ -14,8 +15,6 @@
 namespace jacinthspool {
 namespace {
 
-constexpr int kSuccess = 0;
-constexpr int kStartFailed = 3;
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 
@@ -39,7 +38,8 @@
                   .timers = timers_,
                   .client = client_,
                   .dialect = *platform_.dialect,
-                  .data_centre = process_->data_centre}) {}
+                  .data_centre = process_->data_centre,
+                  .on_limits = [this](const edge_limits& limits) { callers_->SetLimits(limits); }}) {}
 
   bool Start(std::string& error) {
     const gateway_settings& settings = *process_->gateway;
@@ -50,7 +50,6 @@
          .address = process_->listen,
          .on_request =
              [this](http1_request request, std::shared_ptr<http1_answer> answer) {
-               callers_->SetLimits(LimitsInForce());
                gateway_.Take(std::move(request), std::move(answer));
              }},
         error);
@@ -90,14 +89,6 @@
  private:
   [[nodiscard]] bool ready() const { return gateway_.able() && !stopping_; }
 
-  [[nodiscard]] http1_limits LimitsInForce() const {
-    const edge_limits limits = gateway_.limits();
-    return {.max_head_bytes = static_cast<std::size_t>(limits.max_head_bytes),
-            .max_body_bytes = static_cast<std::size_t>(limits.max_body_bytes),
-            .head_timeout = limits.head_timeout,
-            .idle_timeout = limits.idle_timeout};
-  }
-
   bool StartMetrics(const gateway_settings& settings, std::string& error) {
     if (settings.metrics_listen.empty()) {
       return true;
@@ -183,10 +174,10 @@
   std::string error;
   if (!daemon.Start(error)) {
     std::fprintf(stderr, "%s: %s\n", process_file.c_str(), error.c_str());
-    return kStartFailed;
+    return kExitCannotStart;
   }
   daemon.Run();
-  return kSuccess;
+  return kExitOk;
 }
 
 }  // namespace jacinthspool
--- a/src/gateway/snapshot.cc
+++ b/src/gateway/snapshot.cc
@@ -51,28 +51,24 @@
 std::shared_ptr<snapshot::listed_service_value> ToWire(const forward_service& service) {
   auto wire = std::make_shared<snapshot::listed_service_value>();
   wire->name = service.name;
-  wire->max_connections = service.max_connections;
   wire->has_engine = service.engine.has_value();
   if (service.engine) {
     wire->kv_tokens = service.engine->kv_tokens;
     wire->kv_handle_life = static_cast<std::uint64_t>(service.engine->kv_handle_life.count());
     wire->longest_hold = static_cast<std::uint64_t>(service.engine->longest_hold.count());
     wire->tokens_per_event = service.engine->tokens_per_event;
-    wire->backs_up_runs = service.engine->backs_up_runs;
   }
   return wire;
 }
 
 forward_service FromWire(const snapshot::listed_service_value& wire) {
-  forward_service service{
-      .name = wire.name, .max_connections = wire.max_connections, .engine = std::nullopt};
+  forward_service service{.name = wire.name, .engine = std::nullopt};
   if (wire.has_engine) {
     service.engine = engine_profile{
         .kv_tokens = wire.kv_tokens,
         .kv_handle_life = microseconds(static_cast<std::int64_t>(wire.kv_handle_life)),
         .longest_hold = microseconds(static_cast<std::int64_t>(wire.longest_hold)),
-        .tokens_per_event = wire.tokens_per_event,
-        .backs_up_runs = wire.backs_up_runs};
+        .tokens_per_event = wire.tokens_per_event};
   }
   return service;
 }
--- a/src/gateway/wire_dialect.h
+++ b/src/gateway/wire_dialect.h
@@ -40,7 +40,6 @@
   bool prefill_only = false;   ///< Only read the prompt and keep its KV cache.
   std::string kv_source = {};  ///< Where the prompt's KV cache waits; empty: nowhere.
   std::string hold = {};       ///< Room that the backend server keeps for it; empty: none.
-  std::string kv_backup = {};  ///< Address that gets a copy of the run's KV cache; empty: none.
 };
 
 /// \brief What the head of a backend server's reply says.
--- a/src/sidecar/sidecar_daemon.cc
+++ b/src/sidecar/sidecar_daemon.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "jacinthspool/routing/stage_plan.h"
+#include "src/cli/exit_code.h"
 #include "src/gateway/one_way_call.h"
 #include "src/gateway/snapshot_question.h"
 #include "src/telemetry/log.h"
@@ -13,8 +14,6 @@
 namespace jacinthspool {
 namespace {
 
-constexpr int kSuccess = 0;
-
 /// Between two looks at the list.
 constexpr milliseconds kLookPeriod = milliseconds(1500);
 /// The first look, after the gateways have read their list.
@@ -122,7 +121,7 @@
   OpenLog({.process = process->name, .file = process->log_file});
   sidecar_daemon daemon(std::move(process), std::move(platform));
   daemon.Run();
-  return kSuccess;
+  return kExitOk;
 }
 
 }  // namespace jacinthspool
--- a/src/transport/http1_server.cc
+++ b/src/transport/http1_server.cc
@@ -57,7 +57,7 @@
   explicit state(options the_settings) : settings(std::move(the_settings)) {}
 
   options settings;
-  http1_limits limits;
+  edge_limits limits;
   listener_handle listener;
   timer_subscription sweep;
   std::set<std::shared_ptr<connection>> connections;
@@ -376,7 +376,7 @@
   return std::unique_ptr<http1_server>(new http1_server(std::move(initial)));
 }
 
-void http1_server::SetLimits(const http1_limits& limits) { state_->limits = limits; }
+void http1_server::SetLimits(const edge_limits& limits) { state_->limits = limits; }
 
 void http1_server::CloseAfterAnswers() { state_->close_after_answers = true; }
 
--- a/src/transport/http1_server.h
+++ b/src/transport/http1_server.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "jacinthspool/impl/time.h"
+#include "jacinthspool/routing/edge_limits.h"
 #include "src/transport/event_loop.h"
 #include "src/transport/http1_reader.h"
 #include "src/transport/timer_service.h"
@@ -38,14 +39,6 @@
   virtual void OnCallerGone(std::function<void()> action) = 0;
 };
 
-/// \brief What a server lets its clients do.
-struct http1_limits {
-  std::size_t max_head_bytes = 16U << 10U;
-  std::size_t max_body_bytes = 4U << 20U;
-  milliseconds head_timeout = seconds(3);   ///< From a message's first byte to its head's end.
-  milliseconds idle_timeout = seconds(15);  ///< Between two messages.
-};
-
 /// \brief A strict HTTP/1.1 server: one request at a time on a connection, read whole first.
 class http1_server {
  public:
@@ -61,7 +54,7 @@
   static std::unique_ptr<http1_server> Listen(options settings, std::string& error);
   ~http1_server();
 
-  void SetLimits(const http1_limits& limits);
+  void SetLimits(const edge_limits& limits);
 
   /// \brief From now on every answer ends its connection.
   void CloseAfterAnswers();
