Judge the soak's promises also in a calm end

After the faults there is now a calm end in which two servers leave, every route is asked at every gateway, and all callers must be served. Streams run for 1.5 s, so that a run of a caller who left is seen to go on.

--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -247,10 +247,9 @@
   context_.budget.CountRequest(settings_.received, settings_.service);
   settings_.answer->OnCallerGone([this] { OnCallerGone(); });
   ArmDeadline();
-  comes_back_ =
-      settings_.request.model && settings_.request.time_left &&
-      context_.patience.ComesBack(settings_.route->name, *settings_.request.time_left,
-                                  settings_.received);
+  comes_back_ = settings_.request.model && settings_.request.time_left &&
+                context_.patience.ComesBack(settings_.route->name, *settings_.request.time_left,
+                                            settings_.received);
   if (settings_.request.model ||
       context_.shedder.Admit(settings_.service, context_.random(), settings_.received)) {
     SeatAndSend();
@@ -398,8 +397,8 @@
     OnServeFailed(attempt_failure::kUnsent);
     return;
   }
-  // The first prefill that an engine takes is free, and a refused one costs a repeat: none is risked
-  // that could not be paid for.
+  // The first prefill that an engine takes is free, and a refused one costs a repeat: none is
+  // risked that could not be paid for.
   const bool allowed = prefill      ? context_.budget.left(now, settings_.service) >= 1
                        : sends_ > 0 ? context_.budget.Draw(now, settings_.service)
                                     : true;
--- a/src/gateway/seat_dispatcher.cc
+++ b/src/gateway/seat_dispatcher.cc
@@ -78,7 +78,8 @@
   std::string body_;
 };
 
-seat_dispatcher::seat_dispatcher(gateway_context& context) : context_(context), queue_({}), reserve_({}) {}
+seat_dispatcher::seat_dispatcher(gateway_context& context)
+    : context_(context), queue_({}), reserve_({}) {}
 seat_dispatcher::~seat_dispatcher() = default;
 
 std::uint64_t seat_dispatcher::Claim(seat_claim claim, handlers told) {
--- a/tests/soak/server_standin.cc
+++ b/tests/soak/server_standin.cc
@@ -16,7 +16,6 @@
 constexpr milliseconds kPlainWork = milliseconds(20);
 constexpr milliseconds kEventTime = milliseconds(15);
 constexpr milliseconds kHandleLife = milliseconds(500);
-constexpr std::uint64_t kMemoryTokens = 20000;  ///< As the configuration of the soak says.
 
 http_headers Genuine(const http1_request& request) {
   return {{"X-Request-Id", std::string(request.head.Find("X-Request-Id").value_or(""))},
@@ -53,10 +52,10 @@
           {.loop = settings.loop,
            .timers = settings.timers,
            .address = "127.0.0.1:0",
-           .on_request = [this](const http1_request& request,
-                                const std::shared_ptr<http1_answer>& answer) {
-             Take(request, answer);
-           }},
+           .on_request =
+               [this](const http1_request& request, const std::shared_ptr<http1_answer>& answer) {
+                 Take(request, answer);
+               }},
           error_)) {}
 
 std::string server_standin::address() const {
@@ -108,6 +107,12 @@
   return names;
 }
 
+bool server_standin::Runs(const std::string& request) {
+  Sweep();
+  return std::any_of(runs_.begin(), runs_.end(),
+                     [&](const run& each) { return each.request == request; });
+}
+
 void server_standin::TakeHold(const http1_request& request, http1_answer& answer) {
   const auto body = nlohmann::json::parse(request.body, nullptr, false);
   const auto tokens = body.value("tokens", std::uint64_t{0});
@@ -117,11 +122,10 @@
   }
   const std::string name = "hold" + std::to_string(++settings_.ledger.last_name);
   holds_[name] = {.tokens = tokens,
-                  .life = settings_.timers.After(milliseconds(body.value("ttlMs", 0)),
-                                                 [this, name](instant /*now*/) {
-                                                   settings_.loop.Post(
-                                                       [this, name] { holds_.erase(name); });
-                                                 })};
+                  .life = settings_.timers.After(
+                      milliseconds(body.value("ttlMs", 0)), [this, name](instant /*now*/) {
+                        settings_.loop.Post([this, name] { holds_.erase(name); });
+                      })};
   answer.Reply(kOk, {}, nlohmann::json{{"hold", name}}.dump());
 }
 
@@ -135,9 +139,8 @@
   ++settings_.ledger.requests[id].accepted_prefills;
   const std::string name = "kv" + std::to_string(++settings_.ledger.last_name);
   settings_.ledger.kv_handles.insert(name);
-  handles_[name] = settings_.timers.After(kHandleLife, [this, name](instant /*now*/) {
-    settings_.ledger.kv_handles.erase(name);
-  });
+  handles_[name] = settings_.timers.After(
+      kHandleLife, [this, name](instant /*now*/) { settings_.ledger.kv_handles.erase(name); });
   answer.Reply(kOk, Genuine(request),
                nlohmann::json{{"handle", name}, {"tokens", 1}, {"version", 1}}.dump());
 }
@@ -150,9 +153,8 @@
   ++seen.arrivals;
   const bool decodes = settings_.kind == role::kDecode;
   const auto source = request.head.Find("X-Kv-Source");
-  if (conduct_ == conduct::kFull ||
-      (source && settings_.ledger.kv_handles.erase(
-                     std::string(source->substr(source->rfind('/') + 1))) == 0)) {
+  if (conduct_ == conduct::kFull || (source && settings_.ledger.kv_handles.erase(std::string(
+                                                   source->substr(source->rfind('/') + 1))) == 0)) {
     Refuse(request, *answer, kUnavailable);
     return;
   }
--- a/tests/soak/server_standin.h
+++ b/tests/soak/server_standin.h
@@ -39,7 +39,8 @@
     kFailing,  ///< Runs and answers 500.
     kSilent,   ///< Runs and answers nothing.
   };
-  static constexpr int kEvents = 40;  ///< Of each stream.
+  static constexpr int kEvents = 100;                    ///< Of each stream.
+  static constexpr std::uint64_t kMemoryTokens = 60000;  ///< Of each engine.
 
   struct options {
     event_loop& loop;
@@ -58,6 +59,8 @@
 
   /// \returns The runs and held seats that still take memory, by name; empty when there are none.
   [[nodiscard]] std::string Occupants();
+  /// \returns true while a run of the request takes memory.
+  [[nodiscard]] bool Runs(const std::string& request);
   /// \returns When the last request came to be run; the epoch if none has.
   [[nodiscard]] instant last_arrival() const { return last_arrival_; }
 
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -39,7 +39,10 @@
 constexpr milliseconds kPlainDeadline = milliseconds(1500);
 constexpr milliseconds kStreamDeadline = milliseconds(4000);
 constexpr milliseconds kStartTime = milliseconds(300);  ///< A process listens well before.
-constexpr double kLeavingShare = 0.1;                   ///< Callers that leave early.
+/// A caller that leaves is known to have left, and its run has ended.
+constexpr milliseconds kLeftBound = milliseconds(1000);
+constexpr int kCalmCallers = 10;       ///< Of each plain kind, at each gateway, after the faults.
+constexpr double kLeavingShare = 0.1;  ///< Callers that leave early.
 
 /// One gateway and the fate of its process.
 struct gateway_slot {
@@ -49,8 +52,8 @@
   std::unique_ptr<child_process> process;
   int starts = 0;
   instant started{};
-  instant stopped{};          ///< When SIGTERM was sent; the epoch if it was not.
-  instant last_disturbed{};   ///< Killed, paused or continued.
+  instant stopped{};         ///< When SIGTERM was sent; the epoch if it was not.
+  instant last_disturbed{};  ///< Killed, paused or continued.
   bool paused = false;
   std::set<std::string> configurations;  ///< Routes that this process has answered for.
 
@@ -180,8 +183,11 @@
   void CheckProcesses();
   void ProbeConfiguration(const std::string& route, instant published);
   void CheckLeaving(const server_slot& slot);
+  void PlayCalmEnd();
+  [[nodiscard]] std::vector<gateway_slot*> SteadyGateways() const;
   void CheckEnd();
   void CheckAnswer(const caller& ended);
+  void CheckLeft(const caller& gone);
 
   soak_options options_;
   std::mt19937_64 random_;        ///< Callers and restarts.
@@ -235,10 +241,14 @@
 }
 
 void soak::Publish(const server_slot& slot, const char* state) {
-  json entry = {{"service", slot.service}, {"address", slot.link->address()},
-                {"zone", "dc"},            {"version", 1},
-                {"slots", 64},             {"state", state},
-                {"coldLeftMs", 0},         {"seq", 1}};
+  json entry = {{"service", slot.service},
+                {"address", slot.link->address()},
+                {"zone", "dc"},
+                {"version", 1},
+                {"slots", 64},
+                {"state", state},
+                {"coldLeftMs", 0},
+                {"seq", 1}};
   if (!slot.stage.empty()) {
     entry["stage"] = slot.stage;
   }
@@ -252,7 +262,7 @@
     routes.push_back({{"name", path},
                       {"host", "h"},
                       {"prefix", path},
-                      {"kind", streams             ? "streaming"
+                      {"kind", streams            ? "streaming"
                                : path == "/once/" ? "non_idempotent"
                                                   : "idempotent"},
                       {"attempts", 2},
@@ -261,16 +271,22 @@
                       {"service", streams ? "model" : "plain"},
                       {"resumable", path == "/stream/"}});
   }
-  const json engine = {{"kvTokens", 20000}, {"kvHoldS", 0.5}, {"holdMs", 2000.0}, {"stride", 1}};
-  store_.Put("op/config", json{{"version", version_},
-                               {"routes", routes},
-                               {"services", {{{"name", "plain"}, {"maxConns", 100}},
-                                             {{"name", "model"}, {"engine", engine}}}},
-                               {"limits", {{"maxHeaderBytes", 16384},
-                                           {"maxBodyBytes", 1048576},
-                                           {"headerTimeoutMs", 3000},
-                                           {"idleTimeoutMs", 15000}}}}
-                              .dump());
+  const json engine = {{"kvTokens", server_standin::kMemoryTokens},
+                       {"kvHoldS", 0.5},
+                       {"holdMs", 2000.0},
+                       {"stride", 1}};
+  store_.Put(
+      "op/config",
+      json{{"version", version_},
+           {"routes", routes},
+           {"services",
+            {{{"name", "plain"}, {"maxConns", 100}}, {{"name", "model"}, {"engine", engine}}}},
+           {"limits",
+            {{"maxHeaderBytes", 16384},
+             {"maxBodyBytes", 1048576},
+             {"headerTimeoutMs", 3000},
+             {"idleTimeoutMs", 15000}}}}
+          .dump());
   version_ += 1 + fault_random_() % 5;
 }
 
@@ -284,37 +300,38 @@
     AddServer(server_standin::role::kPrefill);
     AddServer(server_standin::role::kDecode);
   }
-  std::vector<std::string> snapshots;
+  std::vector<std::string> snapshots(options_.gateways);
   for (int i = 0; i < options_.gateways; ++i) {
-    snapshots.push_back(world_.FreeAddress());
+    snapshots[i] = world_.FreeAddress();
   }
   for (int i = 0; i < options_.gateways; ++i) {
     auto slot = std::make_unique<gateway_slot>();
     slot->name = "gateway-" + std::to_string(i);
     slot->address = world_.FreeAddress();
-    slot->settings = world_.WriteFile(
-        slot->name + ".json", json{{"name", slot->name},
-                                   {"data_centre", "dc"},
-                                   {"listen", slot->address},
-                                   {"peers", snapshots},
-                                   {"gateway", {{"ready_listen", world_.FreeAddress()},
-                                                {"snapshot_listen", snapshots[i]},
-                                                {"metrics_listen", world_.FreeAddress()},
-                                                {"publisher", store_link_->address()},
-                                                {"repeat_ratio", kRepeatRatio},
-                                                {"repeat_extra", kRepeatExtra},
-                                                {"stop_grace_s", kStopBound / seconds(1)}}}}
-                                  .dump());
+    slot->settings =
+        world_.WriteFile(slot->name + ".json", json{{"name", slot->name},
+                                                    {"data_centre", "dc"},
+                                                    {"listen", slot->address},
+                                                    {"peers", snapshots},
+                                                    {"gateway",
+                                                     {{"ready_listen", world_.FreeAddress()},
+                                                      {"snapshot_listen", snapshots[i]},
+                                                      {"metrics_listen", world_.FreeAddress()},
+                                                      {"publisher", store_link_->address()},
+                                                      {"repeat_ratio", kRepeatRatio},
+                                                      {"repeat_extra", kRepeatExtra},
+                                                      {"stop_grace_s", kStopBound / seconds(1)}}}}
+                                                   .dump());
     gateways_.push_back(std::move(slot));
     StartGateway(*gateways_.back());
   }
   const std::string sidecar = world_.WriteFile(
-      "sidecar.json", json{{"name", "sidecar-0"},
-                           {"data_centre", "dc"},
-                           {"peers", snapshots},
-                           {"sidecar", {{"engine", servers_[3]->link->address()},
-                                        {"service", "model"}}}}
-                          .dump());
+      "sidecar.json",
+      json{{"name", "sidecar-0"},
+           {"data_centre", "dc"},
+           {"peers", snapshots},
+           {"sidecar", {{"engine", servers_[3]->link->address()}, {"service", "model"}}}}
+          .dump());
   sidecar_ = std::make_unique<child_process>(
       JACINTHSPOOL_BINARY, std::vector<std::string>{"sidecar", "--config", sidecar},
       world_.PathOf("sidecar-0.log"));
@@ -353,10 +370,12 @@
   added.call = client_.Start(
       {.address = gateway.address, .bytes = bytes + "Content-Length: 4\r\n\r\nbody"}, added);
   const bool early = kind != request_class::kProbe && Draw(random_) < kLeavingShare;
-  const milliseconds stays = early ? DrawTime(random_, milliseconds(5), milliseconds(400)) : deadline;
-  added.leaves = world_.timers().After(stays, [&added](instant /*now*/) {
+  const milliseconds stays =
+      early ? DrawTime(random_, milliseconds(5), milliseconds(400)) : deadline;
+  added.leaves = world_.timers().After(stays, [this, &added](instant /*now*/) {
     added.left = true;
     added.call.reset();
+    Later(kLeftBound, [this, &added] { CheckLeft(added); });
   });
 }
 
@@ -410,6 +429,16 @@
   }
 }
 
+void soak::CheckLeft(const caller& gone) {
+  const bool judged = gone.gateway.starts == gone.gateway_start &&
+                      gone.gateway.last_disturbed < gone.begun && server_disturbed_ < gone.begun;
+  for (const auto& slot : servers_) {
+    if (judged && slot->server->Runs(gone.id)) {
+      Broken("no memory for callers that left", gone.id + " still runs at " + slot->server->id());
+    }
+  }
+}
+
 void soak::CheckAnswer(const caller& ended) {
   if (*ended.end == call_end::kMalformed) {
     Broken("answers are sound", ended.id);
@@ -463,7 +492,8 @@
     Played("gateway killed", slot.name);
     slot.last_disturbed = timer_service::now();
     slot.process->Kill();
-    Later(DrawTime(fault_random_, milliseconds(50), milliseconds(800)), [this, &slot] { StartGateway(slot); });
+    Later(DrawTime(fault_random_, milliseconds(50), milliseconds(800)),
+          [this, &slot] { StartGateway(slot); });
   } else if (drawn < 0.65) {
     Played("gateway stopped", slot.name);
     StopGateway(slot);
@@ -515,10 +545,10 @@
   if (drawn < 0.5) {
     Played("server link", slot.server->id() + " " + std::to_string(drawn));
     relay& link = *slot.link;
-    drawn < 0.2    ? link.Cut()
-    : drawn < 0.3  ? link.Stall()
-    : drawn < 0.4  ? link.StallReplies()
-                   : link.StallRequests();
+    drawn < 0.2   ? link.Cut()
+    : drawn < 0.3 ? link.Stall()
+    : drawn < 0.4 ? link.StallReplies()
+                  : link.StallRequests();
     Later(length, [&link] { link.Heal(); });
   } else {
     Played("server conduct", slot.server->id() + " " + std::to_string(drawn));
@@ -536,9 +566,8 @@
     Played("configuration changed", std::to_string(version_));
     routes_.push_back("/probe" + std::to_string(version_) + "/");
     PublishConfiguration();
-    Later(kConfigurationBound, [this, route = routes_.back(), now] {
-      ProbeConfiguration(route, now);
-    });
+    Later(kConfigurationBound,
+          [this, route = routes_.back(), now] { ProbeConfiguration(route, now); });
     return;
   }
   server_slot& slot = Pick(servers_);
@@ -579,9 +608,8 @@
     }
     if (slot->stopping() || slot->last_disturbed < slot->started) {
       slot->process.reset();
-      Later(DrawTime(random_, milliseconds(20), milliseconds(500)), [this, &own = *slot] {
-        StartGateway(own);
-      });
+      Later(DrawTime(random_, milliseconds(20), milliseconds(500)),
+            [this, &own = *slot] { StartGateway(own); });
     }
   }
 }
@@ -600,11 +628,10 @@
 }
 
 void soak::CheckLeaving(const server_slot& slot) {
-  const bool judged =
-      store_disturbed_ < slot.left &&
-      std::all_of(gateways_.begin(), gateways_.end(), [&](const auto& gateway) {
-        return gateway->last_disturbed < slot.left && gateway->started < slot.left;
-      });
+  const bool judged = store_disturbed_ < slot.left &&
+                      std::all_of(gateways_.begin(), gateways_.end(), [&](const auto& gateway) {
+                        return gateway->last_disturbed < slot.left && gateway->started < slot.left;
+                      });
   if (judged && slot.server->last_arrival() > slot.left + kLeavingBound) {
     Broken("leaving servers get no new work", slot.server->id());
   }
@@ -617,18 +644,17 @@
   for (const auto& each : callers_) {
     const run_ledger::entry& seen = ledger_.requests[each->id];
     const bool whole = each->end == call_end::kWhole;
-    ++report_.outcomes[each->left                     ? "left"
-                       : each->end && whole           ? std::to_string(each->status)
-                       : each->end                    ? std::string(ToString(*each->end))
-                                                      : "open"];
+    ++report_.outcomes[each->left           ? "left"
+                       : each->end && whole ? std::to_string(each->status)
+                       : each->end          ? std::string(ToString(*each->end))
+                                            : "open"];
     if (each->kind == request_class::kProbe) {
       if (whole && each->status == 404) {
         Broken("accepted configuration is in force", each->path + " at " + each->gateway.name);
       }
       continue;
     }
-    const bool once =
-        each->kind == request_class::kOnce || each->kind == request_class::kBrittle;
+    const bool once = each->kind == request_class::kOnce || each->kind == request_class::kBrittle;
     if (once && seen.runs > 1) {
       Broken("not repeatable, at most once",
              each->id + " ran " + std::to_string(seen.runs) + " times");
@@ -646,8 +672,59 @@
   const double allowed =
       kRepeatRatio * static_cast<double>(callers_.size()) + kRepeatExtra * windows;
   if (ledger_.Repeats() > allowed) {
-    Broken("repeats stay within the budget", std::to_string(ledger_.Repeats()) + " of " +
-                                                 std::to_string(allowed));
+    Broken("repeats stay within the budget",
+           std::to_string(ledger_.Repeats()) + " of " + std::to_string(allowed));
+  }
+}
+
+std::vector<gateway_slot*> soak::SteadyGateways() const {
+  std::vector<gateway_slot*> steady;
+  for (const auto& slot : gateways_) {
+    if (slot->process && !slot->process->ExitCode() && !slot->stopping() &&
+        timer_service::now() - slot->started > kConfigurationBound) {
+      steady.push_back(slot.get());
+    }
+  }
+  return steady;
+}
+
+/// Without faults every promise can be judged: configurations in force, servers that have left,
+/// and that callers are served again.
+void soak::PlayCalmEnd() {
+  for (const std::size_t leaving : {std::size_t{0}, std::size_t{4}}) {
+    server_slot& slot = *servers_[leaving];
+    if (slot.left == instant{}) {
+      AddServer(slot.server->kind());
+      Publish(slot, "draining");
+      slot.left = timer_service::now();
+    }
+  }
+  world_.Elapse(kLeavingBound);
+  const instant calm = timer_service::now();
+  const std::size_t first = callers_.size();
+  for (gateway_slot* gateway : SteadyGateways()) {
+    for (const std::string& route : routes_) {
+      Ask(request_class::kProbe, *gateway, route);
+    }
+    for (int i = 0; i < kCalmCallers; ++i) {
+      Ask(request_class::kOnce, *gateway, PathOf(request_class::kOnce));
+      Ask(request_class::kAgain, *gateway, PathOf(request_class::kAgain));
+      world_.Elapse(2 * kCallerGap);
+    }
+    Ask(request_class::kStream, *gateway, PathOf(request_class::kStream));
+  }
+  world_.Elapse(kStreamDeadline + milliseconds(500));
+  for (const auto& slot : servers_) {
+    if (slot->left != instant{} && slot->server->last_arrival() > calm) {
+      Broken("leaving servers get no new work", slot->server->id());
+    }
+  }
+  for (std::size_t i = first; i < callers_.size(); ++i) {
+    const caller& each = *callers_[i];
+    if (!each.left && each.status != 200 && each.kind != request_class::kProbe) {
+      Broken("callers are served again once all is well",
+             each.id + " at " + each.gateway.name + " got " + std::to_string(each.status));
+    }
   }
 }
 
@@ -664,15 +741,7 @@
   store_link_->Heal();
   store_.Behave(store_standin::conduct::kServing);
   world_.Elapse(kConfigurationBound);
-  for (const auto& slot : gateways_) {
-    for (const std::string& route : routes_) {
-      if (slot->process && !slot->process->ExitCode() && !slot->stopping() &&
-          timer_service::now() - slot->started > kConfigurationBound) {
-        Ask(request_class::kProbe, *slot, route);
-      }
-    }
-  }
-  world_.Elapse(kPlainDeadline + milliseconds(500));
+  PlayCalmEnd();
   watch.Cancel();
   CheckEnd();
   if (!report_.broken.empty() && !options_.keep_logs.empty()) {
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -36,8 +36,8 @@
   }
 }
 
-/// By hand: SOAK_SEEDS="FIRST COUNT SECONDS GATEWAYS" plays more seeds, longer, with more processes;
-/// SOAK_LOGS names a folder for the logs of seeds that fail.
+/// By hand: SOAK_SEEDS="FIRST COUNT SECONDS GATEWAYS" plays more seeds, longer, with more
+/// processes; SOAK_LOGS names a folder for the logs of seeds that fail.
 TEST_CASE("more seeds, when asked for") {
   const char* asked = std::getenv("SOAK_SEEDS");
   if (asked == nullptr) {
--- a/tests/soak/store_standin.cc
+++ b/tests/soak/store_standin.cc
@@ -19,9 +19,8 @@
 
 std::string Base64(const std::string& bytes) {
   std::string text(sodium_base64_encoded_len(bytes.size(), sodium_base64_VARIANT_ORIGINAL), '\0');
-  sodium_bin2base64(text.data(), text.size(),
-                    reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(),
-                    sodium_base64_VARIANT_ORIGINAL);
+  sodium_bin2base64(text.data(), text.size(), reinterpret_cast<const unsigned char*>(bytes.data()),
+                    bytes.size(), sodium_base64_VARIANT_ORIGINAL);
   text.pop_back();  // the terminating zero
   return text;
 }
@@ -60,10 +59,10 @@
           {.loop = loop,
            .timers = timers,
            .address = "127.0.0.1:0",
-           .on_request = [this](const http1_request& request,
-                                const std::shared_ptr<http1_answer>& answer) {
-             Take(request, answer);
-           }},
+           .on_request =
+               [this](const http1_request& request, const std::shared_ptr<http1_answer>& answer) {
+                 Take(request, answer);
+               }},
           error_)) {}
 
 std::string store_standin::address() const {
@@ -168,9 +167,8 @@
   watches_.push_back(std::move(watch));
   const auto place = std::prev(watches_.end());
   place->timeout = timers_.After(wait, [this, answer = place->answer.get()](instant /*now*/) {
-    const auto found = std::find_if(watches_.begin(), watches_.end(), [&](const auto& each) {
-      return each.answer.get() == answer;
-    });
+    const auto found = std::find_if(watches_.begin(), watches_.end(),
+                                    [&](const auto& each) { return each.answer.get() == answer; });
     if (found != watches_.end()) {
       const std::shared_ptr<http1_answer> kept = found->answer;
       watches_.erase(found);
