--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -699,7 +699,9 @@
       slot.left = timer_service::now();
     }
   }
-  world_.Elapse(kLeavingBound);
+  routes_.push_back("/probe" + std::to_string(version_) + "/");
+  PublishConfiguration();
+  world_.Elapse(std::max(kLeavingBound, kConfigurationBound));
   const instant calm = timer_service::now();
   const std::size_t first = callers_.size();
   for (gateway_slot* gateway : SteadyGateways()) {
