--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -10,7 +10,6 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <random>
-#include <set>
 #include <utility>
 
 #include "src/transport/http1_client.h"
@@ -35,6 +34,7 @@
 /// The balancer asks once a second, and sends callers until the second miss.
 constexpr milliseconds kBalancerBound = milliseconds(2000);
 
+constexpr int kKilledCode = 128 + SIGKILL;             ///< `child_process::ExitCode` after SIGKILL.
 constexpr milliseconds kCallerGap = milliseconds(15);  ///< Mean time between two callers.
 constexpr milliseconds kPlainDeadline = milliseconds(1500);
 constexpr milliseconds kStreamDeadline = milliseconds(4000);
@@ -55,7 +55,6 @@
   instant stopped{};         ///< When SIGTERM was sent; the epoch if it was not.
   instant last_disturbed{};  ///< Killed, paused or continued.
   bool paused = false;
-  std::set<std::string> configurations;  ///< Routes that this process has answered for.
 
   [[nodiscard]] bool stopping() const { return stopped != instant{}; }
 };
@@ -88,7 +87,8 @@
 
 class soak;
 
-/// One request of a caller. It stays until the end of the soak, for the final check.
+/// One request of a caller, and what came of it. It stays until the end of the soak, for the final
+/// check.
 struct caller : http1_call_listener {
   soak& owner;
   std::string id;
@@ -346,7 +346,6 @@
   slot.started = timer_service::now();
   slot.stopped = {};
   slot.paused = false;
-  slot.configurations.clear();
 }
 
 void soak::StopGateway(gateway_slot& slot) {
@@ -603,7 +602,7 @@
     }
     if (!slot->stopping() && slot->last_disturbed < slot->started) {
       Broken("no process ends by itself", slot->name + " with code " + std::to_string(*code));
-    } else if (slot->stopping() && *code != 0 && *code != 128 + SIGKILL) {
+    } else if (slot->stopping() && *code != 0 && *code != kKilledCode) {
       Broken("a planned stop ends well", slot->name + " with code " + std::to_string(*code));
     }
     if (slot->stopping() || slot->last_disturbed < slot->started) {
