--- a/include/jacinthspool/routing/backend_list.h
+++ b/include/jacinthspool/routing/backend_list.h
@@ -15,7 +15,9 @@
 
 /// \brief One published backend server.
 struct backend_record {
-  std::string id = {};  ///< Names one incarnation.
+  std::string id = {};  ///< Names one incarnation, but for a server that keeps its id.
+  /// Tells the incarnations of one id apart: the Unix millisecond of its start; 0: not told.
+  std::uint64_t started_ms = 0;
   std::string service = {};
   std::string address = {};  ///< ip:port
   std::string data_centre = {};
@@ -35,6 +37,8 @@
   struct options {
     /// Time in which lapsed entries come back after the publisher's return.
     microseconds lapse_grace = seconds(2);
+    /// How long it is remembered that a server said that it leaves, after its entry is gone.
+    microseconds leaving_memory = seconds(600);
   };
 
   explicit backend_list(const options& settings) : settings_(settings) {}
@@ -46,6 +50,12 @@
   void Put(backend_record record);
   void Remove(const std::string& id, std::uint64_t revision, instant now);
 
+  /// \brief The server itself, or a peer that it told, says that this incarnation is leaving.
+  ///
+  /// Holds whatever the publisher says, until another incarnation has the id.
+  /// \returns true when that is news.
+  bool MarkLeaving(const std::string& id, std::uint64_t started_ms, instant now);
+
   /// \brief The publisher can't be reached or has failed.
   void PublisherLost();
   /// \brief The publisher answers again.
@@ -60,11 +70,20 @@
   [[nodiscard]] std::uint64_t revision() const { return revision_; }
 
  private:
+  /// \brief What an incarnation said of itself.
+  struct farewell {
+    std::uint64_t started_ms = 0;
+    instant said{};
+  };
+
   [[nodiscard]] bool Disturbed(instant now) const;
+  /// \returns The record, marked if its incarnation has said that it leaves.
+  [[nodiscard]] backend_record Amended(backend_record record);
 
   options settings_;
   std::map<std::string, backend_record> backends_;
   std::map<std::string, std::uint64_t> missing_;  ///< Held back, with the removal's revision.
+  std::map<std::string, farewell> farewells_;     ///< By id.
   std::uint64_t revision_ = 0;
   bool lost_ = false;
   instant back_since_{};
--- a/include/jacinthspool/routing/backend_selector.h
+++ b/include/jacinthspool/routing/backend_selector.h
@@ -50,12 +50,16 @@
     /// A server that refuses is passed over for so long, doubled while it goes on refusing.
     microseconds busy_pause = milliseconds(150);
     microseconds last_busy_pause = milliseconds(1200);
+    /// How long a record that was found wrong is passed over while no newer one is published.
+    microseconds mistaken_pause = seconds(5);
   };
 
   explicit backend_selector(const options& settings) : settings_(settings) {}
 
   /// \brief Takes the servers that may get new work now; what is known of each stays.
   void Update(const std::map<std::string, backend_record>& backends);
+  /// \brief Takes one server's newest record.
+  void Update(const backend_record& record);
 
   /// \param random Any random number; it decides between equals.
   /// \returns The server, or null when the service has none that may be used.
@@ -73,6 +77,23 @@
   /// \brief An attempt at it has had no answer for longer than it should take.
   void OnSilent(const std::string& id, instant now);
 
+  /// \brief The server has asked for no request at all until then.
+  ///
+  /// Unlike a busy one it is not even chosen when it is the only one.
+  void SetQuiet(const std::string& id, instant until);
+  [[nodiscard]] bool quiet(const std::string& id, instant now) const;
+
+  /// \returns When the first server of the service and stage wants requests again, if all of
+  /// those that may be used want none now.
+  [[nodiscard]] std::optional<instant> QuietUntil(std::string_view service, engine_stage stage,
+                                                  instant now) const;
+
+  /// \brief The server that the published record names was not met there, or not in that stage.
+  ///
+  /// It is not chosen until a newer record is published, and for `mistaken_pause` at most, since
+  /// the record may be right after all.
+  void SetMistaken(const std::string& id, instant now);
+
   /// \brief The server has no room until then.
   void SetBusy(const std::string& id, instant until);
   void ClearBusy(const std::string& id);
@@ -90,11 +111,16 @@
     double latency_ms = 0;  ///< Moving average of good answers; 0: none yet.
     instant ejected_until{};
     instant busy_until{};
-    std::uint32_t ejections = 0;  ///< In a row.
-    std::uint32_t refusals = 0;   ///< In a row.
+    instant quiet_until{};
+    instant mistaken_until{};
+    std::uint64_t mistaken_revision = 0;  ///< Of the record that was found wrong.
+    std::uint32_t ejections = 0;          ///< In a row.
+    std::uint32_t refusals = 0;           ///< In a row.
   };
 
   [[nodiscard]] bool Fits(const member& each, const placement& wanted) const;
+  /// \returns true when it may be sent a request now.
+  [[nodiscard]] static bool Open(const member& each, instant now);
   [[nodiscard]] double Score(const member& each, const placement& wanted, double fastest_ms,
                              instant now) const;
   /// \returns The failed share, which fades while nothing new is learnt.
--- a/include/jacinthspool/routing/event_splitter.h
+++ b/include/jacinthspool/routing/event_splitter.h
@@ -27,6 +27,9 @@
   /// \returns true when an event has begun and not ended.
   [[nodiscard]] bool inside_event() const { return !rest_.empty(); }
 
+  /// \returns Bytes of the event that has not ended.
+  [[nodiscard]] std::size_t pending_bytes() const { return rest_.size(); }
+
  private:
   std::string rest_;
 };
--- a/include/jacinthspool/routing/extra_budget.h
+++ b/include/jacinthspool/routing/extra_budget.h
@@ -23,6 +23,9 @@
     microseconds window = seconds(10);
     double extra = 50;          ///< Repeats of all entries that no request pays for.
     std::uint32_t entries = 1;  ///< Entries that share `extra`.
+    /// When this process started: its part of `extra` grows over the first window, since the
+    /// process before it may have spent it.
+    instant started{};
   };
 
   explicit extra_budget(const options& settings) : settings_(settings) {}
--- a/include/jacinthspool/routing/member_estimate.h
+++ b/include/jacinthspool/routing/member_estimate.h
@@ -12,11 +12,11 @@
 /// The load it answers: peers that have just restarted have heard of few, and
 /// whoever believed them would take too large a part of a shared budget. The
 /// count rises at once and falls only when it has been lower for a while; a
-/// process that has just started assumes many.
+/// process that has heard of no peer yet assumes many.
 class member_estimate {
  public:
   struct options {
-    std::uint32_t at_start = 32;       ///< Assumed until `settle` after the start.
+    std::uint32_t at_start = 128;      ///< Assumed until `settle` after the start.
     microseconds settle = seconds(3);  ///< In which all have asked all their peers.
     microseconds hold = seconds(30);   ///< How long a higher count stays in force.
   };
@@ -24,13 +24,14 @@
   member_estimate(const options& settings, instant start) : settings_(settings), start_(start) {}
 
   /// \param counted What is known now.
+  /// \param heard Whether a peer has told its count, or there are no peers to ask.
   /// \returns The count to go by.
-  std::uint32_t Update(std::uint32_t counted, instant now) {
+  std::uint32_t Update(std::uint32_t counted, bool heard, instant now) {
     if (counted >= highest_ || now - seen_ > settings_.hold) {
       highest_ = counted;
       seen_ = now;
     }
-    const bool settling = now - start_ < settings_.settle;
+    const bool settling = !heard || now - start_ < settings_.settle;
     return settling && highest_ < settings_.at_start ? settings_.at_start : highest_;
   }
 
--- /dev/null
+++ b/src/gateway/backend_notices.cc
@@ -0,0 +1,39 @@
+#include "src/gateway/backend_notices.h"
+
+#include "src/telemetry/log.h"
+
+namespace jacinthspool {
+
+void TakeNotice(gateway_context& context, const backend_record& from, const http1_head& head,
+                std::string_view request) {
+  const backend_notice notice = context.dialect.DecodeNotice(head);
+  const instant now = timer_service::now();
+  const auto tell = [&](std::string_view event, milliseconds quiet) {
+    Log(log_level::kInfo, event,
+        {{"request", request},
+         {"backend", from.id},
+         {"quiet_ms", quiet.count()},
+         {"list_revision", context.backends.revision()}});
+  };
+  if (notice.leaving && context.backends.MarkLeaving(from.id, from.started_ms, now)) {
+    tell("backend_says_leaving", milliseconds(0));
+    context.selector.Update(context.backends.backends().at(from.id));
+  }
+  if (notice.quiet_for) {
+    tell("backend_wants_quiet", std::chrono::duration_cast<milliseconds>(*notice.quiet_for));
+    context.selector.SetQuiet(from.id, now + *notice.quiet_for);
+  }
+  if (notice.mistaken) {
+    tell("record_mistaken", milliseconds(0));
+    context.selector.SetMistaken(from.id, now);
+  }
+}
+
+bool TakesWork(const gateway_context& context, const backend_record& backend, instant now) {
+  const auto& listed = context.backends.backends();
+  const auto record = listed.find(backend.id);
+  return record != listed.end() && record->second.started_ms == backend.started_ms &&
+         !record->second.leaving && !context.selector.quiet(backend.id, now);
+}
+
+}  // namespace jacinthspool
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -1,11 +1,14 @@
 #include "src/gateway/forward_exchange.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 #include <vector>
 
+#include "src/gateway/backend_notices.h"
 #include "src/gateway/one_way_call.h"
 #include "src/telemetry/log.h"
+#include "src/transport/http_status.h"
 
 namespace jacinthspool {
 namespace {
@@ -34,17 +37,31 @@
 /// From a seat to the first event: prefill, transfer and the first tokens.
 constexpr milliseconds kFirstEventTime = milliseconds(250);
 
-constexpr int kOk = 200;
-constexpr int kMultipleChoices = 300;
-constexpr int kBadRequest = 400;
-constexpr int kServerError = 500;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
+/// A whole answer up to this size is kept back until it has ended, so that one that breaks off can
+/// be repeated; a longer one is passed on as it comes.
+constexpr std::size_t kMaxKeptAnswer = 64U << 10U;
+/// The reply to a prefill is a short JSON object.
+constexpr std::size_t kMaxPrefillReply = 16U << 10U;
+/// No event of a stream is longer; what goes on without an end is none.
+constexpr std::size_t kMaxEventBytes = 256U << 10U;
+/// No more of an answer is read from the backend server while its caller has to take this much.
+constexpr std::size_t kMaxUnsentBytes = 128U << 10U;
 
 /// Statuses that promise that the request has not run.
 bool PromisesNotRun(int status) {
-  return status == 408 || status == 421 || status == 429 || status == kUnavailable;
+  return status == http_status::kRequestTimeout || status == http_status::kMisdirectedRequest ||
+         status == http_status::kTooManyRequests || status == http_status::kServiceUnavailable;
+}
+
+bool IsSuccess(int status) {
+  return status >= http_status::kOk && status < http_status::kMultipleChoices;
+}
+
+/// \returns true for an answer that its caller gets, rather than one that counts as a failure.
+bool IsDelivered(int status) {
+  return IsSuccess(status) ||
+         (status >= http_status::kBadRequest && status < http_status::kInternalServerError &&
+          !PromisesNotRun(status));
 }
 
 http_headers EndToEndHeaders(const http1_head& head) {
@@ -79,17 +96,28 @@
   attempt& operator=(const attempt&) = delete;
 
   void Send(const std::string& bytes) {
-    call_ = owner_.context_.client.Start({.address = backend_.address,
-                                          .bytes = bytes,
-                                          .expects_body = owner_.settings_.request.method != "HEAD",
-                                          .connect_timeout = kConnectTimeout},
-                                         *this);
+    call_ = owner_.context_.client.Start(
+        {.address = backend_.address,
+         .bytes = bytes,
+         .expects_body = owner_.settings_.request.method != "HEAD",
+         // A late second copy of its first answer bears the same id.
+         .new_connection = owner_.tried_.contains(backend_.id),
+         .connect_timeout = kConnectTimeout,
+         .max_body_bytes = kind_ == attempt_kind::kPrefill
+                               ? kMaxPrefillReply
+                               : std::numeric_limits<std::size_t>::max()},
+        *this);
+  }
+  void PauseReply(bool paused) {
+    paused_ = paused;
+    call_->PauseReply(paused);
   }
 
   [[nodiscard]] attempt_kind kind() const { return kind_; }
   [[nodiscard]] const backend_record& backend() const { return backend_; }
   [[nodiscard]] instant last_heard() const { return last_heard_; }
   [[nodiscard]] bool streaming() const { return streaming_; }
+  [[nodiscard]] bool paused() const { return paused_; }
 
   /// Tells the selector how it went, once.
   void Report(attempt_result result) {
@@ -105,6 +133,7 @@
   }
 
   head_verdict OnHead(const http1_head& head) override {
+    TakeNotice(owner_.context_, backend_, head, owner_.settings_.request.id);
     facts_ = owner_.context_.dialect.DecodeReply(head, owner_.settings_.request);
     if (!facts_.same_request) {
       Log(log_level::kWarning, "stray_reply",
@@ -114,8 +143,8 @@
     first_heard_ = last_heard_ = timer_service::now();
     head_ = head;
     streaming_ = kind_ == attempt_kind::kServe &&
-                 owner_.settings_.route->kind == request_kind::kStreaming && head.status == kOk &&
-                 facts_.sound;
+                 owner_.settings_.route->kind == request_kind::kStreaming &&
+                 head.status == http_status::kOk && facts_.sound;
     if (streaming_) {
       // The engine has taken the prompt's KV cache; there is nothing left to free.
       owner_.kv_source_.clear();
@@ -124,12 +153,28 @@
   }
 
   void OnBody(std::string_view bytes) override {
-    last_heard_ = timer_service::now();
     if (streaming_) {
-      owner_.ForwardEvents(*head_, events_.Split(bytes));
-    } else {
-      body_ += bytes;
+      OnStreamBytes(bytes);
+      return;
     }
+    last_heard_ = timer_service::now();
+    if (passing_on_) {
+      owner_.PassOn(bytes);
+      return;
+    }
+    body_ += bytes;
+    if (body_.size() <= kMaxKeptAnswer) {
+      return;
+    }
+    if (!facts_.sound || facts_.not_run || !IsDelivered(head_->status)) {
+      LogFailure("too long for an error", "");
+      End(attempt_result::kFailed, attempt_failure::kUnsound);
+      return;
+    }
+    passing_on_ = true;
+    const std::string begun = std::exchange(body_, {});
+    owner_.BeginAnswer(*head_);
+    owner_.PassOn(begun);
   }
 
   void OnEnd(call_end end, const std::string& reason) override {
@@ -160,22 +205,37 @@
   }
 
  private:
+  void OnStreamBytes(std::string_view bytes) {
+    const std::vector<stream_event> events = events_.Split(bytes);
+    // Neither a part of an event nor a comment shows that the engine gets on.
+    if (std::any_of(events.begin(), events.end(),
+                    [](const stream_event& each) { return !each.bytes.starts_with(':'); })) {
+      last_heard_ = timer_service::now();
+    }
+    if (events_.pending_bytes() > kMaxEventBytes) {
+      LogFailure("event without end", "");
+      End(attempt_result::kFailed, attempt_failure::kBrokeOff);
+      return;
+    }
+    owner_.ForwardEvents(*head_, events);
+  }
+
   void OnWhole() {
     const int status = head_->status;
-    if (facts_.not_run || facts_.other_backend) {
+    if (facts_.not_run) {
       LogFailure("not_run", "");
-      if (!facts_.other_backend && !owner_.settings_.request.model) {
+      const bool full =
+          status == http_status::kServiceUnavailable || status == http_status::kTooManyRequests;
+      if (full && !owner_.settings_.request.model) {
         owner_.context_.shedder.OnFull(owner_.settings_.service, timer_service::now());
       }
-      End(facts_.other_backend ? attempt_result::kUnreachable : attempt_result::kBusy,
-          attempt_failure::kNotRun);
+      End(full ? attempt_result::kBusy : attempt_result::kUnknown, attempt_failure::kNotRun);
       return;
     }
     if (kind_ == attempt_kind::kPrefill) {
       OnPrefillReply();
       return;
     }
-    const bool success = status >= kOk && status < kMultipleChoices;
     if (streaming_ ? events_.inside_event() : !facts_.sound) {
       LogFailure(streaming_ ? "event cut" : "not a genuine answer", "");
       End(attempt_result::kFailed,
@@ -185,11 +245,14 @@
     if (streaming_) {
       Report(attempt_result::kGood);
       owner_.EndStream(*head_);
-    } else if (success ||
-               (status >= kBadRequest && status < kServerError && !PromisesNotRun(status))) {
+    } else if (IsDelivered(status)) {
       Report(attempt_result::kGood);
       owner_.ReportAnswer(first_heard_ - started_);
-      owner_.Deliver(*head_, body_);
+      if (passing_on_) {
+        owner_.EndPassedOn();
+      } else {
+        owner_.Deliver(*head_, body_);
+      }
     } else {
       LogFailure("error", "");
       owner_.ReportAnswer(first_heard_ - started_);
@@ -200,8 +263,9 @@
   }
 
   void OnPrefillReply() {
-    const auto handle = head_->status == kOk ? owner_.context_.dialect.DecodePrefill(body_)
-                                             : std::optional<std::string>();
+    const auto handle = head_->status == http_status::kOk
+                            ? owner_.context_.dialect.DecodePrefill(body_)
+                            : std::optional<std::string>();
     if (!handle) {
       LogFailure("no handle", "");
       End(attempt_result::kFailed, attempt_failure::kFailedReply);
@@ -231,6 +295,8 @@
   std::string body_;
   event_splitter events_;
   bool streaming_ = false;
+  bool passing_on_ = false;  ///< The body goes to the caller as it comes.
+  bool paused_ = false;
   bool reported_ = false;
   std::unique_ptr<http1_call> call_;
 };
@@ -304,17 +370,24 @@
     OnServeFailed(attempt_failure::kUnsent);
     return;
   }
-  claim_ = settings_.seats.Claim(ClaimOf(now), {.on_seat =
-                                                    [this](decode_seat seat) {
-                                                      claim_ = 0;
-                                                      TakeSeat(std::move(seat));
-                                                    },
-                                                .on_refused =
-                                                    [this](std::string_view why) {
-                                                      claim_ = 0;
-                                                      given_up_because_ = why;
-                                                      OnServeFailed(attempt_failure::kUnsent);
-                                                    }});
+  const seat_claim claim = ClaimOf(now);
+  const auto quiet = context_.selector.QuietUntil(settings_.service, engine_stage::kDecode, now);
+  if (quiet && *quiet > claim.last_use) {
+    given_up_because_ = "all engines want quiet";
+    OnServeFailed(attempt_failure::kUnsent);
+    return;
+  }
+  claim_ = settings_.seats.Claim(claim, {.on_seat =
+                                             [this](decode_seat seat) {
+                                               claim_ = 0;
+                                               TakeSeat(std::move(seat));
+                                             },
+                                         .on_refused =
+                                             [this](std::string_view why) {
+                                               claim_ = 0;
+                                               given_up_because_ = why;
+                                               OnServeFailed(attempt_failure::kUnsent);
+                                             }});
 }
 
 void forward_exchange::TakeSeat(decode_seat seat) {
@@ -353,6 +426,11 @@
          context_.selector.Has(settings_.service, engine_stage::kPrefill);
 }
 
+engine_stage forward_exchange::ServingStage() const {
+  const bool staged = context_.selector.Has(settings_.service, engine_stage::kDecode);
+  return staged ? engine_stage::kDecode : engine_stage::kNone;
+}
+
 bool forward_exchange::MaySendAgain() const {
   const instant now = timer_service::now();
   return TimeLeft(now) > kLeastUsefulTime && context_.budget.left(now, settings_.service) >= 1;
@@ -372,10 +450,7 @@
     ReleaseHandle();
   }
   const bool prefill = WantsPrefill();
-  const bool staged = context_.selector.Has(settings_.service, engine_stage::kDecode);
-  const engine_stage stage = prefill  ? engine_stage::kPrefill
-                             : staged ? engine_stage::kDecode
-                                      : engine_stage::kNone;
+  const engine_stage stage = prefill ? engine_stage::kPrefill : ServingStage();
   if (seat_ && !prefill) {
     SendToSeat();
     return;
@@ -416,9 +491,7 @@
 
 void forward_exchange::SendToSeat() {
   const instant now = timer_service::now();
-  const auto& listed = context_.backends.backends();
-  const auto record = listed.find(seat_->backend.id);
-  if (now >= seat_->until || record == listed.end() || record->second.leaving) {
+  if (now >= seat_->until || !TakesWork(context_, seat_->backend, now)) {
     GiveSeatBack();
     SeatAndSend();
     return;
@@ -427,7 +500,7 @@
     OnServeFailed(attempt_failure::kUnsent);
     return;
   }
-  StartAttempt(attempt_kind::kServe, record->second);
+  StartAttempt(attempt_kind::kServe, context_.backends.backends().at(seat_->backend.id));
 }
 
 void forward_exchange::StartAttempt(attempt_kind kind, const backend_record& backend) {
@@ -467,9 +540,10 @@
   if (silent.streaming()) {
     const auto limit = std::max<microseconds>(kShortestStall, settings_.route->latency_objective);
     const auto quiet = now - silent.last_heard();
-    if (quiet < limit) {
-      silence_timer_ = context_.timers.After(limit - quiet + milliseconds(1),
-                                             [this](instant /*now*/) { OnSilent(*attempt_); });
+    // Checked again also where it can't go elsewhere now: later it may.
+    const auto wait = quiet < limit ? limit - quiet + milliseconds(1) : limit;
+    silence_timer_ = context_.timers.After(wait, [this](instant /*now*/) { OnSilent(*attempt_); });
+    if (quiet < limit || silent.paused()) {
       return;
     }
   }
@@ -496,10 +570,14 @@
 }
 
 void forward_exchange::OnPrefilled(const backend_record& backend, const std::string& handle) {
+  if (std::exchange(prefilled_, true)) {
+    // Only the first prefill that an engine takes is free.
+    context_.budget.Charge(timer_service::now(), settings_.service);
+  }
   const engine_profile* engine = Engine();
   const microseconds life = engine != nullptr ? engine->kv_handle_life : kUnknownHandleLife;
   kv_source_ = context_.dialect.KvSource(backend.address, handle);
-  kv_holder_ = backend.address;
+  kv_holder_ = backend;
   kv_handle_ = handle;
   kv_until_ = timer_service::now() +
               std::chrono::duration_cast<microseconds>(
@@ -528,12 +606,13 @@
   if (ran) {
     kv_source_.clear();
   }
-  // Without an attempt nothing can be sent any more.
-  const next_step step =
-      StepAfter(*settings_.route, {.last = failure,
-                                   .runs = runs_,
-                                   .answer_begun = answer_begun_,
-                                   .may_send_again = attempt_ != nullptr && MaySendAgain()});
+  // Without an attempt nothing can be sent any more; of a begun answer only a stream can go on.
+  const bool can_go_on = !answer_begun_ || settings_.route->kind == request_kind::kStreaming;
+  const next_step step = StepAfter(
+      *settings_.route, {.last = failure,
+                         .runs = runs_,
+                         .answer_begun = answer_begun_,
+                         .may_send_again = attempt_ != nullptr && can_go_on && MaySendAgain()});
   switch (step) {
     case next_step::kSendAgain:
       SeatAndSend();
@@ -547,10 +626,10 @@
         Finish("backend_error", ToString(failure));
         return;
       }
-      Fail(kBadGateway, ToString(failure));
+      Fail(http_status::kBadGateway, ToString(failure));
       return;
     case next_step::kFail:
-      Fail(kBadGateway, ToString(failure));
+      Fail(http_status::kBadGateway, ToString(failure));
       return;
     case next_step::kCut:
       Cut(ToString(failure));
@@ -584,10 +663,30 @@
   }
   if (!whole.empty()) {
     BeginAnswer(head);
-    settings_.answer->Send(whole);
+    PassOn(whole);
   }
 }
 
+void forward_exchange::PassOn(std::string_view bytes) {
+  const auto self = shared_from_this();
+  settings_.answer->Send(bytes);
+  if (ended_ || !attempt_ || settings_.answer->unsent_bytes() <= kMaxUnsentBytes) {
+    return;
+  }
+  attempt_->PauseReply(true);
+  settings_.answer->OnDrained([this] {
+    if (attempt_ && attempt_->paused()) {
+      attempt_->PauseReply(false);
+    }
+  });
+}
+
+void forward_exchange::EndPassedOn() {
+  const auto self = shared_from_this();
+  settings_.answer->End();
+  Finish("served", "");
+}
+
 void forward_exchange::EndStream(const http1_head& head) {
   const auto self = shared_from_this();
   BeginAnswer(head);
@@ -605,13 +704,18 @@
     Cut(why);
     return;
   }
-  const milliseconds share = TimeLeft(timer_service::now()) / kComeBackDivisor;
-  const milliseconds wait = std::clamp(share, kShortestComeBack, kLongestComeBack);
+  const instant now = timer_service::now();
+  const milliseconds share = TimeLeft(now) / kComeBackDivisor;
+  milliseconds wait = std::clamp(share, kShortestComeBack, kLongestComeBack);
+  if (const auto quiet = context_.selector.QuietUntil(settings_.service, ServingStage(), now)) {
+    // Nobody takes requests before that.
+    wait = std::max(wait, std::chrono::ceil<milliseconds>(*quiet - now));
+  }
   // Spread over a quarter of the wait, so that callers refused together don't return together.
   const auto jitter = milliseconds(
       static_cast<std::int64_t>(context_.random() % static_cast<std::uint64_t>(wait.count())) / 4);
-  settings_.answer->Reply(kUnavailable, context_.dialect.RefusalHeaders(wait + jitter),
-                          "not run\n");
+  settings_.answer->Reply(http_status::kServiceUnavailable,
+                          context_.dialect.RefusalHeaders(wait + jitter), "not run\n");
   Finish("refused", why);
 }
 
@@ -659,7 +763,7 @@
   if (answer_begun_) {
     Cut("time is up");
   } else if (may_have_run) {
-    Fail(kGatewayTimeout, "time is up");
+    Fail(http_status::kGatewayTimeout, "time is up");
   } else {
     Refuse("time is up");
   }
@@ -672,8 +776,16 @@
     return;
   }
   kv_source_.clear();
-  SendOneWay(context_.loop, context_.client, kv_holder_,
-             context_.dialect.EncodeRelease(kv_holder_, kv_handle_));
+  if (context_.selector.quiet(kv_holder_.id, timer_service::now())) {
+    return;  // It lapses by itself.
+  }
+  SendOneWay({.loop = context_.loop,
+              .client = context_.client,
+              .address = kv_holder_.address,
+              .bytes = context_.dialect.EncodeRelease(kv_holder_.address, kv_handle_),
+              .on_head = [&context = context_, holder = kv_holder_](const http1_head& head) {
+                TakeNotice(context, holder, head, "");
+              }});
 }
 
 void forward_exchange::Finish(std::string_view outcome, std::string_view why) {
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -54,6 +54,8 @@
   void GiveSeatBack();
   void SendNext();
   [[nodiscard]] bool WantsPrefill() const;
+  /// \returns The stage of the servers that answer the request.
+  [[nodiscard]] engine_stage ServingStage() const;
   [[nodiscard]] bool MaySendAgain() const;
   void StartAttempt(attempt_kind kind, const backend_record& backend);
   void OnPrefilled(const backend_record& backend, const std::string& handle);
@@ -65,6 +67,9 @@
   void OnSilent(attempt& silent);
   void Deliver(const http1_head& head, std::string_view body);
   void ForwardEvents(const http1_head& head, const std::vector<stream_event>& events);
+  /// \brief Sends a part of the answer; a caller that is slow to take it slows its server down.
+  void PassOn(std::string_view bytes);
+  void EndPassedOn();
   void EndStream(const http1_head& head);
   void BeginAnswer(const http1_head& head);
   void Refuse(std::string_view why);
@@ -95,9 +100,10 @@
   std::uint32_t sends_ = 0;     ///< To serve, refused ones included.
   std::uint32_t prefills_ = 0;  ///< Sends that only prefill.
   std::uint32_t runs_ = 0;
+  bool prefilled_ = false;  ///< An engine has read the prompt.
   bool prefill_given_up_ = false;
-  std::string kv_source_;  ///< Where the prompt's KV cache waits; empty: nowhere.
-  std::string kv_holder_;  ///< Address of the engine that holds it.
+  std::string kv_source_;     ///< Where the prompt's KV cache waits; empty: nowhere.
+  backend_record kv_holder_;  ///< The engine that holds it.
   std::string kv_handle_;
   instant kv_until_{};
   std::uint64_t claim_ = 0;  ///< In the queue for a seat; 0: none.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -4,6 +4,7 @@
 
 #include "jacinthspool/impl/rendezvous.h"
 #include "src/telemetry/log.h"
+#include "src/transport/http_status.h"
 
 namespace jacinthspool {
 namespace {
@@ -13,10 +14,6 @@
 /// What callers are told to wait for while nothing is known yet.
 constexpr milliseconds kStartComeBack = milliseconds(400);
 
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
-constexpr int kUnavailable = 503;
-
 std::string_view ToString(engine_stage stage) {
   switch (stage) {
     case engine_stage::kNone:
@@ -39,7 +36,7 @@
                .routes = {},
                .backends = backend_list({}),
                .selector = backend_selector({.data_centre = settings.data_centre}),
-               .budget = extra_budget({}),
+               .budget = extra_budget({.started = settings.started}),
                .outputs = output_estimate({}),
                .patience = caller_patience({}),
                .shedder = load_shedder({}),
@@ -73,21 +70,21 @@
 void gateway::Take(http1_request request, std::shared_ptr<http1_answer> answer) {
   auto decoded = context_.dialect.DecodeRequest(request.head);
   if (!decoded) {
-    Refuse(*answer, kBadRequest, "", "a header has no valid value");
+    Refuse(*answer, http_status::kBadRequest, "", "a header has no valid value");
     return;
   }
   if (!able()) {
-    Refuse(*answer, kUnavailable, decoded->id, "no configuration or list yet");
+    Refuse(*answer, http_status::kServiceUnavailable, decoded->id, "no configuration or list yet");
     return;
   }
   const auto route = context_.routes.Find(decoded->host, decoded->target);
   if (!route) {
-    Refuse(*answer, kNotFound, decoded->id, "no route");
+    Refuse(*answer, http_status::kNotFound, decoded->id, "no route");
     return;
   }
   const std::string* service = ServiceOf(*route, HashKey(decoded->id));
   if (service == nullptr) {
-    Refuse(*answer, kUnavailable, decoded->id, "route without a service");
+    Refuse(*answer, http_status::kServiceUnavailable, decoded->id, "route without a service");
     return;
   }
   decoded->body = std::move(request.body);
@@ -112,10 +109,11 @@
        {"configuration",
         context_.routes.configuration() ? context_.routes.configuration()->version : 0}});
   context_.metrics.Count("gateway_rejected", {{"status", std::to_string(status)}});
-  answer.Reply(
-      status,
-      status == kUnavailable ? context_.dialect.RefusalHeaders(kStartComeBack) : http_headers{},
-      std::string(why) + "\n");
+  answer.Reply(status,
+               status == http_status::kServiceUnavailable
+                   ? context_.dialect.RefusalHeaders(kStartComeBack)
+                   : http_headers{},
+               std::string(why) + "\n");
 }
 
 void gateway::OnConfiguration(std::shared_ptr<const forward_configuration> next) {
@@ -149,8 +147,9 @@
        {"leaving", record.leaving},
        {"stage", ToString(record.stage)},
        {"revision", record.revision}});
+  const std::string id = record.id;
   context_.backends.Put(std::move(record));
-  UpdateSelector();
+  context_.selector.Update(context_.backends.backends().at(id));
 }
 
 void gateway::OnBackendRemoved(const std::string& id, std::uint64_t revision) {
@@ -174,19 +173,42 @@
   if (other.configuration) {
     OnConfiguration(std::move(other.configuration));
   }
+  for (const backend_record& record : other.backends) {
+    if (record.leaving &&
+        context_.backends.MarkLeaving(record.id, record.started_ms, timer_service::now())) {
+      Log(log_level::kInfo, "peer_says_leaving",
+          {{"backend", record.id}, {"list_revision", other.list_revision}});
+      context_.selector.Update(context_.backends.backends().at(record.id));
+    }
+  }
   const bool newer = other.list_revision > context_.backends.revision();
-  if (!other.backends.empty() && (!list_known_ || (publisher_lost_ && newer))) {
+  if (other.list_revision > 0 && !other.backends.empty() &&
+      (!list_known_ || (publisher_lost_ && newer))) {
     OnBackends(std::move(other.backends), other.list_revision);
   }
 }
 
-gateway_snapshot gateway::Snapshot() const {
-  gateway_snapshot own{.configuration = context_.routes.configuration(),
+snapshot_scope gateway::Wanted() const {
+  const auto& configuration = context_.routes.configuration();
+  const bool wants_list = !list_known_ || publisher_lost_;
+  return {.configuration_after = configuration ? configuration->version : 0,
+          .list_after = wants_list ? std::optional(context_.backends.revision()) : std::nullopt};
+}
+
+gateway_snapshot gateway::Snapshot(const snapshot_scope& scope) const {
+  const auto& configuration = context_.routes.configuration();
+  const std::uint64_t revision = context_.backends.revision();
+  const bool tells_configuration = configuration && scope.configuration_after &&
+                                   configuration->version > *scope.configuration_after;
+  const bool tells_list = scope.list_after && revision > *scope.list_after;
+  gateway_snapshot own{.configuration = tells_configuration ? configuration : nullptr,
                        .backends = {},
-                       .list_revision = context_.backends.revision(),
+                       .list_revision = tells_list ? revision : 0,
                        .gateways = 0};
   for (const auto& [id, record] : context_.backends.backends()) {
-    own.backends.push_back(record);
+    if (tells_list || record.leaving) {
+      own.backends.push_back(record);
+    }
   }
   return own;
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -24,6 +24,7 @@
     http1_client& client;
     const wire_dialect& dialect;
     std::string data_centre;
+    instant started{};  ///< Of the process: what came before it is not known.
     /// Told the limits of each configuration that comes into force.
     std::function<void(const edge_limits&)> on_limits = {};
   };
@@ -46,7 +47,9 @@
 
   /// \brief Takes what another gateway knows, where it is newer.
   void TakeSnapshot(gateway_snapshot other);
-  [[nodiscard]] gateway_snapshot Snapshot() const;
+  [[nodiscard]] gateway_snapshot Snapshot(const snapshot_scope& scope = {}) const;
+  /// \returns What of another gateway's snapshot would be news here.
+  [[nodiscard]] snapshot_scope Wanted() const;
 
   /// \brief Tells how many gateways share the budget of repeats.
   void SetGateways(std::uint32_t gateways);
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -40,6 +40,7 @@
              .client = client_,
              .dialect = *platform_.dialect,
              .data_centre = process_->data_centre,
+             .started = timer_service::now(),
              .on_limits = [this](const edge_limits& limits) { callers_->SetLimits(limits); }}) {}
 
   bool Start(std::string& error) {
--- a/src/gateway/one_way_call.cc
+++ b/src/gateway/one_way_call.cc
@@ -6,40 +6,45 @@
 namespace jacinthspool {
 namespace {
 
+/// The reply's body is not looked at.
+constexpr std::size_t kMaxReplyBytes = 64U << 10U;
+
 /// Keeps itself until its call has ended.
 class one_way_call : public http1_call_listener {
  public:
-  one_way_call(event_loop& loop, std::function<void()> on_ended)
-      : loop_(loop), on_ended_(std::move(on_ended)) {}
-
-  static void Send(event_loop& loop, http1_client& client, const http1_call_options& options,
-                   std::function<void()> on_ended) {
-    const auto call = std::make_shared<one_way_call>(loop, std::move(on_ended));
-    call->call_ = client.Start(options, *call);
+  explicit one_way_call(one_way_options settings) : settings_(std::move(settings)) {}
+
+  static void Send(one_way_options settings) {
+    const auto call = std::make_shared<one_way_call>(std::move(settings));
+    call->call_ = call->settings_.client.Start({.address = call->settings_.address,
+                                                .bytes = call->settings_.bytes,
+                                                .max_body_bytes = kMaxReplyBytes},
+                                               *call);
     call->self_ = call;
   }
 
-  head_verdict OnHead(const http1_head& /*head*/) override { return head_verdict::kTake; }
+  head_verdict OnHead(const http1_head& head) override {
+    if (settings_.on_head) {
+      settings_.on_head(head);
+    }
+    return head_verdict::kTake;
+  }
   void OnBody(std::string_view /*bytes*/) override {}
   void OnEnd(call_end /*end*/, const std::string& /*reason*/) override {
-    if (on_ended_) {
-      on_ended_();
+    if (settings_.on_ended) {
+      settings_.on_ended();
     }
-    loop_.Post([kept = std::move(self_)] {});
+    settings_.loop.Post([kept = std::move(self_)] {});
   }
 
  private:
-  event_loop& loop_;
-  std::function<void()> on_ended_;
+  one_way_options settings_;
   std::unique_ptr<http1_call> call_;
   std::shared_ptr<one_way_call> self_;
 };
 
 }  // namespace
 
-void SendOneWay(event_loop& loop, http1_client& client, const std::string& address,
-                const std::string& bytes, std::function<void()> on_ended) {
-  one_way_call::Send(loop, client, {.address = address, .bytes = bytes}, std::move(on_ended));
-}
+void SendOneWay(one_way_options settings) { one_way_call::Send(std::move(settings)); }
 
 }  // namespace jacinthspool
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "src/telemetry/log.h"
+#include "src/transport/http_status.h"
 
 namespace jacinthspool {
 namespace {
@@ -17,9 +18,6 @@
 /// A gateway that has not asked for this long is not counted.
 constexpr milliseconds kForgetAfter = seconds(10);
 
-constexpr int kOk = 200;
-constexpr int kNotFound = 404;
-
 }  // namespace
 
 peer_exchange::peer_exchange(options settings)
@@ -50,17 +48,19 @@
 }
 
 void peer_exchange::Answer(const http1_request& request, http1_answer& answer) {
-  if (request.head.target != kSnapshotPath) {
-    answer.Reply(kNotFound, {}, "");
+  const auto scope = ScopeOf(request.head.target);
+  if (!scope) {
+    answer.Reply(http_status::kNotFound, {}, "");
     return;
   }
   const instant now = timer_service::now();
   if (const auto name = request.head.Find(kGatewayNameHeader)) {
     heard_from_[std::string(*name)] = now;
   }
-  gateway_snapshot snapshot = settings_.owner.Snapshot();
+  gateway_snapshot snapshot = settings_.owner.Snapshot(*scope);
   snapshot.gateways = GatewaysKnown(now);
-  answer.Reply(kOk, {{"Content-Type", "application/octet-stream"}}, EncodeSnapshot(snapshot));
+  answer.Reply(http_status::kOk, {{"Content-Type", "application/octet-stream"}},
+               EncodeSnapshot(snapshot));
 }
 
 std::uint32_t peer_exchange::GatewaysKnown(instant now) const {
@@ -80,6 +80,7 @@
       .client = settings_.client,
       .address = address,
       .gateway = settings_.name,
+      .scope = settings_.owner.Wanted(),
       .on_answer = [this, address](std::optional<gateway_snapshot> snapshot) {
         if (snapshot) {
           told_gateways_[address] = snapshot->gateways;
@@ -94,7 +95,8 @@
   for (const auto& [peer, count] : told_gateways_) {
     gateways = std::max(gateways, count);
   }
-  settings_.owner.SetGateways(members_.Update(gateways, timer_service::now()));
+  settings_.owner.SetGateways(members_.Update(
+      gateways, !told_gateways_.empty() || settings_.peers.empty(), timer_service::now()));
   // At first all are asked, so that each soon knows how many there are.
   const bool settled = timer_service::now() - start_ > kSettleTime;
   const bool calm = settled && settings_.owner.able() && !settings_.owner.publisher_lost();
--- a/src/gateway/seat_dispatcher.cc
+++ b/src/gateway/seat_dispatcher.cc
@@ -3,8 +3,10 @@
 #include <utility>
 #include <vector>
 
+#include "src/gateway/backend_notices.h"
 #include "src/gateway/one_way_call.h"
 #include "src/telemetry/log.h"
+#include "src/transport/http_status.h"
 
 namespace jacinthspool {
 namespace {
@@ -17,8 +19,8 @@
 constexpr milliseconds kSeatLife = milliseconds(1500);
 constexpr milliseconds kHoldTimeout = milliseconds(250);
 constexpr std::size_t kMaxTries = 8;  ///< Running at once.
-
-constexpr int kOk = 200;
+/// A hold's reply is a short JSON object.
+constexpr std::size_t kMaxHoldBytes = 4U << 10U;
 
 }  // namespace
 
@@ -39,7 +41,8 @@
         {.address = backend_.address,
          .bytes = context.dialect.EncodeHold(backend_.address, backend_.id,
                                              static_cast<std::uint64_t>(tokens_), kSeatLife),
-         .connect_timeout = kHoldTimeout},
+         .connect_timeout = kHoldTimeout,
+         .max_body_bytes = kMaxHoldBytes},
         *this);
     timeout_ = context.timers.After(
         kHoldTimeout, [this](instant /*now*/) { OnEnd(call_end::kLost, "no answer in time"); });
@@ -53,6 +56,7 @@
 
   head_verdict OnHead(const http1_head& head) override {
     status_ = head.status;
+    TakeNotice(owner_.context_, backend_, head, "");
     return head_verdict::kTake;
   }
   void OnBody(std::string_view bytes) override { body_ += bytes; }
@@ -60,7 +64,7 @@
     timeout_.Cancel();
     const bool answered = end == call_end::kWhole;
     std::string hold;
-    if (answered && status_ == kOk) {
+    if (answered && status_ == http_status::kOk) {
       hold = owner_.context_.dialect.DecodeHold(body_).value_or("");
     }
     owner_.OnHoldEnded(*this, hold, answered);
@@ -99,9 +103,24 @@
   handlers_.erase(number);
 }
 
-void seat_dispatcher::Release(const decode_seat& seat) {
-  SendOneWay(context_.loop, context_.client, seat.backend.address,
-             context_.dialect.EncodeHoldRelease(seat.backend.address, seat.hold));
+void seat_dispatcher::Release(const decode_seat& seat) { GiveBack(seat.backend, seat.hold, {}); }
+
+void seat_dispatcher::GiveBack(const backend_record& backend, const std::string& hold,
+                               std::function<void()> on_ended) {
+  if (context_.selector.quiet(backend.id, timer_service::now())) {
+    // It lapses by itself; its server wants no request now.
+    if (on_ended) {
+      context_.loop.Post(std::move(on_ended));
+    }
+    return;
+  }
+  SendOneWay({.loop = context_.loop,
+              .client = context_.client,
+              .address = backend.address,
+              .bytes = context_.dialect.EncodeHoldRelease(backend.address, hold),
+              .on_head = [this, backend](
+                             const http1_head& head) { TakeNotice(context_, backend, head, ""); },
+              .on_ended = std::move(on_ended)});
 }
 
 void seat_dispatcher::OnRoomFreed(const std::string& backend_id) {
@@ -121,13 +140,17 @@
 }
 
 void seat_dispatcher::Tick() {
+  tick_ = {};
+  GiveUpExpired();
+  Dispatch();
+}
+
+void seat_dispatcher::GiveUpExpired() {
   for (const std::uint64_t number : queue_.Expire(timer_service::now())) {
     if (auto found = handlers_.extract(number)) {
       found.mapped().on_refused("no seat in time");
     }
   }
-  tick_ = {};
-  Dispatch();
 }
 
 bool seat_dispatcher::TryNext(instant now) {
@@ -166,14 +189,18 @@
 
 void seat_dispatcher::OnSpareRoom(const hold_call& call, const std::string& hold) {
   const backend_record& backend = call.backend();
-  SendOneWay(context_.loop, context_.client, backend.address,
-             context_.dialect.EncodeHoldRelease(backend.address, hold),
-             [this, number = call.claim(), backend] {
-               const seat_claim* claim = queue_.Find(number);
-               if (claim != nullptr) {
-                 Ask(number, backend, claim->tokens, false);
-               }
-             });
+  GiveBack(backend, hold, [this, number = call.claim(), backend] {
+    const seat_claim* claim = queue_.Find(number);
+    if (claim == nullptr) {
+      return;
+    }
+    if (TakesWork(context_, backend, timer_service::now())) {
+      Ask(number, backend, claim->tokens, false);
+    } else {
+      queue_.SetTrying(number, false);
+      Dispatch();
+    }
+  });
 }
 
 void seat_dispatcher::OnHoldEnded(hold_call& call, const std::string& hold, bool answered) {
@@ -189,6 +216,10 @@
   if (call.probes() && !hold.empty()) {
     context_.selector.OnEnded(id, call.tokens(), attempt_result::kUnknown, {}, now);
     OnSpareRoom(call, hold);
+  } else if (!hold.empty() && !TakesWork(context_, call.backend(), now)) {
+    context_.selector.OnEnded(id, call.tokens(), attempt_result::kUnknown, {}, now);
+    GiveBack(call.backend(), hold, {});
+    queue_.SetTrying(call.claim(), false);
   } else if (hold.empty()) {
     context_.selector.OnEnded(
         id, call.tokens(), answered ? attempt_result::kUnknown : attempt_result::kFailed, {}, now);
@@ -207,6 +238,8 @@
   }
   // The call may be on the stack below.
   context_.loop.Post([kept = found.mapped()] {});
+  // Where there are many engines to ask, a claim is hardly ever seen between two tries by a tick.
+  GiveUpExpired();
   Dispatch();
 }
 
--- a/src/gateway/seat_dispatcher.h
+++ b/src/gateway/seat_dispatcher.h
@@ -57,10 +57,15 @@
   bool TryNext(instant now);
   void Ask(std::uint64_t number, const backend_record& backend, double tokens, bool probes);
   void OnHoldEnded(hold_call& call, const std::string& hold, bool answered);
+  /// \param on_ended Called once the engine has answered, or at once when it is not asked.
+  void GiveBack(const backend_record& backend, const std::string& hold,
+                std::function<void()> on_ended);
   /// \brief An engine has room to spare: asks it for what the claim needs.
   void OnSpareRoom(const hold_call& call, const std::string& hold);
   [[nodiscard]] double EngineTokens(const std::string& service) const;
   void Tick();
+  /// \brief Refuses the claims whose last use has passed.
+  void GiveUpExpired();
 
   gateway_context& context_;
   seat_queue queue_;
--- a/src/gateway/snapshot.cc
+++ b/src/gateway/snapshot.cc
@@ -1,5 +1,7 @@
 #include "src/gateway/snapshot.h"
 
+#include <algorithm>
+#include <charconv>
 #include <utility>
 
 #include "schema/generated/snapshot_generated.h"
@@ -109,6 +111,7 @@
 std::shared_ptr<snapshot::listed_backend_value> ToWire(const backend_record& record) {
   auto wire = std::make_shared<snapshot::listed_backend_value>();
   wire->id = record.id;
+  wire->started_ms = record.started_ms;
   wire->service = record.service;
   wire->address = record.address;
   wire->data_centre = record.data_centre;
@@ -121,6 +124,7 @@
 
 backend_record FromWire(const snapshot::listed_backend_value& wire) {
   return {.id = wire.id,
+          .started_ms = wire.started_ms,
           .service = wire.service,
           .address = wire.address,
           .data_centre = wire.data_centre,
@@ -130,8 +134,50 @@
           .revision = wire.revision};
 }
 
+/// Where a gateway answers with its snapshot.
+constexpr std::string_view kSnapshotPath = "/jacinthspool/snapshot";
+constexpr std::string_view kConfigurationAfter = "configuration=";
+constexpr std::string_view kListAfter = "list=";
+
+/// \returns The number after `name` in a query, or nothing.
+std::optional<std::uint64_t> NumberIn(std::string_view query, std::string_view name) {
+  const std::size_t at = query.find(name);
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string_view text = query.substr(at + name.size());
+  std::uint64_t value = 0;
+  const auto result = std::from_chars(text.data(), text.data() + text.size(), value);
+  return result.ec == std::errc() ? std::optional(value) : std::nullopt;
+}
+
 }  // namespace
 
+std::string SnapshotTarget(const snapshot_scope& scope) {
+  std::string target(kSnapshotPath);
+  char separator = '?';
+  const auto append = [&](std::string_view name, const std::optional<std::uint64_t>& after) {
+    if (after) {
+      target += std::exchange(separator, '&');
+      target += name;
+      target += std::to_string(*after);
+    }
+  };
+  append(kConfigurationAfter, scope.configuration_after);
+  append(kListAfter, scope.list_after);
+  return target;
+}
+
+std::optional<snapshot_scope> ScopeOf(std::string_view target) {
+  const std::size_t mark = std::min(target.find('?'), target.size());
+  if (target.substr(0, mark) != kSnapshotPath) {
+    return std::nullopt;
+  }
+  const std::string_view query = target.substr(mark);
+  return snapshot_scope{.configuration_after = NumberIn(query, kConfigurationAfter),
+                        .list_after = NumberIn(query, kListAfter)};
+}
+
 std::string EncodeSnapshot(const gateway_snapshot& value) {
   snapshot::gateway_snapshot_value wire;
   if (value.configuration) {
--- a/src/gateway/snapshot.h
+++ b/src/gateway/snapshot.h
@@ -13,10 +13,25 @@
 
 namespace jacinthspool {
 
+/// \brief What of a snapshot is asked for, so that what the asker has is not sent again.
+struct snapshot_scope {
+  /// Told when it is newer than this version; nothing: not wanted.
+  std::optional<std::uint64_t> configuration_after = 0;
+  /// The list is told whole when it is newer than this revision; nothing: not wanted whole.
+  std::optional<std::uint64_t> list_after = 0;
+};
+
+/// \returns The path and query that ask for it.
+[[nodiscard]] std::string SnapshotTarget(const snapshot_scope& scope);
+
+/// \returns Nothing when the target asks for something else.
+[[nodiscard]] std::optional<snapshot_scope> ScopeOf(std::string_view target);
+
 /// \brief What one gateway tells another.
 struct gateway_snapshot {
-  std::shared_ptr<const forward_configuration> configuration;  ///< Null: none is known.
+  std::shared_ptr<const forward_configuration> configuration;  ///< Null: none, or not asked for.
   std::vector<backend_record> backends;
+  /// Of a whole list; 0: `backends` has only the servers that are known to be leaving.
   std::uint64_t list_revision = 0;
   std::uint32_t gateways = 0;  ///< That have asked the sender lately, itself included.
 };
--- a/src/gateway/snapshot_question.cc
+++ b/src/gateway/snapshot_question.cc
@@ -3,24 +3,29 @@
 #include <utility>
 
 #include "src/telemetry/log.h"
+#include "src/transport/http_status.h"
 
 namespace jacinthspool {
 namespace {
 
 constexpr milliseconds kAnswerTimeout = milliseconds(600);
-constexpr int kOk = 200;
+/// Some thousand routes and servers.
+constexpr std::size_t kMaxSnapshotBytes = 16U << 20U;
 
 }  // namespace
 
 snapshot_question::snapshot_question(options settings) : settings_(std::move(settings)) {
   std::string bytes =
-      "GET " + std::string(kSnapshotPath) + " HTTP/1.1\r\nHost: " + settings_.address + "\r\n";
+      "GET " + SnapshotTarget(settings_.scope) + " HTTP/1.1\r\nHost: " + settings_.address + "\r\n";
   if (!settings_.gateway.empty()) {
     bytes += std::string(kGatewayNameHeader) + ": " + settings_.gateway + "\r\n";
   }
   bytes += "\r\n";
-  call_ = settings_.client.Start(
-      {.address = settings_.address, .bytes = bytes, .connect_timeout = kAnswerTimeout}, *this);
+  call_ = settings_.client.Start({.address = settings_.address,
+                                  .bytes = bytes,
+                                  .connect_timeout = kAnswerTimeout,
+                                  .max_body_bytes = kMaxSnapshotBytes},
+                                 *this);
   timeout_ = settings_.timers.After(
       kAnswerTimeout, [this](instant /*now*/) { OnEnd(call_end::kLost, "no answer in time"); });
 }
@@ -36,7 +41,7 @@
   }
   timeout_.Cancel();
   std::optional<gateway_snapshot> snapshot;
-  if (end == call_end::kWhole && status_ == kOk) {
+  if (end == call_end::kWhole && status_ == http_status::kOk) {
     snapshot = DecodeSnapshot(body_);
   }
   if (!snapshot) {
--- a/src/gateway/snapshot_question.h
+++ b/src/gateway/snapshot_question.h
@@ -12,8 +12,6 @@
 
 namespace jacinthspool {
 
-/// Where a gateway answers with its snapshot.
-inline constexpr std::string_view kSnapshotPath = "/jacinthspool/snapshot";
 /// Names the gateway that asks; absent when another process does.
 inline constexpr std::string_view kGatewayNameHeader = "X-Jacinthspool-Gateway";
 
@@ -25,6 +23,7 @@
     http1_client& client;
     std::string address;  ///< ip:port
     std::string gateway;  ///< Name of the gateway that asks; empty: another process.
+    snapshot_scope scope;
     /// Called once, with nothing when no snapshot came. It may not destroy the question.
     std::function<void(std::optional<gateway_snapshot>)> on_answer;
   };
--- a/src/gateway/wire_dialect.h
+++ b/src/gateway/wire_dialect.h
@@ -42,12 +42,18 @@
   std::string hold = {};       ///< Room that the backend server keeps for it; empty: none.
 };
 
-/// \brief What the head of a backend server's reply says.
+/// \brief What the head of a backend server's reply says of the request.
 struct reply_facts {
-  bool same_request = false;   ///< It answers the request that was sent.
-  bool not_run = false;        ///< The request has not run and never will there.
-  bool other_backend = false;  ///< Another backend server has the address.
-  bool sound = false;          ///< It bears what every genuine answer bears.
+  bool same_request = false;  ///< It answers the request that was sent.
+  bool not_run = false;       ///< The request has not run and never will there.
+  bool sound = false;         ///< It bears what every genuine answer bears.
+};
+
+/// \brief What the head of any reply says of the backend server that gave it.
+struct backend_notice {
+  bool leaving = false;   ///< It takes no new work from now on.
+  bool mistaken = false;  ///< It is not the one that was meant, or not in the stage that was.
+  std::optional<microseconds> quiet_for = {};  ///< It is full and wants no request for so long.
 };
 
 /// \brief How callers and backend servers spell what the gateway needs.
@@ -68,6 +74,9 @@
   [[nodiscard]] virtual reply_facts DecodeReply(const http1_head& head,
                                                 const forward_request& request) const = 0;
 
+  /// \brief Reads what a reply to any request says of its server.
+  [[nodiscard]] virtual backend_notice DecodeNotice(const http1_head& head) const = 0;
+
   /// \brief Reads the reply to an attempt that only prefills.
   /// \returns The handle of the KV cache, or nothing when the reply holds none.
   [[nodiscard]] virtual std::optional<std::string> DecodePrefill(std::string_view body) const = 0;
--- a/src/routing/backend_list.cc
+++ b/src/routing/backend_list.cc
@@ -13,7 +13,7 @@
   std::map<std::string, backend_record> next;
   for (backend_record& record : records) {
     std::string id = record.id;
-    next.insert_or_assign(std::move(id), std::move(record));
+    next.insert_or_assign(std::move(id), Amended(std::move(record)));
   }
   const std::map<std::string, backend_record> before = std::exchange(backends_, std::move(next));
   std::map<std::string, std::uint64_t> held = std::exchange(missing_, {});
@@ -38,7 +38,29 @@
   }
   missing_.erase(record.id);
   std::string id = record.id;
-  backends_.insert_or_assign(std::move(id), std::move(record));
+  backends_.insert_or_assign(std::move(id), Amended(std::move(record)));
+}
+
+bool backend_list::MarkLeaving(const std::string& id, std::uint64_t started_ms, instant now) {
+  const auto known = backends_.find(id);
+  if (known != backends_.end() && known->second.started_ms != started_ms) {
+    return false;
+  }
+  farewells_[id] = {.started_ms = started_ms, .said = now};
+  return known != backends_.end() && !std::exchange(known->second.leaving, true);
+}
+
+backend_record backend_list::Amended(backend_record record) {
+  const auto found = farewells_.find(record.id);
+  if (found == farewells_.end()) {
+    return record;
+  }
+  if (found->second.started_ms == record.started_ms) {
+    record.leaving = true;
+  } else {
+    farewells_.erase(found);
+  }
+  return record;
 }
 
 void backend_list::Remove(const std::string& id, std::uint64_t revision, instant now) {
@@ -64,6 +86,9 @@
 }
 
 bool backend_list::Expire(instant now) {
+  std::erase_if(farewells_, [&](const auto& each) {
+    return !backends_.contains(each.first) && now - each.second.said > settings_.leaving_memory;
+  });
   if (missing_.empty() || Disturbed(now)) {
     return false;
   }
--- a/src/routing/backend_selector.cc
+++ b/src/routing/backend_selector.cc
@@ -40,10 +40,24 @@
 void backend_selector::Update(const std::map<std::string, backend_record>& backends) {
   std::erase_if(members_, [&](const auto& each) { return !backends.contains(each.first); });
   for (const auto& [id, record] : backends) {
-    members_[id].record = record;
+    Update(record);
   }
 }
 
+void backend_selector::Update(const backend_record& record) {
+  member& each = members_[record.id];
+  if (each.record.started_ms != record.started_ms) {
+    // Another incarnation has the id: nothing that was learnt of the former holds.
+    each = {};
+  }
+  each.record = record;
+}
+
+bool backend_selector::Open(const member& each, instant now) {
+  const bool mistaken = each.mistaken_revision == each.record.revision && now < each.mistaken_until;
+  return each.quiet_until <= now && !mistaken;
+}
+
 bool backend_selector::Fits(const member& each, const placement& wanted) const {
   return !each.record.leaving && each.record.service == wanted.service &&
          each.record.stage == wanted.stage &&
@@ -79,7 +93,7 @@
   std::vector<const member*> ejected;
   double fastest_ms = 0;
   for (const auto& [id, each] : members_) {
-    if (!Fits(each, wanted)) {
+    if (!Fits(each, wanted) || !Open(each, now)) {
       continue;
     }
     const bool on_probation =
@@ -187,6 +201,39 @@
   }
 }
 
+void backend_selector::SetQuiet(const std::string& id, instant until) {
+  if (const auto found = members_.find(id); found != members_.end()) {
+    found->second.quiet_until = std::max(found->second.quiet_until, until);
+  }
+}
+
+bool backend_selector::quiet(const std::string& id, instant now) const {
+  const auto found = members_.find(id);
+  return found != members_.end() && found->second.quiet_until > now;
+}
+
+std::optional<instant> backend_selector::QuietUntil(std::string_view service, engine_stage stage,
+                                                    instant now) const {
+  std::optional<instant> first;
+  for (const auto& [id, each] : members_) {
+    if (!Fits(each, {.service = service, .stage = stage})) {
+      continue;
+    }
+    if (each.quiet_until <= now) {
+      return std::nullopt;
+    }
+    first = std::min(first.value_or(each.quiet_until), each.quiet_until);
+  }
+  return first;
+}
+
+void backend_selector::SetMistaken(const std::string& id, instant now) {
+  if (const auto found = members_.find(id); found != members_.end()) {
+    found->second.mistaken_revision = found->second.record.revision;
+    found->second.mistaken_until = now + settings_.mistaken_pause;
+  }
+}
+
 void backend_selector::ClearBusy(const std::string& id) { SetBusy(id, {}); }
 
 double backend_selector::FailureShareOfOthers(const member& one, instant now) const {
--- a/src/routing/extra_budget.cc
+++ b/src/routing/extra_budget.cc
@@ -50,8 +50,11 @@
       requests += each.number > number - kSlices ? each.requests : 0;
     }
   }
+  const std::chrono::duration<double> age = now - settings_.started;
+  const std::chrono::duration<double> window = settings_.window;
+  const double grown = std::clamp(age / window, 0.0, 1.0);
   const double allowed =
-      settings_.ratio * requests + settings_.extra / static_cast<double>(settings_.entries);
+      settings_.ratio * requests + grown * settings_.extra / static_cast<double>(settings_.entries);
   return kSpent * allowed - repeats;
 }
 
--- a/src/sidecar/sidecar_daemon.cc
+++ b/src/sidecar/sidecar_daemon.cc
@@ -14,8 +14,10 @@
 namespace jacinthspool {
 namespace {
 
-/// Between two looks at the list.
+/// Between two looks at the list while the own engine prefills or is not known.
 constexpr milliseconds kLookPeriod = milliseconds(1500);
+/// The same while it decodes, which no plan changes.
+constexpr milliseconds kRestingPeriod = milliseconds(5000);
 /// The first look, after the gateways have read their list.
 constexpr milliseconds kFirstLook = milliseconds(700);
 /// The list must have had the same engines for so long before an order follows from it.
@@ -53,25 +55,41 @@
 
   void Look() {
     if (!process_->peers.empty()) {
-      question_ = std::make_unique<snapshot_question>(
-          snapshot_question::options{.timers = timers_,
-                                     .client = client_,
-                                     .address = process_->peers[random_() % process_->peers.size()],
-                                     .gateway = {},
-                                     .on_answer = [this](std::optional<gateway_snapshot> snapshot) {
-                                       if (snapshot) {
-                                         Decide(*snapshot);
-                                       }
-                                     }});
+      question_ = std::make_unique<snapshot_question>(snapshot_question::options{
+          .timers = timers_,
+          .client = client_,
+          .address = process_->peers[random_() % process_->peers.size()],
+          .gateway = {},
+          .scope = {.configuration_after = std::nullopt, .list_after = list_revision_},
+          .on_answer = [this](std::optional<gateway_snapshot> snapshot) {
+            if (snapshot) {
+              TakeList(std::move(*snapshot));
+              Decide();
+            }
+          }});
     }
-    LookIn(kLookPeriod);
+    LookIn(resting_ ? kRestingPeriod : kLookPeriod);
   }
 
-  void Decide(const gateway_snapshot& snapshot) {
+  void TakeList(gateway_snapshot snapshot) {
+    if (snapshot.list_revision > 0) {
+      listed_ = std::move(snapshot.backends);
+      list_revision_ = snapshot.list_revision;
+      return;
+    }
+    for (const backend_record& leaving : snapshot.backends) {
+      for (backend_record& known : listed_) {
+        known.leaving =
+            known.leaving || (known.id == leaving.id && known.started_ms == leaving.started_ms);
+      }
+    }
+  }
+
+  void Decide() {
     std::vector<backend_record> engines;
     const backend_record* own = nullptr;
     std::vector<std::string> ids;
-    for (const backend_record& record : snapshot.backends) {
+    for (const backend_record& record : listed_) {
       if (record.service == process_->sidecar->service) {
         engines.push_back(record);
         ids.push_back(record.id);
@@ -81,6 +99,7 @@
         own = &record;
       }
     }
+    resting_ = own != nullptr && own->stage == engine_stage::kDecode;
     const instant now = timer_service::now();
     if (ids != known_) {
       known_ = std::move(ids);
@@ -93,12 +112,12 @@
     }
     ordered_ = now;
     Log(log_level::kInfo, "decode_ordered",
-        {{"backend", own->id},
-         {"engines", engines.size()},
-         {"list_revision", snapshot.list_revision}});
-    SendOneWay(loop_, client_, own->address,
-               platform_.dialect->EncodeDecodeOrder(own->address, own->id, process_->name,
-                                                    snapshot.list_revision));
+        {{"backend", own->id}, {"engines", engines.size()}, {"list_revision", list_revision_}});
+    SendOneWay({.loop = loop_,
+                .client = client_,
+                .address = own->address,
+                .bytes = platform_.dialect->EncodeDecodeOrder(own->address, own->id, process_->name,
+                                                              list_revision_)});
   }
 
   std::shared_ptr<const process_settings> process_;
@@ -110,6 +129,9 @@
   std::mt19937_64 random_;
   std::unique_ptr<snapshot_question> question_;
   timer_subscription look_;
+  std::vector<backend_record> listed_;
+  std::uint64_t list_revision_ = 0;
+  bool resting_ = false;            ///< The own engine decodes.
   std::vector<std::string> known_;  ///< Engines of the service, as last listed.
   instant known_since_{};
   instant ordered_{};
--- a/src/transport/http1_client.cc
+++ b/src/transport/http1_client.cc
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr int kFirstFinalStatus = 200;
+/// Replies that may be read past while waiting for the one that was asked for.
+constexpr int kMaxSkippedReplies = 8;
 /// A kept connection is given up this long before its owner says it will close it.
 constexpr milliseconds kKeepAliveMargin = milliseconds(500);
 
@@ -72,8 +74,8 @@
       : owner_(std::move(owner)),
         address_(call.address),
         reader_({.kind = http1_reader::message_kind::kReply,
-                 .max_head_bytes = 64U << 10U,
-                 .max_body_bytes = owner_->settings.max_body_bytes}),
+                 .max_head_bytes = owner_->settings.max_head_bytes,
+                 .max_body_bytes = call.max_body_bytes}),
         stream_(owner_->settings.loop, call.address, *this,
                 {.user_timeout = owner_->settings.user_timeout, .probes_silence = true}) {
     ++owner_->opened;
@@ -84,6 +86,8 @@
     listener_ = &listener;
     ++call_number_;
     reply_began_ = false;
+    skipped_ = 0;
+    reader_.LimitBody(call.max_body_bytes);
     if (!call.expects_body) {
       reader_.ExpectNoBody();
     }
@@ -111,6 +115,17 @@
     Retire();
   }
 
+  void PauseReply(std::uint64_t call_number, bool paused) {
+    if (listener_ != nullptr && call_number == call_number_) {
+      paused_ = paused;
+      stream_.PauseReading(paused);
+      if (!paused) {
+        // What was read before the pause is still in the reader.
+        owner_->settings.loop.Post([self = shared_from_this()] { self->ReadReply(); });
+      }
+    }
+  }
+
   [[nodiscard]] const std::string& address() const { return address_; }
   [[nodiscard]] bool Fresh(instant now, milliseconds max_idle) const {
     return now - idle_since_ < std::min<microseconds>(max_idle, announced_idle_);
@@ -166,7 +181,7 @@
 
   void ReadReply() {
     const auto self = shared_from_this();
-    while (listener_ != nullptr) {
+    while (listener_ != nullptr && !paused_) {
       http1_event found = reader_.Read();
       if (std::holds_alternative<http1_need_more>(found)) {
         return;
@@ -180,6 +195,7 @@
   void Take(const http1_head& head) {
     skipping_ = head.status < kFirstFinalStatus;
     if (skipping_) {
+      CountSkipped();
       return;
     }
     const head_verdict verdict = listener_->OnHead(head);
@@ -193,12 +209,23 @@
     }
     skipping_ = verdict == head_verdict::kSkip;
     reply_began_ = !skipping_;
+    if (skipping_) {
+      CountSkipped();
+      return;
+    }
     keep_ = head.keep_alive;
     if (const auto announced = AnnouncedIdleTime(head)) {
       announced_idle_ = *announced;
     }
   }
 
+  void CountSkipped() {
+    if (++skipped_ > kMaxSkippedReplies) {
+      Finish(call_end::kMalformed, "too many replies to something else");
+      Retire();
+    }
+  }
+
   void Take(const http1_body& body) {
     if (!skipping_) {
       listener_->OnBody(body.bytes);
@@ -254,8 +281,10 @@
   bool connected_ = false;
   bool reply_began_ = false;
   bool skipping_ = false;
+  int skipped_ = 0;  ///< Heads in the present call.
   bool keep_ = false;
   bool retired_ = false;
+  bool paused_ = false;
   instant idle_since_{};
   microseconds announced_idle_ = seconds(60);
 };
@@ -265,6 +294,7 @@
   call_handle(std::shared_ptr<connection> on, std::uint64_t call_number)
       : connection_(std::move(on)), call_number_(call_number) {}
   ~call_handle() override { connection_->Abandon(call_number_); }
+  void PauseReply(bool paused) override { connection_->PauseReply(call_number_, paused); }
   call_handle(const call_handle&) = delete;
   call_handle& operator=(const call_handle&) = delete;
 
@@ -320,7 +350,8 @@
 
 std::unique_ptr<http1_call> http1_client::Start(const http1_call_options& call,
                                                 http1_call_listener& listener) {
-  std::shared_ptr<connection> on = state_->TakeIdle(call, timer_service::now());
+  std::shared_ptr<connection> on =
+      call.new_connection ? nullptr : state_->TakeIdle(call, timer_service::now());
   if (!on) {
     on = std::make_shared<connection>(state_, call);
   }
--- a/src/transport/http1_client.h
+++ b/src/transport/http1_client.h
@@ -45,14 +45,19 @@
 class http1_call {
  public:
   virtual ~http1_call() = default;
+  /// \brief Takes no more of the reply for now, or goes on with it.
+  virtual void PauseReply(bool paused) = 0;
 };
 
 struct http1_call_options {
-  std::string address;       ///< ip:port
-  std::string bytes;         ///< The whole request as it goes out.
-  bool expects_body = true;  ///< false for HEAD.
+  std::string address;          ///< ip:port
+  std::string bytes;            ///< The whole request as it goes out.
+  bool expects_body = true;     ///< false for HEAD.
+  bool new_connection = false;  ///< Not one on which an earlier reply may still be under way.
   milliseconds connect_timeout = seconds(1);
   milliseconds max_idle = seconds(4);  ///< A connection idle for longer is not reused.
+  /// A reply with a longer body is malformed, and its connection is closed.
+  std::size_t max_body_bytes = 64U << 10U;
 };
 
 /// \brief HTTP/1.1 client that keeps connections and reads replies strictly.
@@ -65,9 +70,9 @@
   struct options {
     event_loop& loop;
     timer_service& timers;
-    milliseconds user_timeout = seconds(5);  ///< TCP_USER_TIMEOUT of its connections.
-    std::size_t max_body_bytes = 64U << 20U;
-    std::size_t max_idle_connections = 16;  ///< Kept for one address.
+    milliseconds user_timeout = seconds(5);   ///< TCP_USER_TIMEOUT of its connections.
+    std::size_t max_head_bytes = 16U << 10U;  ///< Of a reply.
+    std::size_t max_idle_connections = 16;    ///< Kept for one address.
   };
 
   explicit http1_client(const options& settings);
--- a/src/transport/http1_reader.cc
+++ b/src/transport/http1_reader.cc
@@ -224,6 +224,10 @@
     }
     if (!reading.is_done()) {
       Compact();
+      // Beast waits for the end of a chunk's extensions and of the trailers without a limit.
+      if (buffer.size() > settings.max_head_bytes) {
+        return Fail(head_told ? http1_fault::kMalformed : http1_fault::kHeadTooLarge);
+      }
       return http1_need_more{};
     }
     no_body = false;
@@ -284,6 +288,11 @@
   state_->Restart();
 }
 
+void http1_reader::LimitBody(std::size_t max_body_bytes) {
+  state_->settings.max_body_bytes = max_body_bytes;
+  state_->Restart();
+}
+
 std::size_t http1_reader::buffered() const { return state_->Rest().size(); }
 
 bool http1_reader::inside_message() const { return state_->head_told || !state_->Rest().empty(); }
--- a/src/transport/http1_reader.h
+++ b/src/transport/http1_reader.h
@@ -50,7 +50,8 @@
 ///
 /// On top of Boost.Beast's grammar it refuses whatever two readers could frame
 /// differently: folded headers, any transfer coding but `chunked`, several
-/// `Host` headers, a length beside a coding.
+/// `Host` headers, a length beside a coding. Chunk extensions and trailers are
+/// bounded like heads.
 ///
 /// \code
 /// reader.Feed(bytes);
@@ -81,6 +82,9 @@
   /// \brief The next reply has no body, whatever its headers say (HEAD).
   void ExpectNoBody();
 
+  /// \brief Bounds the body of the next message, and of those after it.
+  void LimitBody(std::size_t max_body_bytes);
+
   /// \returns Bytes that were fed and belong to no event yet.
   [[nodiscard]] std::size_t buffered() const;
 
--- a/src/transport/http1_server.cc
+++ b/src/transport/http1_server.cc
@@ -103,8 +103,11 @@
   }
 
   void OnDrained() override {
+    const auto self = shared_from_this();
     if (closing_) {
       Retire();
+    } else if (drained_) {
+      drained_();
     }
   }
   void OnClosed() override { CallerGone(); }
@@ -136,6 +139,8 @@
   }
 
   void SetCallerGone(std::function<void()> action) { caller_gone_ = std::move(action); }
+  void SetDrained(std::function<void()> action) { drained_ = std::move(action); }
+  [[nodiscard]] std::size_t unsent_bytes() const { return stream_.queued_bytes(); }
 
   void BeginAnswer(int status, const http_headers& headers) {
     std::string text = StatusLine(status);
@@ -227,6 +232,7 @@
     }
     answering_ = false;
     caller_gone_ = {};
+    drained_ = {};
     --owner_->in_progress;
     quiet_since_ = timer_service::now();
     if (retired_) {
@@ -251,6 +257,7 @@
       --owner_->in_progress;
     }
     const auto action = std::exchange(caller_gone_, {});
+    drained_ = {};
     Retire();
     if (action) {
       action();
@@ -273,6 +280,7 @@
   std::optional<http1_head> head_;
   std::string body_;
   std::function<void()> caller_gone_;
+  std::function<void()> drained_;
   instant quiet_since_;
   bool answering_ = false;
   bool head_request_ = false;
@@ -326,6 +334,14 @@
       });
     }
   }
+  [[nodiscard]] std::size_t unsent_bytes() const override {
+    return connection_ ? connection_->unsent_bytes() : 0;
+  }
+  void OnDrained(std::function<void()> action) override {
+    if (connection_) {
+      connection_->SetDrained(std::move(action));
+    }
+  }
 
  private:
   std::shared_ptr<connection> connection_;
--- a/src/transport/http1_server.h
+++ b/src/transport/http1_server.h
@@ -37,6 +37,10 @@
   virtual void Reply(int status, const http_headers& headers, std::string_view body) = 0;
   /// \brief `action` runs once if the caller goes before the answer has ended.
   virtual void OnCallerGone(std::function<void()> action) = 0;
+  /// \returns Bytes of a begun answer that wait for the caller to take them.
+  [[nodiscard]] virtual std::size_t unsent_bytes() const = 0;
+  /// \brief `action` runs each time the caller has taken all that was sent.
+  virtual void OnDrained(std::function<void()> action) = 0;
 };
 
 /// \brief A strict HTTP/1.1 server: one request at a time on a connection, read whole first.
--- /dev/null
+++ b/src/transport/http_status.h
@@ -0,0 +1,23 @@
+#ifndef JACINTHSPOOL_TRANSPORT_HTTP_STATUS_H_
+#define JACINTHSPOOL_TRANSPORT_HTTP_STATUS_H_
+
+namespace jacinthspool::http_status {
+
+/// \file
+/// \brief Status codes of HTTP that decisions depend on (RFC 9110, section 15).
+
+inline constexpr int kOk = 200;
+inline constexpr int kMultipleChoices = 300;
+inline constexpr int kBadRequest = 400;
+inline constexpr int kNotFound = 404;
+inline constexpr int kRequestTimeout = 408;
+inline constexpr int kMisdirectedRequest = 421;
+inline constexpr int kTooManyRequests = 429;
+inline constexpr int kInternalServerError = 500;
+inline constexpr int kBadGateway = 502;
+inline constexpr int kServiceUnavailable = 503;
+inline constexpr int kGatewayTimeout = 504;
+
+}  // namespace jacinthspool::http_status
+
+#endif  // JACINTHSPOOL_TRANSPORT_HTTP_STATUS_H_
--- a/src/transport/tcp_stream.cc
+++ b/src/transport/tcp_stream.cc
@@ -59,6 +59,7 @@
   tcp_options options;
   bool connecting = false;
   bool broken = false;
+  bool paused = false;
 
   state(event_loop& the_loop, tcp_listener& the_listener, const tcp_options& the_options)
       : loop(the_loop), listener(the_listener), options(the_options) {}
@@ -108,7 +109,9 @@
       return;
     }
     connecting = false;
-    event_add(readable, nullptr);
+    if (!paused) {
+      event_add(readable, nullptr);
+    }
     listener.OnConnected();
   }
 
@@ -131,7 +134,7 @@
 
   void Read() {
     static std::array<std::uint8_t, kReadBytes> buffer;
-    for (int reads = 0; reads < kReadsPerTurn && !broken; ++reads) {
+    for (int reads = 0; reads < kReadsPerTurn && !broken && !paused; ++reads) {
       const ssize_t length = recv(socket, buffer.data(), buffer.size(), 0);
       if (length < 0 && IsTemporary(errno)) {
         break;
@@ -208,6 +211,18 @@
 
 void tcp_stream::Flush() { state_->Flush(); }
 
+void tcp_stream::PauseReading(bool paused) {
+  state_->paused = paused;
+  if (state_->readable == nullptr || state_->connecting || state_->broken) {
+    return;
+  }
+  if (paused) {
+    event_del(state_->readable);
+  } else {
+    event_add(state_->readable, nullptr);
+  }
+}
+
 std::size_t tcp_stream::queued_bytes() const { return evbuffer_get_length(state_->output); }
 
 }  // namespace jacinthspool
--- a/src/transport/tcp_stream.h
+++ b/src/transport/tcp_stream.h
@@ -55,6 +55,11 @@
   /// \brief Hands the queue to the kernel, as far as it takes it at once.
   void Flush();
 
+  /// \brief Leaves what the other side sends in the kernel, which slows it down, or reads on.
+  ///
+  /// While paused, the other side's close is not noticed.
+  void PauseReading(bool paused);
+
   [[nodiscard]] std::size_t queued_bytes() const;
 
  private:
--- a/tests/gateway/streaming_test.cc
+++ b/tests/gateway/streaming_test.cc
@@ -83,6 +83,22 @@
   CHECK(engines.Count("prefill") == 0);
 }
 
+TEST_CASE("among many engines without room a caller is told in time as well") {
+  played_engines engines;
+  engines.denies = true;
+  constexpr int kEngines = 60;
+  for (int i = 0; i < kEngines; ++i) {
+    engines.AddBackend("model", engine_stage::kDecode).script =
+        [](const http1_request&, http1_answer& answer) { answer.Reply(503, {}, "{}"); };
+  }
+  played_caller caller(engines);
+  const instant start = timer_service::now();
+  caller.Ask("/stream/", kSizes);
+  REQUIRE(caller.Receives("Retry-After"));
+  // Callers of the route leave a silent stream after two seconds.
+  CHECK(timer_service::now() - start < seconds(2));
+}
+
 TEST_CASE("prefill engines that refuse everything use up no more than the budget") {
   played_engines engines;
   engines.prefill->script = [&](const http1_request& request, http1_answer& answer) {
--- a/tests/routing/backend_list_test.cc
+++ b/tests/routing/backend_list_test.cc
@@ -28,6 +28,38 @@
   }
 }
 
+TEST_CASE("a server that says that it leaves does, whatever the publisher says") {
+  const instant start{seconds(100)};
+  backend_list list({.leaving_memory = seconds(600)});
+  list.Replace({Record("a", 1), Record("b", 2)}, 2, start);
+  CHECK(list.MarkLeaving("a", 0, start));
+  CHECK_FALSE(list.MarkLeaving("a", 0, start));
+  CHECK(list.backends().at("a").leaving);
+
+  SUBCASE("in a newer entry, in a newer list, and after its entry lapsed") {
+    list.Put(Record("a", 3));
+    CHECK(list.backends().at("a").leaving);
+    list.Replace({Record("a", 4)}, 4, start);
+    CHECK(list.backends().at("a").leaving);
+    list.Remove("a", 5, start);
+    list.Put(Record("a", 6));
+    CHECK(list.backends().at("a").leaving);
+  }
+  SUBCASE("but not another incarnation of its id") {
+    backend_record next = Record("a", 3);
+    next.started_ms = 7;
+    list.Put(next);
+    CHECK_FALSE(list.backends().at("a").leaving);
+    CHECK_FALSE(list.MarkLeaving("a", 0, start));
+  }
+  SUBCASE("and it is forgotten long after its entry is gone") {
+    list.Remove("a", 3, start);
+    list.Expire(start + seconds(601));
+    list.Put(Record("a", 4));
+    CHECK_FALSE(list.backends().at("a").leaving);
+  }
+}
+
 TEST_CASE("servers whose entries lapsed while the publisher was away stay in use") {
   const instant start{seconds(100)};
   backend_list list({.lapse_grace = seconds(2)});
--- a/tests/routing/backend_selector_test.cc
+++ b/tests/routing/backend_selector_test.cc
@@ -113,5 +113,47 @@
                         0) != nullptr);
 }
 
+TEST_CASE("a server that wants quiet is not chosen, even where it is the only one") {
+  const instant now{seconds(100)};
+  backend_selector selector({.data_centre = "dc"});
+  selector.Update(Servers(2));
+  selector.SetQuiet("b0", now + seconds(3));
+  CHECK(selector.Choose({.service = "s"}, now, 0)->id == "b1");
+  CHECK_FALSE(selector.QuietUntil("s", engine_stage::kNone, now));
+  selector.SetQuiet("b1", now + seconds(2));
+  CHECK(selector.Choose({.service = "s"}, now, 0) == nullptr);
+  CHECK(selector.QuietUntil("s", engine_stage::kNone, now) == now + seconds(2));
+  CHECK(selector.Choose({.service = "s"}, now + seconds(2), 0)->id == "b1");
+
+  SUBCASE("a shorter time does not end a longer one") {
+    selector.SetQuiet("b1", now + seconds(1));
+    CHECK(selector.quiet("b1", now + milliseconds(1500)));
+  }
+  SUBCASE("another incarnation has not asked for it") {
+    backend_record next = Servers(1)["b0"];
+    next.started_ms = 5;
+    selector.Update(next);
+    CHECK(selector.Choose({.service = "s"}, now, 0)->id == "b0");
+  }
+}
+
+TEST_CASE("a record that was found wrong is passed over until there is a newer one") {
+  const instant now{seconds(100)};
+  backend_selector selector({.data_centre = "dc", .mistaken_pause = seconds(5)});
+  auto servers = Servers(1);
+  selector.Update(servers);
+  selector.SetMistaken("b0", now);
+  CHECK(selector.Choose({.service = "s"}, now, 0) == nullptr);
+
+  SUBCASE("newer") {
+    servers["b0"].revision = 9;
+    selector.Update(servers);
+    CHECK(selector.Choose({.service = "s"}, now, 0) != nullptr);
+  }
+  SUBCASE("or for a while, since it may be right after all") {
+    CHECK(selector.Choose({.service = "s"}, now + seconds(5), 0) != nullptr);
+  }
+}
+
 }  // namespace
 }  // namespace jacinthspool
--- a/tests/routing/extra_budget_test.cc
+++ b/tests/routing/extra_budget_test.cc
@@ -41,6 +41,12 @@
       REQUIRE(static_cast<double>(drawn.size()) <= 0.2 * static_cast<double>(asked.size()) + 10);
     }
   }
+  SUBCASE("and a process that has just started gets its part of the extra bit by bit") {
+    extra_budget young({.ratio = 0.2, .window = seconds(10), .extra = 30, .started = start});
+    CHECK_FALSE(young.Draw(start, "s"));
+    CHECK(young.left(start + seconds(5), "s") < 15);
+    CHECK(young.left(start + seconds(10), "s") == doctest::Approx(budget.left(start, "s") * 3));
+  }
   SUBCASE("and what is charged afterwards counts like what was drawn") {
     const double before = budget.left(start, "s");
     budget.Charge(start, "s");
