--- a/src/gateway/discovery.h
+++ b/src/gateway/discovery.h
@@ -8,6 +8,8 @@
 
 #include "jacinthspool/routing/backend_list.h"
 #include "jacinthspool/routing/configuration.h"
+#include "src/transport/event_loop.h"
+#include "src/transport/timer_service.h"
 
 namespace jacinthspool {
 
@@ -24,6 +26,13 @@
   virtual void OnPublisherBack() = 0;
 };
 
+struct discovery_options {
+  event_loop& loop;
+  timer_service& timers;
+  std::string publisher;      ///< ip:port
+  milliseconds change_bound;  ///< A change must be told within this time of its publication.
+};
+
 /// \brief Watches what the platform publishes, until it is destroyed.
 class discovery_source {
  public:
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -77,7 +77,10 @@
     if (!callers_ || !ready_ || !peers_->Start(error) || !StartMetrics(settings, error)) {
       return false;
     }
-    discovery_ = platform_.open_discovery(loop_, timers_, settings.publisher);
+    discovery_ = platform_.open_discovery({.loop = loop_,
+                                           .timers = timers_,
+                                           .publisher = settings.publisher,
+                                           .change_bound = milliseconds(settings.change_bound_ms)});
     discovery_->Start(gateway_);
     loop_.OnSignal(SIGTERM, [this] { Stop(); });
     loop_.OnSignal(SIGHUP, [this] { Reload(); });
--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -16,10 +16,8 @@
 /// \brief What a deployment's platform brings: how it speaks, and what it publishes.
 struct gateway_platform {
   std::unique_ptr<wire_dialect> dialect;
-  /// Makes the source of configuration and backend servers; `publisher` is ip:port.
-  std::function<std::unique_ptr<discovery_source>(event_loop&, timer_service&,
-                                                  const std::string& publisher)>
-      open_discovery;
+  /// Makes the source of configuration and backend servers.
+  std::function<std::unique_ptr<discovery_source>(const discovery_options&)> open_discovery;
 };
 
 /// \brief Runs a gateway until its planned stop.
