Answer requests that are on their way when a planned stop closes the edge

Cause: 2.5 s after the stop signal the listener was closed with connections that the kernel had taken and the process had not, and every connection without a request was closed at once, also one whose request had arrived unread; the process ended as soon as no answer was in progress. Their callers got a reset.

Connections that wait are now taken first, one is closed only after 0.4 s of quiet with nothing unread, and the process ends when none is left, within its grace. New cases of http1_test play the three moments; a stalled and a slow stream are played in streaming_test.

--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -126,7 +126,7 @@
         return;
       }
       callers_->StopAccepting();
-      if (callers_->in_progress() == 0 || now - begun > grace) {
+      if (callers_->closed() || now - begun > grace) {
         Log(log_level::kInfo, "stopped", {{"in_progress", callers_->in_progress()}});
         loop_.Stop();
       }
--- a/src/transport/http1_server.cc
+++ b/src/transport/http1_server.cc
@@ -16,6 +16,9 @@
 
 /// How often connections are checked against their time limits.
 constexpr milliseconds kSweepPeriod = milliseconds(500);
+/// In a planned stop a connection must have been quiet for so long before it is closed: its caller
+/// may have sent a request that has not arrived.
+constexpr milliseconds kStopQuiet = milliseconds(400);
 /// Bytes of later requests that a connection may hold while one is answered.
 constexpr std::size_t kMaxReadAhead = 256U << 10U;
 /// A caller that acknowledges nothing for this long is taken for dead.
@@ -63,6 +66,7 @@
   std::set<std::shared_ptr<connection>> connections;
   std::size_t in_progress = 0;
   bool close_after_answers = false;
+  bool stopped_accepting = false;
 
   static void OnAccept(evconnlistener* /*unused*/, evutil_socket_t socket, sockaddr* /*unused*/,
                        int /*unused*/, void* context);
@@ -119,6 +123,11 @@
       return;
     }
     const bool in_message = reader_.inside_message();
+    if (owner_->stopped_accepting && !in_message && now - quiet_since_ >= kStopQuiet &&
+        !stream_.has_unread()) {
+      Retire();
+      return;
+    }
     const milliseconds limit =
         in_message && !head_ ? owner_->limits.head_timeout : owner_->limits.idle_timeout;
     if (now - quiet_since_ < limit) {
@@ -131,13 +140,6 @@
     }
   }
 
-  /// Ends a connection that has no request.
-  void CloseIfIdle() {
-    if (!answering_ && !closing_ && !reader_.inside_message()) {
-      Retire();
-    }
-  }
-
   void SetCallerGone(std::function<void()> action) { caller_gone_ = std::move(action); }
   void SetDrained(std::function<void()> action) { drained_ = std::move(action); }
   [[nodiscard]] std::size_t unsent_bytes() const { return stream_.queued_bytes(); }
@@ -397,14 +399,21 @@
 void http1_server::CloseAfterAnswers() { state_->close_after_answers = true; }
 
 void http1_server::StopAccepting() {
-  state_->listener.reset();
-  const std::vector<std::shared_ptr<connection>> all(state_->connections.begin(),
-                                                     state_->connections.end());
-  for (const auto& each : all) {
-    each->CloseIfIdle();
+  if (std::exchange(state_->stopped_accepting, true)) {
+    return;
   }
+  // Closing the listener would reset the connections that the kernel has taken.
+  const evutil_socket_t listening = evconnlistener_get_fd(state_->listener.get());
+  for (int socket = accept(listening, nullptr, nullptr); socket >= 0;
+       socket = accept(listening, nullptr, nullptr)) {
+    state::OnAccept(nullptr, socket, nullptr, 0, state_.get());
+  }
+  state_->listener.reset();
+  state_->Sweep(timer_service::now());
 }
 
+bool http1_server::closed() const { return state_->connections.empty(); }
+
 std::size_t http1_server::in_progress() const { return state_->in_progress; }
 
 std::uint16_t http1_server::port() const {
--- a/src/transport/http1_server.h
+++ b/src/transport/http1_server.h
@@ -63,9 +63,13 @@
   /// \brief From now on every answer ends its connection.
   void CloseAfterAnswers();
 
-  /// \brief Takes no new connections and closes those without a request.
+  /// \brief Takes no new connections, but for those that wait to be taken, and closes each that
+  /// stays without a request for a moment: one may be on its way.
   void StopAccepting();
 
+  /// \returns true when no connection is left.
+  [[nodiscard]] bool closed() const;
+
   /// \returns Requests that were begun and whose answers have not been written whole.
   [[nodiscard]] std::size_t in_progress() const;
 
--- a/src/transport/tcp_stream.cc
+++ b/src/transport/tcp_stream.cc
@@ -225,4 +225,9 @@
 
 std::size_t tcp_stream::queued_bytes() const { return evbuffer_get_length(state_->output); }
 
+bool tcp_stream::has_unread() const {
+  std::uint8_t byte = 0;
+  return state_->socket >= 0 && recv(state_->socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 }  // namespace jacinthspool
--- a/src/transport/tcp_stream.h
+++ b/src/transport/tcp_stream.h
@@ -62,6 +62,9 @@
 
   [[nodiscard]] std::size_t queued_bytes() const;
 
+  /// \returns true when bytes have arrived that the listener has not been told yet.
+  [[nodiscard]] bool has_unread() const;
+
  private:
   struct state;
   std::unique_ptr<state> state_;
--- a/tests/gateway/streaming_test.cc
+++ b/tests/gateway/streaming_test.cc
@@ -165,6 +165,52 @@
   }
 }
 
+TEST_CASE("a stream that only sends something now and then is stalled") {
+  played_engines engines;
+  std::vector<timer_subscription> drips;
+  std::string drip;
+  int runs = 0;
+  engines.decode = [&](const http1_request& request, http1_answer& answer) {
+    if (++runs > 1) {
+      CHECK(request.head.Find("Last-Event-Id") == "2");
+      ServeEvents(request, answer, 3, 4);
+      answer.End();
+      return;
+    }
+    ServeEvents(request, answer, 1, 2);
+    drips.push_back(engines.timers.Every(milliseconds(100), [&](instant) { answer.Send(drip); }));
+  };
+  SUBCASE("a byte") { drip = "d"; }
+  SUBCASE("comments") { drip = ": still here\n\n"; }
+  played_caller caller(engines);
+  const instant start = timer_service::now();
+  caller.Ask("/stream/", kSizes);
+  CHECK(caller.Receives(played_backend::Event(4)));
+  CHECK(runs == 2);
+  CHECK(timer_service::now() - start < milliseconds(2500));
+}
+
+TEST_CASE("a stream that is slow but gets on is not cut") {
+  played_engines engines;
+  std::vector<timer_subscription> pace;
+  int sent = 0;
+  engines.decode = [&](const http1_request& request, http1_answer& answer) {
+    answer.Begin(200, played_backend::Genuine(request));
+    pace.push_back(engines.timers.Every(milliseconds(500), [&](instant) {
+      answer.Send(played_backend::Event(++sent));
+      if (sent == 6) {
+        pace.clear();
+        answer.End();
+      }
+    }));
+  };
+  played_caller caller(engines);
+  caller.Ask("/stream/", kSizes);
+  CHECK(caller.Receives("0\r\n\r\n"));
+  CHECK(engines.Count("decode") == 1);
+  CHECK(sent == 6);
+}
+
 TEST_CASE("a caller that leaves frees what is held for it") {
   played_engines engines;
   engines.prefill->script = [&](const http1_request&, http1_answer&) {
--- a/tests/transport/http1_test.cc
+++ b/tests/transport/http1_test.cc
@@ -157,6 +157,55 @@
   CHECK(edge.received.ends_with("whole"));
 }
 
+TEST_CASE("a planned stop answers requests that are on their way") {
+  strict_server edge;
+  REQUIRE(edge.server);
+  const auto answered = [&] {
+    return edge.Wait([&] { return edge.requests.size() == 1 || !edge.open; }) &&
+           edge.requests.size() == 1;
+  };
+  edge.server->CloseAfterAnswers();
+
+  SUBCASE("on a connection that was not taken yet") {
+    edge.caller.Write(kGet);
+    edge.server->StopAccepting();
+    REQUIRE(answered());
+  }
+  SUBCASE("on a kept connection, unread") {
+    edge.Wait([start = timer_service::now()] {
+      return timer_service::now() - start > milliseconds(700);
+    });
+    edge.caller.Write(kGet);
+    edge.server->StopAccepting();
+    REQUIRE(answered());
+  }
+  SUBCASE("on a kept connection, a moment later") {
+    edge.Wait(
+        [start = timer_service::now()] { return timer_service::now() - start > milliseconds(10); });
+    edge.server->StopAccepting();
+    edge.Wait(
+        [start = timer_service::now()] { return timer_service::now() - start > milliseconds(30); });
+    edge.caller.Write(kGet);
+    REQUIRE(answered());
+  }
+  CHECK_FALSE(edge.server->closed());
+  edge.answers[0]->Reply(200, {}, "whole");
+  CHECK(edge.Closed());
+  CHECK(edge.received.ends_with("whole"));
+  CHECK(RunUntil(edge.loop, [&] { return edge.server->closed(); }));
+}
+
+TEST_CASE("a planned stop closes a connection without a request after a moment") {
+  strict_server edge;
+  REQUIRE(edge.server);
+  const instant start = timer_service::now();
+  edge.Wait([&] { return timer_service::now() - start > milliseconds(20); });
+  edge.server->StopAccepting();
+  CHECK(edge.Closed());
+  CHECK(timer_service::now() - start < seconds(2));
+  CHECK(edge.server->closed());
+}
+
 /// A client whose server is the test.
 struct strict_client : http1_call_listener {
   event_loop loop;
