--- a/tests/gateway/backend_notices_test.cc
+++ b/tests/gateway/backend_notices_test.cc
@@ -19,7 +19,7 @@
   played_backend* second = nullptr;
   played_backend* noticed = nullptr;  ///< The one that gave the notice.
 
-  explicit noticing_platform(int status, http_headers notice) {
+  explicit noticing_platform(int status, const http_headers& notice) {
     Configure();
     first = &AddBackend("plain");
     second = &AddBackend("plain");
--- a/tests/gateway/endless_answer_test.cc
+++ b/tests/gateway/endless_answer_test.cc
@@ -45,7 +45,7 @@
         begun[i] = true;
       }
       for (int pieces = 0; begun[i] && open && pieces < 64; ++pieces) {
-        const std::string_view rest = std::string_view(piece).substr(offsets[i]);
+        const std::string_view rest = std::string_view{piece}.substr(offsets[i]);
         const ssize_t sent =
             send(peers[i].descriptor(), rest.data(), rest.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
         if (sent < 0) {
