Never join a part of a plain answer with another run

Found by reading the change: a plain answer of a resumable stream's route that was long enough to be passed on as it came, and broke off, was run again, and the second answer was joined to the first. The new case of streaming_test failed before (two runs, the answer looked whole).

--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -172,6 +172,7 @@
       return;
     }
     passing_on_ = true;
+    owner_.may_go_on_ = false;
     const std::string begun = std::exchange(body_, {});
     owner_.BeginAnswer(*head_);
     owner_.PassOn(begun);
@@ -606,13 +607,12 @@
   if (ran) {
     kv_source_.clear();
   }
-  // Without an attempt nothing can be sent any more; of a begun answer only a stream can go on.
-  const bool can_go_on = !answer_begun_ || settings_.route->kind == request_kind::kStreaming;
+  // Without an attempt nothing can be sent any more.
   const next_step step = StepAfter(
       *settings_.route, {.last = failure,
                          .runs = runs_,
                          .answer_begun = answer_begun_,
-                         .may_send_again = attempt_ != nullptr && can_go_on && MaySendAgain()});
+                         .may_send_again = attempt_ != nullptr && may_go_on_ && MaySendAgain()});
   switch (step) {
     case next_step::kSendAgain:
       SeatAndSend();
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -110,7 +110,8 @@
   std::optional<decode_seat> seat_;
   bool comes_back_ = false;  ///< Its caller has probably been refused before.
   bool answer_begun_ = false;
-  microseconds seat_wait_{};    ///< From the request's arrival to its last seat.
+  bool may_go_on_ = true;     ///< Not after a part of a plain answer: only events can be continued.
+  microseconds seat_wait_{};  ///< From the request's arrival to its last seat.
   microseconds first_event_{};  ///< From the request's arrival to the answer's begin.
   std::optional<std::uint64_t> last_event_;
   std::optional<http1_head> failed_head_;  ///< The newest error of a backend server.
--- a/tests/gateway/streaming_test.cc
+++ b/tests/gateway/streaming_test.cc
@@ -211,6 +211,27 @@
   CHECK(sent == 6);
 }
 
+TEST_CASE("a long plain answer of a stream's route that breaks off is never joined with another") {
+  played_engines engines;
+  const std::string half(200U << 10U, 'x');
+  engines.decode = [&](const http1_request& request, http1_answer& answer) {
+    if (engines.Count("decode") > 1) {
+      ServeEvents(request, answer, 1, 2);
+      answer.End();
+      return;
+    }
+    answer.Begin(404, played_backend::Genuine(request));
+    answer.Send(half);
+    answer.Cut();
+  };
+  played_caller caller(engines);
+  caller.Ask("/stream/", kSizes);
+  CHECK(caller.Wait([&] { return !caller.open; }));
+  CHECK(caller.received.starts_with("HTTP/1.1 404"));
+  CHECK(engines.Count("decode") == 1);
+  CHECK_FALSE(caller.received.ends_with("0\r\n\r\n"));
+}
+
 TEST_CASE("a caller that leaves frees what is held for it") {
   played_engines engines;
   engines.prefill->script = [&](const http1_request&, http1_answer&) {
