Refuse at once what comes too late in a planned stop

Ruled out: a new connection (the listener was closed 4 s before), the end of the process before its grace.

From the moment the edge is closed a request is refused with when to come back; callers reach another gateway through the balancer. A new case of forwarding_test plays it.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -77,6 +77,10 @@
     Refuse(*answer, http_status::kServiceUnavailable, decoded->id, "no configuration or list yet");
     return;
   }
+  if (stops_taking_) {
+    Refuse(*answer, http_status::kServiceUnavailable, decoded->id, "stopping");
+    return;
+  }
   const auto route = context_.routes.Find(decoded->host, decoded->target);
   if (!route) {
     Refuse(*answer, http_status::kNotFound, decoded->id, "no route");
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -38,6 +38,12 @@
   /// \brief Answers a request, now or later.
   void Take(http1_request request, std::shared_ptr<http1_answer> answer);
 
+  /// \brief From now on requests are refused at once; those in progress go on.
+  ///
+  /// For the end of a planned stop: on a connection that was kept since before it, a request may
+  /// come so late that its answer could not end in time.
+  void StopTaking() { stops_taking_ = true; }
+
   void OnConfiguration(std::shared_ptr<const forward_configuration> next) override;
   void OnBackends(std::vector<backend_record> records, std::uint64_t revision) override;
   void OnBackendPut(backend_record record) override;
@@ -70,6 +76,7 @@
   std::set<std::shared_ptr<forward_exchange>> exchanges_;
   timer_subscription expiry_;
   bool list_known_ = false;
+  bool stops_taking_ = false;
   bool publisher_lost_ = true;
 };
 
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -126,6 +126,7 @@
         return;
       }
       callers_->StopAccepting();
+      gateway_.StopTaking();
       if (callers_->closed() || now - begun > grace) {
         Log(log_level::kInfo, "stopped", {{"in_progress", callers_->in_progress()}});
         loop_.Stop();
--- a/tests/gateway/forwarding_test.cc
+++ b/tests/gateway/forwarding_test.cc
@@ -160,6 +160,27 @@
   CHECK(platform.router.in_progress() == 0);
 }
 
+TEST_CASE("late in a planned stop a request on a kept connection is refused at once") {
+  played_platform platform;
+  platform.Configure();
+  played_backend& server = platform.AddBackend("plain");
+  played_caller before(platform);
+  before.Ask("/once/");
+  REQUIRE(before.Wait([&] { return server.requests.size() == 1; }));
+  platform.router.StopTaking();
+  platform.edge->CloseAfterAnswers();
+
+  played_caller late(platform);
+  late.Ask("/once/");
+  REQUIRE(late.Receives("Retry-After"));
+  CHECK(late.received.starts_with("HTTP/1.1 503"));
+  CHECK(late.received.find("Connection: close") != std::string::npos);
+  CHECK(server.requests.size() == 1);
+
+  played_backend::Serve(server.requests[0], *server.answers[0]);
+  CHECK(before.Receives("answer"));
+}
+
 TEST_CASE("a server that is leaving gets no new request") {
   played_platform platform;
   platform.Configure();
