--- a/src/gateway/backend_notices.cc
+++ b/src/gateway/backend_notices.cc
@@ -15,9 +15,8 @@
          {"quiet_ms", quiet.count()},
          {"list_revision", context.backends.revision()}});
   };
-  if (notice.leaving && context.backends.MarkLeaving(from.id, from.started_ms, now)) {
+  if (notice.leaving && LearnLeaving(context, from)) {
     tell("backend_says_leaving", milliseconds(0));
-    context.selector.Update(context.backends.backends().at(from.id));
   }
   if (notice.quiet_for) {
     tell("backend_wants_quiet", std::chrono::duration_cast<milliseconds>(*notice.quiet_for));
@@ -29,6 +28,14 @@
   }
 }
 
+bool LearnLeaving(gateway_context& context, const backend_record& leaving) {
+  if (!context.backends.MarkLeaving(leaving.id, leaving.started_ms, timer_service::now())) {
+    return false;
+  }
+  context.selector.Update(context.backends.backends().at(leaving.id));
+  return true;
+}
+
 bool TakesWork(const gateway_context& context, const backend_record& backend, instant now) {
   const auto& listed = context.backends.backends();
   const auto record = listed.find(backend.id);
--- a/src/gateway/backend_notices.h
+++ b/src/gateway/backend_notices.h
@@ -14,6 +14,10 @@
 void TakeNotice(gateway_context& context, const backend_record& from, const http1_head& head,
                 std::string_view request);
 
+/// \brief Takes a server that is known to be leaving out of the choice.
+/// \returns true when that is news.
+bool LearnLeaving(gateway_context& context, const backend_record& leaving);
+
 /// \returns true when the server may be sent requests: it is listed in this incarnation, neither
 /// leaves nor has asked for quiet.
 [[nodiscard]] bool TakesWork(const gateway_context& context, const backend_record& backend,
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "jacinthspool/impl/rendezvous.h"
+#include "src/gateway/backend_notices.h"
 #include "src/telemetry/log.h"
 #include "src/transport/http_status.h"
 
@@ -178,11 +179,9 @@
     OnConfiguration(std::move(other.configuration));
   }
   for (const backend_record& record : other.backends) {
-    if (record.leaving &&
-        context_.backends.MarkLeaving(record.id, record.started_ms, timer_service::now())) {
+    if (record.leaving && LearnLeaving(context_, record)) {
       Log(log_level::kInfo, "peer_says_leaving",
           {{"backend", record.id}, {"list_revision", other.list_revision}});
-      context_.selector.Update(context_.backends.backends().at(record.id));
     }
   }
   const bool newer = other.list_revision > context_.backends.revision();
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -11,13 +11,11 @@
 #include "src/gateway/peer_exchange.h"
 #include "src/telemetry/log.h"
 #include "src/transport/http1_server.h"
+#include "src/transport/http_status.h"
 
 namespace jacinthspool {
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kUnavailable = 503;
-
 /// After the stop signal the balancer still sends callers until it has asked twice in vain, once
 /// a second.
 constexpr milliseconds kBalancerDelay = milliseconds(2500);
@@ -55,17 +53,19 @@
                gateway_.Take(std::move(request), std::move(answer));
              }},
         error);
-    ready_ = !callers_
-                 ? nullptr
-                 : http1_server::Listen({.loop = loop_,
-                                         .timers = timers_,
-                                         .address = settings.ready_listen,
-                                         .on_request =
-                                             [this](const http1_request& /*request*/,
-                                                    const std::shared_ptr<http1_answer>& answer) {
-                                               answer->Reply(ready() ? kOk : kUnavailable, {}, "");
-                                             }},
-                                        error);
+    ready_ = !callers_ ? nullptr
+                       : http1_server::Listen(
+                             {.loop = loop_,
+                              .timers = timers_,
+                              .address = settings.ready_listen,
+                              .on_request =
+                                  [this](const http1_request& /*request*/,
+                                         const std::shared_ptr<http1_answer>& answer) {
+                                    answer->Reply(ready() ? http_status::kOk
+                                                          : http_status::kServiceUnavailable,
+                                                  {}, "");
+                                  }},
+                             error);
     peers_ =
         std::make_unique<peer_exchange>(peer_exchange::options{.loop = loop_,
                                                                .timers = timers_,
@@ -106,7 +106,7 @@
              [this](const http1_request& /*request*/, const std::shared_ptr<http1_answer>& answer) {
                gateway_.metrics().Set("gateway_requests_in_progress", {},
                                       static_cast<double>(gateway_.in_progress()));
-               answer->Reply(kOk, {{"Content-Type", "text/plain; version=0.0.4"}},
+               answer->Reply(http_status::kOk, {{"Content-Type", "text/plain; version=0.0.4"}},
                              gateway_.metrics().Render());
              }},
         error);
--- a/src/gateway/one_way_call.cc
+++ b/src/gateway/one_way_call.cc
@@ -6,9 +6,6 @@
 namespace jacinthspool {
 namespace {
 
-/// The reply's body is not looked at.
-constexpr std::size_t kMaxReplyBytes = 64U << 10U;
-
 /// Keeps itself until its call has ended.
 class one_way_call : public http1_call_listener {
  public:
@@ -16,10 +13,8 @@
 
   static void Send(one_way_options settings) {
     const auto call = std::make_shared<one_way_call>(std::move(settings));
-    call->call_ = call->settings_.client.Start({.address = call->settings_.address,
-                                                .bytes = call->settings_.bytes,
-                                                .max_body_bytes = kMaxReplyBytes},
-                                               *call);
+    call->call_ = call->settings_.client.Start(
+        {.address = call->settings_.address, .bytes = call->settings_.bytes}, *call);
     call->self_ = call;
   }
 
--- a/src/transport/http1_reader.cc
+++ b/src/transport/http1_reader.cc
@@ -289,8 +289,9 @@
 }
 
 void http1_reader::LimitBody(std::size_t max_body_bytes) {
-  state_->settings.max_body_bytes = max_body_bytes;
-  state_->Restart();
+  if (std::exchange(state_->settings.max_body_bytes, max_body_bytes) != max_body_bytes) {
+    state_->Restart();
+  }
 }
 
 std::size_t http1_reader::buffered() const { return state_->Rest().size(); }
--- a/tests/soak/server_standin.cc
+++ b/tests/soak/server_standin.cc
@@ -5,14 +5,11 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "src/transport/http_status.h"
+
 namespace jacinthspool::testing {
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kFailed = 500;
-constexpr int kUnavailable = 503;
-constexpr int kMisdirected = 421;
-
 constexpr milliseconds kPlainWork = milliseconds(20);
 constexpr milliseconds kEventTime = milliseconds(15);
 constexpr milliseconds kHandleLife = milliseconds(500);
@@ -68,7 +65,7 @@
   const std::string& target = request.head.target;
   const auto expected = request.head.Find("X-Expect-Instance");
   if (expected && *expected != settings_.id) {
-    Refuse(request, *answer, kMisdirected);
+    Refuse(request, *answer, http_status::kMisdirectedRequest);
   } else if (target == "/v1/hold-take") {
     TakeHold(request, *answer);
   } else if (request.head.method == "DELETE") {
@@ -76,7 +73,7 @@
     holds_.erase(name);
     handles_.erase(name);
     settings_.ledger.kv_handles.erase(name);
-    answer->Reply(kOk, {}, "");
+    answer->Reply(http_status::kOk, {}, "");
   } else if (request.head.Find("X-Stage")) {
     Prefill(request, *answer);
   } else {
@@ -117,7 +114,7 @@
   const auto body = nlohmann::json::parse(request.body, nullptr, false);
   const auto tokens = body.value("tokens", std::uint64_t{0});
   if (conduct_ == conduct::kFull || Used() + tokens > kMemoryTokens) {
-    answer.Reply(kUnavailable, {}, "{}");
+    answer.Reply(http_status::kServiceUnavailable, {}, "{}");
     return;
   }
   const std::string name = "hold" + std::to_string(++settings_.ledger.last_name);
@@ -126,14 +123,14 @@
                       milliseconds(body.value("ttlMs", 0)), [this, name](instant /*now*/) {
                         settings_.loop.Post([this, name] { holds_.erase(name); });
                       })};
-  answer.Reply(kOk, {}, nlohmann::json{{"hold", name}}.dump());
+  answer.Reply(http_status::kOk, {}, nlohmann::json{{"hold", name}}.dump());
 }
 
 void server_standin::Prefill(const http1_request& request, http1_answer& answer) {
   const std::string id(request.head.Find("X-Request-Id").value_or(""));
   if (conduct_ != conduct::kGood) {
     ++settings_.ledger.requests[id].refused_prefills;
-    Refuse(request, answer, kUnavailable);
+    Refuse(request, answer, http_status::kServiceUnavailable);
     return;
   }
   ++settings_.ledger.requests[id].accepted_prefills;
@@ -141,7 +138,7 @@
   settings_.ledger.kv_handles.insert(name);
   handles_[name] = settings_.timers.After(
       kHandleLife, [this, name](instant /*now*/) { settings_.ledger.kv_handles.erase(name); });
-  answer.Reply(kOk, Genuine(request),
+  answer.Reply(http_status::kOk, Genuine(request),
                nlohmann::json{{"handle", name}, {"tokens", 1}, {"version", 1}}.dump());
 }
 
@@ -155,12 +152,12 @@
   const auto source = request.head.Find("X-Kv-Source");
   if (conduct_ == conduct::kFull || (source && settings_.ledger.kv_handles.erase(std::string(
                                                    source->substr(source->rfind('/') + 1))) == 0)) {
-    Refuse(request, *answer, kUnavailable);
+    Refuse(request, *answer, http_status::kServiceUnavailable);
     return;
   }
   ++seen.runs;
   if (conduct_ == conduct::kFailing) {
-    answer->Reply(kFailed, Genuine(request), "failed");
+    answer->Reply(http_status::kInternalServerError, Genuine(request), "failed");
     return;
   }
   run& added = runs_.emplace_back(run{.request = id,
@@ -177,13 +174,13 @@
     return;
   }
   if (decodes) {
-    answer->Begin(kOk, added.headers);
+    answer->Begin(http_status::kOk, added.headers);
     added.timer =
         settings_.timers.Every(kEventTime, [this, &added](instant /*now*/) { SendEvent(added); });
   } else {
     added.timer = settings_.timers.After(kPlainWork, [&added](instant /*now*/) {
       if (!added.gone) {
-        added.answer->Reply(kOk, added.headers, "answer to " + added.request);
+        added.answer->Reply(http_status::kOk, added.headers, "answer to " + added.request);
       }
       added.gone = true;
     });
--- a/tests/soak/store_standin.cc
+++ b/tests/soak/store_standin.cc
@@ -7,15 +7,14 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "src/transport/http_status.h"
+
 namespace jacinthspool::testing {
 namespace {
 
 using json = nlohmann::json;
 
-constexpr int kOk = 200;
-constexpr int kNotFound = 404;
 constexpr int kHistoryGone = 410;
-constexpr int kUnavailable = 503;
 
 std::string Base64(const std::string& bytes) {
   std::string text(sodium_base64_encoded_len(bytes.size(), sodium_base64_VARIANT_ORIGINAL), '\0');
@@ -112,7 +111,7 @@
                          const std::shared_ptr<http1_answer>& answer) {
   ++calls_;
   if (conduct_ == conduct::kBusy) {
-    answer->Reply(kUnavailable, {}, "");
+    answer->Reply(http_status::kServiceUnavailable, {}, "");
     return;
   }
   if (conduct_ == conduct::kSilent || (conduct_ == conduct::kLosing && calls_ % 2 == 0)) {
@@ -127,7 +126,7 @@
     Watch({.prefix = prefix, .after = NumberOf(Parameter(target, "after")), .answer = answer},
           milliseconds(static_cast<std::int64_t>(NumberOf(Parameter(target, "waitMs")))));
   } else {
-    answer->Reply(kNotFound, {}, "");
+    answer->Reply(http_status::kNotFound, {}, "");
   }
 }
 
@@ -138,7 +137,7 @@
       items.push_back(Encoded(key, state.value, state.revision));
     }
   }
-  answer.Reply(kOk, {},
+  answer.Reply(http_status::kOk, {},
                json{{"items", items}, {"truncated", false}, {"storeRevision", revision_}}.dump());
 }
 
@@ -161,7 +160,7 @@
     return;
   }
   if (const std::string changes = ChangesAfter(watch); !changes.empty()) {
-    watch.answer->Reply(kOk, {}, changes);
+    watch.answer->Reply(http_status::kOk, {}, changes);
     return;
   }
   watches_.push_back(std::move(watch));
@@ -172,7 +171,8 @@
     if (found != watches_.end()) {
       const std::shared_ptr<http1_answer> kept = found->answer;
       watches_.erase(found);
-      kept->Reply(kOk, {}, json{{"events", json::array()}, {"storeRevision", revision_}}.dump());
+      kept->Reply(http_status::kOk, {},
+                  json{{"events", json::array()}, {"storeRevision", revision_}}.dump());
     }
   });
 }
@@ -189,7 +189,7 @@
     }
     const std::shared_ptr<http1_answer> kept = each->answer;
     each = watches_.erase(each);
-    kept->Reply(kOk, {}, changes);
+    kept->Reply(http_status::kOk, {}, changes);
   }
 }
 
