Let the share of engines that prefill follow what requests need

The constant of at least 6 was a fit to two sites.

A prefill may take 1.2 of the objective instead of 0.6 before it is repeated: with 0.6 the repeats waste what few prefill engines can read.

--- a/include/jacinthspool/jacinthspool.h
+++ b/include/jacinthspool/jacinthspool.h
@@ -41,6 +41,7 @@
 #include "jacinthspool/routing/room_reserve.h"
 #include "jacinthspool/routing/route_table.h"
 #include "jacinthspool/routing/seat_queue.h"
+#include "jacinthspool/routing/stage_balance.h"
 #include "jacinthspool/routing/stage_plan.h"
 
 #endif  // JACINTHSPOOL_JACINTHSPOOL_H_
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -20,7 +20,7 @@
 /// A stream is taken for stalled after this silence, or its latency objective if that is longer.
 constexpr milliseconds kShortestStall = milliseconds(1200);
 /// Part of the latency objective that a prefill may take.
-constexpr double kPrefillPatience = 0.6;
+constexpr double kPrefillPatience = 1.2;
 /// A KV cache is not sent for in the last part of its life.
 constexpr double kUsableHandleLife = 0.8;
 /// The life of a KV cache that waits, where the operators don't tell it.
@@ -273,6 +273,9 @@
       return;
     }
     Report(attempt_result::kGood);
+    owner_.context_.balance.OnPrefill(owner_.settings_.service,
+                                      owner_.settings_.request.model->prompt_tokens,
+                                      first_heard_ - started_);
     owner_.OnPrefilled(backend_, *handle);
   }
 
@@ -372,6 +375,11 @@
     return;
   }
   const seat_claim claim = ClaimOf(now);
+  if (sends_ == 0 && !claim.resumes) {
+    const model_work& work = *settings_.request.model;
+    context_.balance.OnClaim(settings_.service, work.prompt_tokens, claim.tokens,
+                             work.expected_output_tokens);
+  }
   const auto quiet = context_.selector.QuietUntil(settings_.service, engine_stage::kDecode, now);
   if (quiet && *quiet > claim.last_use) {
     given_up_because_ = "all engines want quiet";
@@ -692,8 +700,11 @@
   BeginAnswer(head);
   settings_.answer->End();
   if (settings_.request.model && last_event_ && !settings_.request.resume_after) {
+    const std::uint64_t tokens = *last_event_ * TokensPerEvent();
     context_.outputs.Learn(settings_.service, settings_.request.model->expected_output_tokens,
-                           *last_event_ * TokensPerEvent());
+                           tokens);
+    context_.balance.OnOutput(settings_.service, tokens,
+                              timer_service::now() - settings_.received - first_event_);
   }
   Finish("served", "");
 }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -41,6 +41,7 @@
                .outputs = output_estimate({}),
                .patience = caller_patience({}),
                .shedder = load_shedder({}),
+               .balance = stage_balance({}),
                .metrics = {},
                .random = std::mt19937_64(std::random_device{}())},
       seats_(context_),
@@ -207,7 +208,16 @@
   gateway_snapshot own{.configuration = tells_configuration ? configuration : nullptr,
                        .backends = {},
                        .list_revision = tells_list ? revision : 0,
-                       .gateways = 0};
+                       .gateways = 0,
+                       .prefill_shares = {}};
+  if (configuration) {
+    for (const auto& [name, service] : configuration->services) {
+      const double tokens = service.engine ? static_cast<double>(service.engine->kv_tokens) : 0;
+      if (const auto share = context_.balance.PrefillShare(name, tokens)) {
+        own.prefill_shares[name] = *share;
+      }
+    }
+  }
   for (const auto& [id, record] : context_.backends.backends()) {
     if (tells_list || record.leaving) {
       own.backends.push_back(record);
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -10,6 +10,7 @@
 #include "jacinthspool/routing/load_shedder.h"
 #include "jacinthspool/routing/output_estimate.h"
 #include "jacinthspool/routing/route_table.h"
+#include "jacinthspool/routing/stage_balance.h"
 #include "src/gateway/wire_dialect.h"
 #include "src/telemetry/metrics.h"
 #include "src/transport/event_loop.h"
@@ -31,6 +32,7 @@
   output_estimate outputs;
   caller_patience patience;
   load_shedder shedder;
+  stage_balance balance;
   metrics_registry metrics;
   std::mt19937_64 random;
 };
--- a/src/gateway/snapshot.cc
+++ b/src/gateway/snapshot.cc
@@ -188,6 +188,12 @@
   }
   wire.list_revision = value.list_revision;
   wire.gateways = value.gateways;
+  for (const auto& [service, share] : value.prefill_shares) {
+    auto each = std::make_shared<snapshot::wanted_stage_value>();
+    each->service = service;
+    each->prefill_share = share;
+    wire.stages.push_back(std::move(each));
+  }
   flatbuffers::FlatBufferBuilder builder;
   builder.Finish(snapshot::gateway_snapshot::Pack(builder, &wire));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
@@ -204,10 +210,14 @@
       .configuration = wire.configuration ? FromWire(*wire.configuration) : nullptr,
       .backends = {},
       .list_revision = wire.list_revision,
-      .gateways = wire.gateways};
+      .gateways = wire.gateways,
+      .prefill_shares = {}};
   for (const auto& record : wire.backends) {
     value.backends.push_back(FromWire(*record));
   }
+  for (const auto& each : wire.stages) {
+    value.prefill_shares[each->service] = each->prefill_share;
+  }
   return value;
 }
 
--- a/src/gateway/snapshot.h
+++ b/src/gateway/snapshot.h
@@ -2,6 +2,7 @@
 #define JACINTHSPOOL_GATEWAY_SNAPSHOT_H_
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -34,6 +35,8 @@
   /// Of a whole list; 0: `backends` has only the servers that are known to be leaving.
   std::uint64_t list_revision = 0;
   std::uint32_t gateways = 0;  ///< That have asked the sender lately, itself included.
+  /// Part of each service's engines that should prefill, where the sender knows enough to tell.
+  std::map<std::string, double> prefill_shares;
 };
 
 [[nodiscard]] std::string EncodeSnapshot(const gateway_snapshot& value);
--- a/src/gateway/wire_dialect.h
+++ b/src/gateway/wire_dialect.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "jacinthspool/impl/time.h"
+#include "jacinthspool/routing/backend_list.h"
 #include "src/transport/http1_reader.h"
 
 namespace jacinthspool {
@@ -99,12 +100,12 @@
   [[nodiscard]] virtual std::string EncodeHoldRelease(std::string_view address,
                                                       std::string_view hold) const = 0;
 
-  /// \returns The bytes of an order that makes an engine decode.
+  /// \returns The bytes of an order that makes an engine change its stage.
   /// \param fence Rises with every order that one engine gets.
-  [[nodiscard]] virtual std::string EncodeDecodeOrder(std::string_view address,
-                                                      std::string_view backend_id,
-                                                      std::string_view holder,
-                                                      std::uint64_t fence) const = 0;
+  [[nodiscard]] virtual std::string EncodeStageOrder(std::string_view address,
+                                                     std::string_view backend_id,
+                                                     engine_stage stage, std::string_view holder,
+                                                     std::uint64_t fence) const = 0;
 
   /// \returns Headers of a refusal that says when to come back.
   [[nodiscard]] virtual http_headers RefusalHeaders(milliseconds come_back_in) const = 0;
--- a/src/sidecar/sidecar_daemon.cc
+++ b/src/sidecar/sidecar_daemon.cc
@@ -63,6 +63,7 @@
           .scope = {.configuration_after = std::nullopt, .list_after = list_revision_},
           .on_answer = [this](std::optional<gateway_snapshot> snapshot) {
             if (snapshot) {
+              TakeShare(*snapshot);
               TakeList(std::move(*snapshot));
               Decide();
             }
@@ -71,6 +72,13 @@
     LookIn(resting_ ? kRestingPeriod : kLookPeriod);
   }
 
+  void TakeShare(const gateway_snapshot& snapshot) {
+    const auto told = snapshot.prefill_shares.find(process_->sidecar->service);
+    if (told != snapshot.prefill_shares.end()) {
+      prefill_share_ = told->second;
+    }
+  }
+
   void TakeList(gateway_snapshot snapshot) {
     if (snapshot.list_revision > 0) {
       listed_ = std::move(snapshot.backends);
@@ -105,19 +113,26 @@
       known_ = std::move(ids);
       known_since_ = now;
     }
-    if (own == nullptr || now - known_since_ < kSettledFor ||
-        (ordered_ != instant{} && now - ordered_ < kOrderPause) ||
-        !plan_.ShouldDecode(engines, own->id)) {
+    const auto change = own == nullptr ? std::optional<engine_stage>()
+                                       : plan_.Change(engines, own->id, prefill_share_);
+    const bool confirmed = change && change == considered_;
+    considered_ = change;
+    if (!confirmed || now - known_since_ < kSettledFor ||
+        (ordered_ != instant{} && now - ordered_ < kOrderPause)) {
       return;
     }
     ordered_ = now;
-    Log(log_level::kInfo, "decode_ordered",
-        {{"backend", own->id}, {"engines", engines.size()}, {"list_revision", list_revision_}});
+    Log(log_level::kInfo, "stage_ordered",
+        {{"backend", own->id},
+         {"stage", *change == engine_stage::kPrefill ? "prefill" : "decode"},
+         {"engines", engines.size()},
+         {"prefill_share", prefill_share_.value_or(-1)},
+         {"list_revision", list_revision_}});
     SendOneWay({.loop = loop_,
                 .client = client_,
                 .address = own->address,
-                .bytes = platform_.dialect->EncodeDecodeOrder(own->address, own->id, process_->name,
-                                                              list_revision_)});
+                .bytes = platform_.dialect->EncodeStageOrder(own->address, own->id, *change,
+                                                             process_->name, list_revision_)});
   }
 
   std::shared_ptr<const process_settings> process_;
@@ -134,6 +149,8 @@
   bool resting_ = false;            ///< The own engine decodes.
   std::vector<std::string> known_;  ///< Engines of the service, as last listed.
   instant known_since_{};
+  std::optional<double> prefill_share_;     ///< As a gateway told it last.
+  std::optional<engine_stage> considered_;  ///< What the last look would have ordered.
   instant ordered_{};
 };
 
