Follow a store that comes back from an older copy

Cause: nobody read Store-Era. After the 410 the list of the copy was dropped for its lower revision, in the list, in peers and in sidecars; a watch whose revision had been given out again got no 410 and missed what lies between (store_watch_test: a server that the store had lost stayed listed).

What the copy lacks is kept for the two seconds in which it is written again; who was leaving still is; an entry whose removal was seen gets no work until it is written again, or has outlived the time in which it would lapse. The fence of an order rises across eras.

The soak's store comes back from copies.

--- a/include/jacinthspool/jacinthspool.h
+++ b/include/jacinthspool/jacinthspool.h
@@ -34,6 +34,7 @@
 #include "jacinthspool/routing/edge_limits.h"
 #include "jacinthspool/routing/event_splitter.h"
 #include "jacinthspool/routing/extra_budget.h"
+#include "jacinthspool/routing/history_position.h"
 #include "jacinthspool/routing/load_shedder.h"
 #include "jacinthspool/routing/member_estimate.h"
 #include "jacinthspool/routing/next_step.h"
--- a/include/jacinthspool/routing/backend_list.h
+++ b/include/jacinthspool/routing/backend_list.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "jacinthspool/impl/time.h"
+#include "jacinthspool/routing/history_position.h"
 
 namespace jacinthspool {
 
@@ -24,14 +25,16 @@
   engine_stage stage = engine_stage::kNone;
   std::uint32_t slots = 1;
   bool leaving = false;
-  std::uint64_t revision = 0;  ///< Of the publication that told this.
+  history_position published = {};  ///< When this was told.
 };
 
 /// \brief The published backend servers, as far as they may be used.
 ///
 /// While the publisher is disturbed its entries lapse although the servers live:
 /// a removal is then held back until a grace after its return, and only servers
-/// that are still missing are dropped.
+/// that are still missing are dropped. A publisher that comes back from an older
+/// copy begins a new era: what it lacks is held back in the same way, and what
+/// it has although its removal was seen gets no work until it is published again.
 class backend_list {
  public:
   struct options {
@@ -39,16 +42,19 @@
     microseconds lapse_grace = seconds(2);
     /// How long it is remembered that a server said that it leaves, after its entry is gone.
     microseconds leaving_memory = seconds(600);
+    /// An entry of an older copy whose removal was seen lapses in this time, unless its server
+    /// lives: three heartbeats and the grace.
+    microseconds ghost_life = seconds(6);
   };
 
   explicit backend_list(const options& settings) : settings_(settings) {}
 
-  /// \brief Takes a complete list that holds what was true at `revision`.
-  void Replace(std::vector<backend_record> records, std::uint64_t revision, instant now);
+  /// \brief Takes a complete list that holds what was true at that position.
+  void Replace(std::vector<backend_record> records, history_position at, instant now);
 
   /// \brief Takes one change; changes older than what is known are passed over.
   void Put(backend_record record);
-  void Remove(const std::string& id, std::uint64_t revision, instant now);
+  void Remove(const std::string& id, history_position at, instant now);
 
   /// \brief The server itself, or a peer that it told, says that this incarnation is leaving.
   ///
@@ -67,7 +73,8 @@
 
   /// \returns The servers that may be used and those that are leaving, by id.
   [[nodiscard]] const std::map<std::string, backend_record>& backends() const { return backends_; }
-  [[nodiscard]] std::uint64_t revision() const { return revision_; }
+  [[nodiscard]] history_position position() const { return position_; }
+  [[nodiscard]] std::uint64_t revision() const { return position_.revision; }
 
  private:
   /// \brief What an incarnation said of itself.
@@ -76,15 +83,28 @@
     instant said{};
   };
 
+  /// \brief An incarnation whose removal was seen.
+  struct removal {
+    std::uint64_t started_ms = 0;
+    instant seen{};
+  };
+
   [[nodiscard]] bool Disturbed(instant now) const;
   /// \returns The record, marked if its incarnation has said that it leaves.
   [[nodiscard]] backend_record Amended(backend_record record);
+  /// \brief Takes over what the older era told and the new one may have lost.
+  void BeginEra(instant now);
+  /// \brief Marks the entries whose removal the older era told, for as long as they may be stale.
+  void MarkGhosts(instant now);
+  void Drop(const std::string& id, instant now);
 
   options settings_;
   std::map<std::string, backend_record> backends_;
-  std::map<std::string, std::uint64_t> missing_;  ///< Held back, with the removal's revision.
-  std::map<std::string, farewell> farewells_;     ///< By id.
-  std::uint64_t revision_ = 0;
+  std::map<std::string, history_position> missing_;  ///< Held back, with the removal's position.
+  std::map<std::string, farewell> farewells_;        ///< By id.
+  std::map<std::string, removal> removals_;          ///< By id.
+  std::map<std::string, instant> ghosts_;            ///< By id, with the end of the mark.
+  history_position position_;
   bool lost_ = false;
   instant back_since_{};
 };
--- a/include/jacinthspool/routing/backend_selector.h
+++ b/include/jacinthspool/routing/backend_selector.h
@@ -113,9 +113,9 @@
     instant busy_until{};
     instant quiet_until{};
     instant mistaken_until{};
-    std::uint64_t mistaken_revision = 0;  ///< Of the record that was found wrong.
-    std::uint32_t ejections = 0;          ///< In a row.
-    std::uint32_t refusals = 0;           ///< In a row.
+    history_position mistaken_record = {};  ///< Of the record that was found wrong.
+    std::uint32_t ejections = 0;            ///< In a row.
+    std::uint32_t refusals = 0;             ///< In a row.
   };
 
   [[nodiscard]] bool Fits(const member& each, const placement& wanted) const;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -140,9 +140,10 @@
 
 void gateway::UpdateSelector() { context_.selector.Update(context_.backends.backends()); }
 
-void gateway::OnBackends(std::vector<backend_record> records, std::uint64_t revision) {
-  Log(log_level::kInfo, "backends_listed", {{"count", records.size()}, {"revision", revision}});
-  context_.backends.Replace(std::move(records), revision, timer_service::now());
+void gateway::OnBackends(std::vector<backend_record> records, history_position at) {
+  Log(log_level::kInfo, "backends_listed",
+      {{"count", records.size()}, {"era", at.era}, {"revision", at.revision}});
+  context_.backends.Replace(std::move(records), at, timer_service::now());
   list_known_ = true;
   UpdateSelector();
 }
@@ -153,15 +154,15 @@
        {"service", record.service},
        {"leaving", record.leaving},
        {"stage", ToString(record.stage)},
-       {"revision", record.revision}});
+       {"revision", record.published.revision}});
   const std::string id = record.id;
   context_.backends.Put(std::move(record));
   context_.selector.Update(context_.backends.backends().at(id));
 }
 
-void gateway::OnBackendRemoved(const std::string& id, std::uint64_t revision) {
-  Log(log_level::kInfo, "backend_removed", {{"backend", id}, {"revision", revision}});
-  context_.backends.Remove(id, revision, timer_service::now());
+void gateway::OnBackendRemoved(const std::string& id, history_position at) {
+  Log(log_level::kInfo, "backend_removed", {{"backend", id}, {"revision", at.revision}});
+  context_.backends.Remove(id, at, timer_service::now());
   UpdateSelector();
 }
 
@@ -183,13 +184,13 @@
   for (const backend_record& record : other.backends) {
     if (record.leaving && LearnLeaving(context_, record)) {
       Log(log_level::kInfo, "peer_says_leaving",
-          {{"backend", record.id}, {"list_revision", other.list_revision}});
+          {{"backend", record.id}, {"list_revision", other.list_position.revision}});
     }
   }
-  const bool newer = other.list_revision > context_.backends.revision();
-  if (other.list_revision > 0 && !other.backends.empty() &&
+  const bool newer = other.list_position > context_.backends.position();
+  if (other.list_position != history_position() && !other.backends.empty() &&
       (!list_known_ || (publisher_lost_ && newer))) {
-    OnBackends(std::move(other.backends), other.list_revision);
+    OnBackends(std::move(other.backends), other.list_position);
   }
 }
 
@@ -197,25 +198,25 @@
   const auto& configuration = context_.routes.configuration();
   const bool wants_list = !list_known_ || publisher_lost_;
   return {.configuration_after = configuration ? configuration->version : 0,
-          .list_after = wants_list ? std::optional(context_.backends.revision()) : std::nullopt};
+          .list_after = wants_list ? std::optional(context_.backends.position()) : std::nullopt};
 }
 
 gateway_snapshot gateway::Snapshot(const snapshot_scope& scope) const {
   const auto& configuration = context_.routes.configuration();
-  const std::uint64_t revision = context_.backends.revision();
+  const history_position position = context_.backends.position();
   const bool tells_configuration = configuration && scope.configuration_after &&
                                    configuration->version > *scope.configuration_after;
-  const bool tells_list = scope.list_after && revision > *scope.list_after;
+  const bool tells_list = scope.list_after && position > *scope.list_after;
   gateway_snapshot own{.configuration = tells_configuration ? configuration : nullptr,
                        .backends = {},
-                       .list_revision = tells_list ? revision : 0,
+                       .list_position = tells_list ? position : history_position(),
                        .gateways = 0,
                        .prefill_shares = {}};
   if (configuration) {
     for (const auto& [name, service] : configuration->services) {
       const double tokens = service.engine ? static_cast<double>(service.engine->kv_tokens) : 0;
-      if (const auto share = context_.balance.PrefillShare(
-              name, tokens, context_.prefills.read_rate(name))) {
+      if (const auto share =
+              context_.balance.PrefillShare(name, tokens, context_.prefills.read_rate(name))) {
         own.prefill_shares[name] = *share;
       }
     }
--- a/src/gateway/snapshot.cc
+++ b/src/gateway/snapshot.cc
@@ -118,7 +118,8 @@
   wire->stage = static_cast<snapshot::engine_stage>(record.stage);
   wire->slots = record.slots;
   wire->leaving = record.leaving;
-  wire->revision = record.revision;
+  wire->revision = record.published.revision;
+  wire->era = record.published.era;
   return wire;
 }
 
@@ -131,13 +132,14 @@
           .stage = static_cast<engine_stage>(wire.stage),
           .slots = wire.slots,
           .leaving = wire.leaving,
-          .revision = wire.revision};
+          .published = {wire.era, wire.revision}};
 }
 
 /// Where a gateway answers with its snapshot.
 constexpr std::string_view kSnapshotPath = "/jacinthspool/snapshot";
 constexpr std::string_view kConfigurationAfter = "configuration=";
 constexpr std::string_view kListAfter = "list=";
+constexpr std::string_view kListEra = "era=";
 
 /// \returns The number after `name` in a query, or nothing.
 std::optional<std::uint64_t> NumberIn(std::string_view query, std::string_view name) {
@@ -164,7 +166,10 @@
     }
   };
   append(kConfigurationAfter, scope.configuration_after);
-  append(kListAfter, scope.list_after);
+  if (scope.list_after) {
+    append(kListAfter, scope.list_after->revision);
+    append(kListEra, scope.list_after->era);
+  }
   return target;
 }
 
@@ -174,8 +179,13 @@
     return std::nullopt;
   }
   const std::string_view query = target.substr(mark);
-  return snapshot_scope{.configuration_after = NumberIn(query, kConfigurationAfter),
-                        .list_after = NumberIn(query, kListAfter)};
+  snapshot_scope scope{.configuration_after = NumberIn(query, kConfigurationAfter),
+                       .list_after = std::nullopt};
+  if (const auto revision = NumberIn(query, kListAfter)) {
+    // A process of an earlier version tells no era.
+    scope.list_after = history_position(NumberIn(query, kListEra).value_or(0), *revision);
+  }
+  return scope;
 }
 
 std::string EncodeSnapshot(const gateway_snapshot& value) {
@@ -186,7 +196,8 @@
   for (const backend_record& record : value.backends) {
     wire.backends.push_back(ToWire(record));
   }
-  wire.list_revision = value.list_revision;
+  wire.list_revision = value.list_position.revision;
+  wire.list_era = value.list_position.era;
   wire.gateways = value.gateways;
   for (const auto& [service, share] : value.prefill_shares) {
     auto each = std::make_shared<snapshot::wanted_stage_value>();
@@ -209,7 +220,7 @@
   gateway_snapshot value{
       .configuration = wire.configuration ? FromWire(*wire.configuration) : nullptr,
       .backends = {},
-      .list_revision = wire.list_revision,
+      .list_position = {wire.list_era, wire.list_revision},
       .gateways = wire.gateways,
       .prefill_shares = {}};
   for (const auto& record : wire.backends) {
--- a/src/gateway/snapshot.h
+++ b/src/gateway/snapshot.h
@@ -18,8 +18,8 @@
 struct snapshot_scope {
   /// Told when it is newer than this version; nothing: not wanted.
   std::optional<std::uint64_t> configuration_after = 0;
-  /// The list is told whole when it is newer than this revision; nothing: not wanted whole.
-  std::optional<std::uint64_t> list_after = 0;
+  /// The list is told whole when it is newer than this; nothing: not wanted whole.
+  std::optional<history_position> list_after = history_position();
 };
 
 /// \returns The path and query that ask for it.
@@ -32,8 +32,8 @@
 struct gateway_snapshot {
   std::shared_ptr<const forward_configuration> configuration;  ///< Null: none, or not asked for.
   std::vector<backend_record> backends;
-  /// Of a whole list; 0: `backends` has only the servers that are known to be leaving.
-  std::uint64_t list_revision = 0;
+  /// Of a whole list; the oldest: `backends` has only the servers that are known to be leaving.
+  history_position list_position = {};
   std::uint32_t gateways = 0;  ///< That have asked the sender lately, itself included.
   /// Part of each service's engines that should prefill, where the sender knows enough to tell.
   std::map<std::string, double> prefill_shares;
--- a/src/routing/backend_selector.cc
+++ b/src/routing/backend_selector.cc
@@ -54,7 +54,7 @@
 }
 
 bool backend_selector::Open(const member& each, instant now) {
-  const bool mistaken = each.mistaken_revision == each.record.revision && now < each.mistaken_until;
+  const bool mistaken = each.mistaken_record == each.record.published && now < each.mistaken_until;
   return each.quiet_until <= now && !mistaken;
 }
 
@@ -229,7 +229,7 @@
 
 void backend_selector::SetMistaken(const std::string& id, instant now) {
   if (const auto found = members_.find(id); found != members_.end()) {
-    found->second.mistaken_revision = found->second.record.revision;
+    found->second.mistaken_record = found->second.record.published;
     found->second.mistaken_until = now + settings_.mistaken_pause;
   }
 }
--- a/src/sidecar/sidecar_daemon.cc
+++ b/src/sidecar/sidecar_daemon.cc
@@ -60,7 +60,7 @@
           .client = client_,
           .address = process_->peers[random_() % process_->peers.size()],
           .gateway = {},
-          .scope = {.configuration_after = std::nullopt, .list_after = list_revision_},
+          .scope = {.configuration_after = std::nullopt, .list_after = list_position_},
           .on_answer = [this](std::optional<gateway_snapshot> snapshot) {
             if (snapshot) {
               TakeShare(*snapshot);
@@ -80,9 +80,9 @@
   }
 
   void TakeList(gateway_snapshot snapshot) {
-    if (snapshot.list_revision > 0) {
+    if (snapshot.list_position > list_position_) {
       listed_ = std::move(snapshot.backends);
-      list_revision_ = snapshot.list_revision;
+      list_position_ = snapshot.list_position;
       return;
     }
     for (const backend_record& leaving : snapshot.backends) {
@@ -103,7 +103,7 @@
         ids.push_back(record.id);
       }
       if (record.address == process_->sidecar->engine &&
-          (own == nullptr || record.revision > own->revision)) {
+          (own == nullptr || record.published > own->published)) {
         own = &record;
       }
     }
@@ -127,12 +127,12 @@
          {"stage", *change == engine_stage::kPrefill ? "prefill" : "decode"},
          {"engines", engines.size()},
          {"prefill_share", prefill_share_.value_or(-1)},
-         {"list_revision", list_revision_}});
+         {"list_revision", list_position_.revision}});
     SendOneWay({.loop = loop_,
                 .client = client_,
                 .address = own->address,
-                .bytes = platform_.dialect->EncodeStageOrder(own->address, own->id, *change,
-                                                             process_->name, list_revision_)});
+                .bytes = platform_.dialect->EncodeStageOrder(
+                    own->address, own->id, *change, process_->name, list_position_.ordinal())});
   }
 
   std::shared_ptr<const process_settings> process_;
@@ -145,7 +145,7 @@
   std::unique_ptr<snapshot_question> question_;
   timer_subscription look_;
   std::vector<backend_record> listed_;
-  std::uint64_t list_revision_ = 0;
+  history_position list_position_;
   bool resting_ = false;            ///< The own engine decodes.
   std::vector<std::string> known_;  ///< Engines of the service, as last listed.
   instant known_since_{};
--- a/tests/gateway/backend_notices_test.cc
+++ b/tests/gateway/backend_notices_test.cc
@@ -57,7 +57,7 @@
                          .address = noticed->address(),
                          .data_centre = "dc",
                          .slots = 4,
-                         .revision = ++revision});
+                         .published = ++revision});
   }
 };
 
--- a/tests/gateway/endless_answer_test.cc
+++ b/tests/gateway/endless_answer_test.cc
@@ -81,7 +81,7 @@
                          .data_centre = "dc",
                          .stage = stage,
                          .slots = 4,
-                         .revision = ++revision});
+                         .published = ++revision});
   }
   bool Wait(const std::function<bool()>& condition) {
     return RunUntil(loop, [&] {
--- a/tests/gateway/played_platform.h
+++ b/tests/gateway/played_platform.h
@@ -100,7 +100,7 @@
                          .stage = stage,
                          .slots = 4,
                          .leaving = leaving,
-                         .revision = ++revision});
+                         .published = ++revision});
   }
 
   /// Three routes: /once/ and /again/ to service "plain", /stream/ to service "model".
--- a/tests/gateway/snapshot_test.cc
+++ b/tests/gateway/snapshot_test.cc
@@ -22,7 +22,7 @@
   CHECK(read->configuration->services.at("model").engine->longest_hold == seconds(2));
   REQUIRE(read->backends.size() == 1);
   CHECK(read->backends[0].stage == engine_stage::kDecode);
-  CHECK(read->list_revision == told.list_revision);
+  CHECK(read->list_position == told.list_position);
 
   SUBCASE("and bytes that are none are refused") {
     CHECK_FALSE(DecodeSnapshot(""));
@@ -50,6 +50,36 @@
   }
 }
 
+TEST_CASE("the list of a later era wins, whatever its revision") {
+  played_platform newer;
+  newer.Configure();
+  newer.router.OnBackends({{.id = "new", .service = "plain", .published = {2, 3}}}, {2, 3});
+  played_platform older;
+  older.Configure();
+  older.router.OnBackends({{.id = "old", .service = "plain", .published = {1, 90}}}, {1, 90});
+  older.router.OnPublisherLost("cut off");
+  newer.router.OnPublisherLost("cut off");
+
+  SUBCASE("in a gateway that was cut off in the older one") {
+    older.router.TakeSnapshot(newer.router.Snapshot(older.router.Wanted()));
+    const gateway_snapshot learnt = older.router.Snapshot();
+    CHECK(learnt.list_position == history_position(2, 3));
+    CHECK(learnt.backends.size() == 2);  // What the newer list lacks may come back for a while.
+  }
+  SUBCASE("and the older one is not even told to one that knows the newer") {
+    const gateway_snapshot told = older.router.Snapshot(newer.router.Wanted());
+    CHECK(told.list_position == history_position());
+    newer.router.TakeSnapshot(older.router.Snapshot());
+    CHECK(newer.router.Snapshot().list_position == history_position(2, 3));
+  }
+  SUBCASE("the question tells the era, and one without it is of the oldest") {
+    const snapshot_scope wanted = newer.router.Wanted();
+    REQUIRE(ScopeOf(SnapshotTarget(wanted)));
+    CHECK(ScopeOf(SnapshotTarget(wanted))->list_after == history_position(2, 3));
+    CHECK(ScopeOf("/jacinthspool/snapshot?list=7")->list_after == history_position(7));
+  }
+}
+
 TEST_CASE("a gateway that has just started takes removals for lapses for a while") {
   played_platform platform;
   platform.Configure();
--- a/tests/platform/store_records_test.cc
+++ b/tests/platform/store_records_test.cc
@@ -51,13 +51,13 @@
   store_item item{.key = "servers/i-1",
                   .value = R"({"service":"s1","address":"10.0.0.1:80","zone":"z","slots":64,
                     "state":"draining","coldLeftMs":0,"stage":"prefill","seq":4})",
-                  .revision = 12};
+                  .published = 12};
   const auto record = DecodeBackend(item, error);
   REQUIRE(record);
   CHECK(record->id == "i-1");
   CHECK(record->leaving);
   CHECK(record->stage == engine_stage::kPrefill);
-  CHECK(record->revision == 12);
+  CHECK(record->published == 12);
 
   for (const char* text :
        {"\xff\xfe", "{}", R"({"service":"s1","address":7,"zone":"z","slots":1,"state":"ready"})",
--- a/tests/routing/backend_list_test.cc
+++ b/tests/routing/backend_list_test.cc
@@ -6,7 +6,7 @@
 namespace {
 
 backend_record Record(const std::string& id, std::uint64_t revision, bool leaving = false) {
-  return {.id = id, .service = "s", .leaving = leaving, .revision = revision};
+  return {.id = id, .service = "s", .leaving = leaving, .published = revision};
 }
 
 TEST_CASE("while the publisher answers, the list is what it says") {
@@ -94,5 +94,76 @@
   }
 }
 
+/// \returns The record as the publisher of the second era tells it.
+backend_record Copied(const std::string& id, std::uint64_t revision) {
+  backend_record record = Record(id, revision);
+  record.published = {2, revision};
+  return record;
+}
+
+TEST_CASE("a publisher that comes back from an older copy begins a new era") {
+  const instant start{seconds(100)};
+  backend_list list({.lapse_grace = seconds(2), .ghost_life = seconds(6)});
+  list.Replace({Record("kept", 1), Record("lost", 8), Record("leaves", 2), Record("gone", 3)},
+               {1, 8}, start);
+  list.Put(Record("leaves", 9, true));
+  list.Remove("gone", {1, 10}, start);
+  const instant back = start + seconds(5);
+  list.Replace({Copied("kept", 1), Copied("leaves", 2), Copied("gone", 3)}, {2, 4}, back);
+  CHECK(list.position() == history_position(2, 4));
+
+  SUBCASE("whose lower revisions are newer than all before") {
+    list.Put(Record("kept", 20, true));
+    CHECK_FALSE(list.backends().at("kept").leaving);
+    backend_record moved = Copied("kept", 5);
+    moved.address = "10.0.0.9:80";
+    list.Put(moved);
+    CHECK(list.backends().at("kept").address == "10.0.0.9:80");
+    list.Replace({}, {1, 99}, back);
+    CHECK(list.backends().contains("kept"));
+  }
+  SUBCASE("what it lacks is kept for the time in which it is written again") {
+    CHECK(list.backends().contains("lost"));
+    CHECK_FALSE(list.Expire(back + seconds(1)));
+    SUBCASE("and stays if it is") {
+      list.Put(Copied("lost", 5));
+      list.Expire(back + seconds(3));
+      CHECK(list.backends().contains("lost"));
+    }
+    SUBCASE("and goes if it is not") {
+      CHECK(list.Expire(back + seconds(3)));
+      CHECK_FALSE(list.backends().contains("lost"));
+    }
+  }
+  SUBCASE("a server that was leaving still is, though the copy says otherwise") {
+    CHECK(list.backends().at("leaves").leaving);
+    list.Put(Copied("leaves", 5));
+    CHECK(list.backends().at("leaves").leaving);
+    list.Expire(back + seconds(60));
+    CHECK(list.backends().at("leaves").leaving);
+  }
+  SUBCASE("an entry whose removal was seen gets no work") {
+    CHECK(list.backends().at("gone").leaving);
+    SUBCASE("until its server writes it again") {
+      list.Put(Copied("gone", 6));
+      CHECK_FALSE(list.backends().at("gone").leaving);
+    }
+    SUBCASE("or its entry has outlived the time in which it would lapse") {
+      CHECK(list.Expire(back + seconds(7)));
+      CHECK_FALSE(list.backends().at("gone").leaving);
+    }
+    SUBCASE("and it is gone when it lapses") {
+      list.Remove("gone", {2, 7}, back + seconds(4));
+      CHECK_FALSE(list.backends().contains("gone"));
+    }
+  }
+  SUBCASE("another copy of the copy begins a third") {
+    list.Replace({Copied("kept", 1)}, {3, 1}, back + seconds(1));
+    CHECK(list.position() == history_position(3, 1));
+    CHECK(list.backends().contains("leaves"));
+    CHECK(list.backends().at("leaves").leaving);
+  }
+}
+
 }  // namespace
 }  // namespace jacinthspool
--- a/tests/routing/backend_selector_test.cc
+++ b/tests/routing/backend_selector_test.cc
@@ -146,7 +146,7 @@
   CHECK(selector.Choose({.service = "s"}, now, 0) == nullptr);
 
   SUBCASE("newer") {
-    servers["b0"].revision = 9;
+    servers["b0"].published = 9;
     selector.Update(servers);
     CHECK(selector.Choose({.service = "s"}, now, 0) != nullptr);
   }
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -520,10 +520,15 @@
   const double drawn = Draw(fault_random_);
   const milliseconds length = DrawTime(fault_random_, milliseconds(200), milliseconds(2000));
   store_disturbed_ = std::max(store_disturbed_, timer_service::now() + length);
-  if (drawn < 0.2) {
+  if (drawn < 0.15) {
     Played("store compacted", "");
     store_.Compact();
-  } else if (drawn < 0.4) {
+  } else if (drawn < 0.3) {
+    Played("store comes back from a copy", "");
+    store_.Copy();
+    Later(length / 2, [this] { store_.ComeBackFromCopy(); });
+    Later(length, [this] { store_.WriteAgain(); });
+  } else if (drawn < 0.45) {
     Played("store link cut", "");
     store_link_->Cut();
     Later(length, [this] { store_link_->Heal(); });
--- a/tests/soak/store_standin.cc
+++ b/tests/soak/store_standin.cc
@@ -69,26 +69,26 @@
 }
 
 void store_standin::Put(const std::string& key, const std::string& value) {
-  Change(key, {.value = value, .revision = ++revision_});
+  Change(key, {.value = value, .revision = ++content_.revision});
 }
 
 void store_standin::Remove(const std::string& key) {
-  Change(key, {.value = "", .revision = ++revision_, .removed = true});
+  Change(key, {.value = "", .revision = ++content_.revision, .removed = true});
 }
 
 void store_standin::Change(const std::string& key, item state) {
-  history_.push_back({.key = key, .state = state});
+  content_.history.push_back({.key = key, .state = state});
   if (state.removed) {
-    items_.erase(key);
+    content_.items.erase(key);
   } else {
-    items_[key] = std::move(state);
+    content_.items[key] = std::move(state);
   }
   Tell();
 }
 
 void store_standin::Compact() {
-  history_.clear();
-  oldest_known_ = revision_;
+  content_.history.clear();
+  oldest_known_ = content_.revision;
   // Watches are cut; those that had not caught up learn from the 410 that follows.
   for (waiting_watch& each : std::exchange(watches_, {})) {
     each.answer->Cut();
@@ -107,11 +107,46 @@
   }
 }
 
+void store_standin::Copy() { copy_ = content_; }
+
+void store_standin::ComeBackFromCopy() {
+  lost_ = std::exchange(content_, copy_).items;
+  returned_at_ = content_.revision;
+  ++era_;
+  for (waiting_watch& each : std::exchange(watches_, {})) {
+    each.answer->Cut();
+  }
+}
+
+void store_standin::WriteAgain() {
+  const auto written_since = [this](const std::string& key) {
+    return std::any_of(content_.history.begin(), content_.history.end(), [&](const change& each) {
+      return each.key == key && each.state.revision > returned_at_;
+    });
+  };
+  const std::map<std::string, item> lost = std::exchange(lost_, {});
+  for (const auto& [key, state] : lost) {
+    if (!written_since(key)) {
+      Put(key, state.value);
+    }
+  }
+  const std::map<std::string, item> known = content_.items;
+  for (const auto& [key, state] : known) {
+    if (!lost.contains(key) && !written_since(key)) {
+      Remove(key);
+    }
+  }
+}
+
+void store_standin::Answer(http1_answer& answer, int status, const std::string& body) const {
+  answer.Reply(status, {{"Store-Era", told_era_.value_or(std::to_string(era_))}}, body);
+}
+
 void store_standin::Take(const http1_request& request,
                          const std::shared_ptr<http1_answer>& answer) {
   ++calls_;
   if (conduct_ == conduct::kBusy) {
-    answer->Reply(http_status::kServiceUnavailable, {}, "");
+    Answer(*answer, http_status::kServiceUnavailable, "");
     return;
   }
   if (conduct_ == conduct::kSilent || (conduct_ == conduct::kLosing && calls_ % 2 == 0)) {
@@ -126,24 +161,24 @@
     Watch({.prefix = prefix, .after = NumberOf(Parameter(target, "after")), .answer = answer},
           milliseconds(static_cast<std::int64_t>(NumberOf(Parameter(target, "waitMs")))));
   } else {
-    answer->Reply(http_status::kNotFound, {}, "");
+    Answer(*answer, http_status::kNotFound, "");
   }
 }
 
 void store_standin::Range(const std::string& prefix, http1_answer& answer) const {
   json items = json::array();
-  for (const auto& [key, state] : items_) {
+  for (const auto& [key, state] : content_.items) {
     if (key.starts_with(prefix)) {
       items.push_back(Encoded(key, state.value, state.revision));
     }
   }
-  answer.Reply(http_status::kOk, {},
-               json{{"items", items}, {"truncated", false}, {"storeRevision", revision_}}.dump());
+  Answer(answer, http_status::kOk,
+         json{{"items", items}, {"truncated", false}, {"storeRevision", content_.revision}}.dump());
 }
 
 std::string store_standin::ChangesAfter(const waiting_watch& watch) const {
   json events = json::array();
-  for (const auto& [key, state] : history_) {
+  for (const auto& [key, state] : content_.history) {
     if (state.revision <= watch.after || !key.starts_with(watch.prefix)) {
       continue;
     }
@@ -151,16 +186,17 @@
                          ? json{{"key", key}, {"rev", state.revision}, {"tombstone", true}}
                          : Encoded(key, state.value, state.revision));
   }
-  return events.empty() ? "" : json{{"events", events}, {"storeRevision", revision_}}.dump();
+  return events.empty() ? ""
+                        : json{{"events", events}, {"storeRevision", content_.revision}}.dump();
 }
 
 void store_standin::Watch(waiting_watch watch, milliseconds wait) {
-  if (watch.after < oldest_known_) {
-    watch.answer->Reply(kHistoryGone, {}, "");
+  if (watch.after < oldest_known_ || watch.after > content_.revision) {
+    Answer(*watch.answer, kHistoryGone, "");
     return;
   }
   if (const std::string changes = ChangesAfter(watch); !changes.empty()) {
-    watch.answer->Reply(http_status::kOk, {}, changes);
+    Answer(*watch.answer, http_status::kOk, changes);
     return;
   }
   watches_.push_back(std::move(watch));
@@ -171,8 +207,8 @@
     if (found != watches_.end()) {
       const std::shared_ptr<http1_answer> kept = found->answer;
       watches_.erase(found);
-      kept->Reply(http_status::kOk, {},
-                  json{{"events", json::array()}, {"storeRevision", revision_}}.dump());
+      Answer(*kept, http_status::kOk,
+             json{{"events", json::array()}, {"storeRevision", content_.revision}}.dump());
     }
   });
 }
@@ -189,7 +225,7 @@
     }
     const std::shared_ptr<http1_answer> kept = each->answer;
     each = watches_.erase(each);
-    kept->Reply(http_status::kOk, {}, changes);
+    Answer(*kept, http_status::kOk, changes);
   }
 }
 
--- a/tests/soak/store_standin.h
+++ b/tests/soak/store_standin.h
@@ -6,6 +6,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "src/transport/http1_server.h"
@@ -35,6 +36,15 @@
 
   void Behave(conduct next);
 
+  /// \brief Keeps a copy of everything as it is now.
+  void Copy();
+  /// \brief Comes back from the copy: what was written since is lost, and a new era begins.
+  void ComeBackFromCopy();
+  /// \brief Writes again what was lost and has not been written since.
+  void WriteAgain();
+  /// \brief From now on all answers bear this era, whatever it is.
+  void TellEra(const std::string& text) { told_era_ = text; }
+
  private:
   struct item {
     std::string value;
@@ -52,6 +62,14 @@
     timer_subscription timeout = {};
   };
 
+  /// \brief What the store holds.
+  struct content {
+    std::map<std::string, item> items;
+    std::deque<change> history;
+    std::uint64_t revision = 1;
+  };
+
+  void Answer(http1_answer& answer, int status, const std::string& body) const;
   void Take(const http1_request& request, const std::shared_ptr<http1_answer>& answer);
   void Range(const std::string& prefix, http1_answer& answer) const;
   void Watch(waiting_watch watch, milliseconds wait);
@@ -62,9 +80,12 @@
   timer_service& timers_;
   std::string error_;
   std::unique_ptr<http1_server> server_;
-  std::map<std::string, item> items_;
-  std::deque<change> history_;
-  std::uint64_t revision_ = 1;
+  content content_;
+  content copy_;
+  std::map<std::string, item> lost_;  ///< Items before the last return from a copy.
+  std::uint64_t returned_at_ = 0;     ///< The revision at that return.
+  std::uint64_t era_ = 1;
+  std::optional<std::string> told_era_;
   std::uint64_t oldest_known_ = 1;  ///< Changes after this revision are in the history.
   std::list<waiting_watch> watches_;
   std::list<std::shared_ptr<http1_answer>> unanswered_;
