--- a/include/jacinthspool/routing/stage_plan.h
+++ b/include/jacinthspool/routing/stage_plan.h
@@ -21,13 +21,13 @@
  public:
   struct options {
     /// Of the service's engines that keep prefilling while the wanted share is not known.
-    std::uint32_t prefill_percent = 25;
+    std::uint32_t prefill_percent = 23;
     /// Engines that keep prefilling while it is not known.
     std::uint32_t least_prefill = 2;
     /// The number of prefill engines may be off the wanted one by this many engines.
     double slack_engines = 0.8;
     /// And by this part of it, so that estimates that differ a little move no engine.
-    double slack_share = 0.2;
+    double slack_share = 0.1;
   };
 
   explicit stage_plan(const options& settings) : settings_(settings) {}
