--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -441,7 +441,7 @@
   }
   const instant now = timer_service::now();
   const instant on_time_until = settings_.received + settings_.route->latency_objective;
-  // Who is late anyway costs nobody time.
+  // For a caller that is late anyway, no stream of a decode engine is slowed down.
   return comes_back_ ||
          context_.prefills.Choose(settings_.service, settings_.request.model->prompt_tokens,
                                   on_time_until - now, now) == prefill_place::kPrefillEngine;
