--- a/include/jacinthspool/routing/history_position.h
+++ b/include/jacinthspool/routing/history_position.h
@@ -2,7 +2,6 @@
 #define JACINTHSPOOL_ROUTING_HISTORY_POSITION_H_
 
 #include <algorithm>
-#include <compare>
 #include <cstdint>
 
 namespace jacinthspool {
@@ -33,7 +32,18 @@
     return (era << kRevisionBits) + std::min<std::uint64_t>(revision, (1ULL << kRevisionBits) - 1);
   }
 
-  constexpr auto operator<=>(const history_position&) const = default;
+  friend constexpr bool operator==(const history_position& left, const history_position& right) {
+    return left.era == right.era && left.revision == right.revision;
+  }
+  friend constexpr bool operator!=(const history_position& left, const history_position& right) {
+    return !(left == right);
+  }
+  friend constexpr bool operator<(const history_position& left, const history_position& right) {
+    return left.era != right.era ? left.era < right.era : left.revision < right.revision;
+  }
+  friend constexpr bool operator>(const history_position& left, const history_position& right) {
+    return right < left;
+  }
 };
 
 }  // namespace jacinthspool
