--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -807,13 +807,14 @@
   if (context_.selector.quiet(kv_holder_.id, timer_service::now())) {
     return;  // It lapses by itself.
   }
-  SendOneWay({.loop = context_.loop,
-              .client = context_.client,
-              .address = kv_holder_.address,
-              .bytes = context_.dialect.EncodeRelease(kv_holder_.address, kv_handle_),
-              .on_head = [&context = context_, holder = kv_holder_](const http1_head& head) {
-                TakeNotice(context, holder, head, "");
-              }});
+  context_.one_way.Send(
+      {.loop = context_.loop,
+       .client = context_.client,
+       .address = kv_holder_.address,
+       .bytes = context_.dialect.EncodeRelease(kv_holder_.address, kv_handle_),
+       .on_head = [&context = context_, holder = kv_holder_](const http1_head& head) {
+         TakeNotice(context, holder, head, "");
+       }});
 }
 
 void forward_exchange::Finish(std::string_view outcome, std::string_view why) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -43,6 +43,7 @@
                .shedder = load_shedder({}),
                .balance = stage_balance({}),
                .prefills = prefill_choice({}),
+               .one_way = {},
                .metrics = {},
                .random = std::mt19937_64(std::random_device{}())},
       seats_(context_),
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -12,6 +12,7 @@
 #include "jacinthspool/routing/prefill_choice.h"
 #include "jacinthspool/routing/route_table.h"
 #include "jacinthspool/routing/stage_balance.h"
+#include "src/gateway/one_way_call.h"
 #include "src/gateway/wire_dialect.h"
 #include "src/telemetry/metrics.h"
 #include "src/transport/event_loop.h"
@@ -35,6 +36,7 @@
   load_shedder shedder;
   stage_balance balance;
   prefill_choice prefills;
+  one_way_calls one_way;
   metrics_registry metrics;
   std::mt19937_64 random;
 };
--- a/src/gateway/one_way_call.cc
+++ b/src/gateway/one_way_call.cc
@@ -1,21 +1,17 @@
 #include "src/gateway/one_way_call.h"
 
-#include <memory>
 #include <utility>
 
 namespace jacinthspool {
-namespace {
 
-/// Keeps itself until its call has ended.
-class one_way_call : public http1_call_listener {
+/// One call that is running.
+class one_way_calls::call : public http1_call_listener {
  public:
-  explicit one_way_call(one_way_options settings) : settings_(std::move(settings)) {}
+  call(one_way_calls& owner, one_way_options settings)
+      : owner_(owner), settings_(std::move(settings)) {}
 
-  static void Send(one_way_options settings) {
-    const auto call = std::make_shared<one_way_call>(std::move(settings));
-    call->call_ = call->settings_.client.Start(
-        {.address = call->settings_.address, .bytes = call->settings_.bytes}, *call);
-    call->self_ = call;
+  void Start() {
+    call_ = settings_.client.Start({.address = settings_.address, .bytes = settings_.bytes}, *this);
   }
 
   head_verdict OnHead(const http1_head& head) override {
@@ -29,17 +25,27 @@
     if (settings_.on_ended) {
       settings_.on_ended();
     }
-    settings_.loop.Post([kept = std::move(self_)] {});
+    const auto found = owner_.running_.find(this);
+    if (found != owner_.running_.end()) {
+      // It is on the stack below.
+      settings_.loop.Post([kept = std::move(found->second)] {});
+      owner_.running_.erase(found);
+    }
   }
 
  private:
+  one_way_calls& owner_;
   one_way_options settings_;
   std::unique_ptr<http1_call> call_;
-  std::shared_ptr<one_way_call> self_;
 };
 
-}  // namespace
+one_way_calls::one_way_calls() = default;
+one_way_calls::~one_way_calls() = default;
 
-void SendOneWay(one_way_options settings) { one_way_call::Send(std::move(settings)); }
+void one_way_calls::Send(one_way_options settings) {
+  const auto started = std::make_shared<call>(*this, std::move(settings));
+  running_.emplace(started.get(), started);
+  started->Start();
+}
 
 }  // namespace jacinthspool
--- a/src/gateway/one_way_call.h
+++ b/src/gateway/one_way_call.h
@@ -2,6 +2,8 @@
 #define JACINTHSPOOL_GATEWAY_ONE_WAY_CALL_H_
 
 #include <functional>
+#include <map>
+#include <memory>
 #include <string>
 
 #include "src/transport/event_loop.h"
@@ -18,11 +20,22 @@
   std::function<void()> on_ended = {};  ///< Once the call has ended in any way; may be empty.
 };
 
-/// \brief Sends a request whose outcome changes nothing here.
+/// \brief The calls that are running though nobody waits for their answers.
 ///
-/// For what a backend server would also do by itself a little later, such as
-/// freeing what was kept for a request.
-void SendOneWay(one_way_options settings);
+/// Those that have not ended when it is destroyed are given up.
+class one_way_calls {
+ public:
+  one_way_calls();
+  ~one_way_calls();
+  one_way_calls(const one_way_calls&) = delete;
+  one_way_calls& operator=(const one_way_calls&) = delete;
+
+  void Send(one_way_options settings);
+
+ private:
+  class call;
+  std::map<call*, std::shared_ptr<call>> running_ = {};
+};
 
 }  // namespace jacinthspool
 
--- a/src/gateway/seat_dispatcher.cc
+++ b/src/gateway/seat_dispatcher.cc
@@ -114,13 +114,14 @@
     }
     return;
   }
-  SendOneWay({.loop = context_.loop,
-              .client = context_.client,
-              .address = backend.address,
-              .bytes = context_.dialect.EncodeHoldRelease(backend.address, hold),
-              .on_head = [this, backend](
-                             const http1_head& head) { TakeNotice(context_, backend, head, ""); },
-              .on_ended = std::move(on_ended)});
+  context_.one_way.Send(
+      {.loop = context_.loop,
+       .client = context_.client,
+       .address = backend.address,
+       .bytes = context_.dialect.EncodeHoldRelease(backend.address, hold),
+       .on_head = [this,
+                   backend](const http1_head& head) { TakeNotice(context_, backend, head, ""); },
+       .on_ended = std::move(on_ended)});
 }
 
 void seat_dispatcher::OnRoomFreed(const std::string& backend_id) {
--- a/src/sidecar/sidecar_daemon.cc
+++ b/src/sidecar/sidecar_daemon.cc
@@ -128,11 +128,11 @@
          {"engines", engines.size()},
          {"prefill_share", prefill_share_.value_or(-1)},
          {"list_revision", list_position_.revision}});
-    SendOneWay({.loop = loop_,
-                .client = client_,
-                .address = own->address,
-                .bytes = platform_.dialect->EncodeStageOrder(
-                    own->address, own->id, *change, process_->name, list_position_.ordinal())});
+    one_way_.Send({.loop = loop_,
+                   .client = client_,
+                   .address = own->address,
+                   .bytes = platform_.dialect->EncodeStageOrder(
+                       own->address, own->id, *change, process_->name, list_position_.ordinal())});
   }
 
   std::shared_ptr<const process_settings> process_;
@@ -140,6 +140,7 @@
   event_loop loop_;
   timer_service timers_{loop_};
   http1_client client_;
+  one_way_calls one_way_;
   stage_plan plan_;
   std::mt19937_64 random_;
   std::unique_ptr<snapshot_question> question_;
