Expire the mark of a stale entry that a list has dropped since

Found on reading: a list of the same era without the entry left its mark, and Expire looked it up with at(), which would end the process. Not yet tested; a list of the same era also clears the mark early: open.

--- a/src/routing/backend_list.cc
+++ b/src/routing/backend_list.cc
@@ -138,15 +138,18 @@
   std::erase_if(removals_, [&](const auto& each) {
     return now - each.second.seen > settings_.leaving_memory;
   });
-  const bool proved = std::erase_if(ghosts_, [&](const auto& each) {
-                        const bool lives = each.second <= now;
-                        if (lives) {
-                          // Its entry would have lapsed by now.
-                          backends_.at(each.first).leaving = false;
-                          removals_.erase(each.first);
-                        }
-                        return lives;
-                      }) > 0;
+  const bool proved =
+      std::erase_if(ghosts_, [&](const auto& each) {
+        const bool lives = each.second <= now;
+        if (lives) {
+          // Its entry would have lapsed by now.
+          if (const auto known = backends_.find(each.first); known != backends_.end()) {
+            known->second.leaving = false;
+          }
+          removals_.erase(each.first);
+        }
+        return lives;
+      }) > 0;
   if (missing_.empty() || Disturbed(now)) {
     return proved;
   }
