--- a/tests/routing/backend_list_test.cc
+++ b/tests/routing/backend_list_test.cc
@@ -152,6 +152,11 @@
       CHECK(list.Expire(back + seconds(7)));
       CHECK_FALSE(list.backends().at("gone").leaving);
     }
+    SUBCASE("and its mark is dropped when a later list lacks it") {
+      list.Replace({Copied("kept", 1)}, {2, 9}, back + seconds(5));
+      list.Expire(back + seconds(7));
+      CHECK_FALSE(list.backends().contains("gone"));
+    }
     SUBCASE("and it is gone when it lapses") {
       list.Remove("gone", {2, 7}, back + seconds(4));
       CHECK_FALSE(list.backends().contains("gone"));
