Log and count what backend servers state about the rate that they accept

Server-Limit is now decoded once, in platform/, into a rate_statement: a decimal number, the lowest of several; no limit on a genuine answer without the header; nothing from another server (421) or without the server's stamp; any other value is unreadable, which is logged and changes nothing. named_limits keeps the newest statement of each incarnation: a reply without a limit lifts it only when its request was sent after the limit was stated. New: events backend_limit_named, _changed, _lifted, _unreadable; metrics gateway_backend_limit_per_second and gateway_limited_sends, which counts every kind of send. explain takes the id of a backend server.

--- a/src/cli/command_line.cc
+++ b/src/cli/command_line.cc
@@ -27,7 +27,8 @@
     {"agent", "run beside one backend server", &RunAgentCommand},
     {"check", "check settings documents and print every finding", &RunCheck},
     {"status", "print the status of a running process", &RunStatus},
-    {"explain", "print the decisions about a request from log lines", &RunExplain},
+    {"explain", "print the decisions about a request or a server's limit from log lines",
+     &RunExplain},
 };
 
 void PrintHelp() {
--- a/src/cli/explain_command.cc
+++ b/src/cli/explain_command.cc
@@ -16,7 +16,8 @@
 
 constexpr const char* kSummary =
     "Prints the decisions about one request in chronological order, with the candidate backend "
-    "servers, their quotes or refusals, the choice and its reason.\n"
+    "servers, their quotes or refusals, the choice and its reason; or, for the id of a backend "
+    "server, what each gateway knew of its request limit and sent to it.\n"
     "LOGFILE holds JSON log lines, of one process or of several, concatenated; '-' is standard "
     "input.\n"
     "Exit code: 0 done, 1 unreadable file or nothing about the request in it, 2 usage.";
@@ -104,26 +105,37 @@
   }
 }
 
-std::vector<nlohmann::json> LinesOf(std::istream& log, const std::string& request) {
+/// \returns true for a line about the request, or about the request limit of the backend server.
+bool IsAbout(const nlohmann::json& line, const std::string& id) {
+  return TextOf(line, "request") == id ||
+         (TextOf(line, "backend") == id && TextOf(line, "event").starts_with("backend_limit"));
+}
+
+std::vector<nlohmann::json> LinesOf(std::istream& log, const std::string& id) {
   std::vector<nlohmann::json> lines;
   std::string text;
   while (std::getline(log, text)) {
-    if (text.find(request) == std::string::npos) {
+    if (text.find(id) == std::string::npos) {
       continue;
     }
     nlohmann::json line = nlohmann::json::parse(text, nullptr, /*allow_exceptions=*/false);
-    if (line.is_object() && TextOf(line, "request") == request) {
+    if (line.is_object() && IsAbout(line, id)) {
       lines.push_back(std::move(line));
     }
   }
   return lines;
 }
 
-/// \returns true for the request ids of a gateway's callers: 8 or more letters and digits.
-bool IsCallerRequestId(const std::string& text) {
+/// \returns true for the request ids of a gateway's callers, 8 or more letters and digits, and for
+/// the ids of backend servers, which also have hyphens and at least one digit.
+bool IsPlatformId(const std::string& text) {
   constexpr std::size_t kMinLength = 8;
-  return text.size() >= kMinLength && std::all_of(text.begin(), text.end(), [](char letter) {
-           return std::isalnum(static_cast<unsigned char>(letter)) != 0;
+  const auto is_digit = [](unsigned char letter) { return std::isdigit(letter) != 0; };
+  const bool hyphens = text.find('-') != std::string::npos;
+  return text.size() >= kMinLength &&
+         (!hyphens || std::any_of(text.begin(), text.end(), is_digit)) &&
+         std::all_of(text.begin(), text.end(), [](unsigned char letter) {
+           return letter == '-' || std::isalnum(letter) != 0;
          });
 }
 
@@ -142,8 +154,8 @@
   return ExplainById(log, ToString(request), out);
 }
 
-std::size_t ExplainById(std::istream& log, const std::string& request, std::ostream& out) {
-  std::vector<nlohmann::json> lines = LinesOf(log, request);
+std::size_t ExplainById(std::istream& log, const std::string& id, std::ostream& out) {
+  std::vector<nlohmann::json> lines = LinesOf(log, id);
   if (lines.empty()) {
     return 0;
   }
@@ -151,7 +163,11 @@
                    [](const nlohmann::json& left, const nlohmann::json& right) {
                      return TextOf(left, "time") < TextOf(right, "time");
                    });
-  out << "request " << request << " of team " << FirstTeam(lines) << '\n';
+  if (TextOf(lines.front(), "request") == id) {
+    out << "request " << id << " of team " << FirstTeam(lines) << '\n';
+  } else {
+    out << "request limit of backend server " << id << '\n';
+  }
   for (const nlohmann::json& line : lines) {
     PrintLine(line, out);
   }
@@ -162,14 +178,15 @@
   TCLAP::CmdLine line(kSummary, ' ', JACINTHSPOOL_VERSION);
   TCLAP::UnlabeledValueArg<std::string> file("logfile", "JSON log lines, or '-'", true, "",
                                              "LOGFILE", line);
-  TCLAP::UnlabeledValueArg<std::string> id("request", "As in the field \"request\" of log lines",
-                                           true, "", "REQUEST-ID", line);
+  TCLAP::UnlabeledValueArg<std::string> id(
+      "id", "As in the field \"request\" or \"backend\" of log lines", true, "", "ID", line);
   if (const auto code = ParseArguments(line, "explain", arguments)) {
     return *code;
   }
   request_id request;
-  if (!ParseRequestId(id.getValue(), request) && !IsCallerRequestId(id.getValue())) {
-    return PrintUsageError("explain", "'" + id.getValue() + "' is not a request id");
+  if (!ParseRequestId(id.getValue(), request) && !IsPlatformId(id.getValue())) {
+    return PrintUsageError(
+        "explain", "'" + id.getValue() + "' is not a request id or the id of a backend server");
   }
   std::ifstream opened;
   std::string error;
@@ -179,7 +196,7 @@
   }
   std::istream& log = file.getValue() == "-" ? std::cin : opened;
   if (ExplainById(log, id.getValue(), std::cout) == 0) {
-    PrintError("explain: no log line of request " + id.getValue() + " in " + file.getValue());
+    PrintError("explain: no log line about " + id.getValue() + " in " + file.getValue());
     return kExitFailed;
   }
   return kExitOk;
--- a/src/cli/explain_command.h
+++ b/src/cli/explain_command.h
@@ -9,7 +9,8 @@
 
 namespace jacinthspool {
 
-/// \brief `explain LOGFILE REQUEST-ID`: prints the decisions about a request.
+/// \brief `explain LOGFILE ID`: prints the decisions about a request, or about the request limit of
+/// a backend server.
 int RunExplain(const std::vector<std::string>& arguments);
 
 /// \brief Writes the decisions and other log lines of a request, in chronological order.
--- a/src/gateway/backend_notices.cc
+++ b/src/gateway/backend_notices.cc
@@ -1,11 +1,63 @@
 #include "src/gateway/backend_notices.h"
 
+#include "jacinthspool/impl/overloaded.h"
 #include "src/telemetry/log.h"
 
 namespace jacinthspool {
+namespace {
+
+/// Longer texts from the wire are truncated in the log.
+constexpr std::size_t kMaxLoggedText = 64;
+
+std::string_view EventOf(named_limits::change change) {
+  switch (change) {
+    case named_limits::change::kNone:
+      break;
+    case named_limits::change::kNamed:
+      return "backend_limit_named";
+    case named_limits::change::kChanged:
+      return "backend_limit_changed";
+    case named_limits::change::kLifted:
+      return "backend_limit_lifted";
+  }
+  return "";
+}
+
+/// \param request The request whose reply states the limit; empty: another gateway says so.
+void ReportLimit(gateway_context& context, const std::string& backend, std::uint64_t started_ms,
+                 named_limits::change change, std::string_view request, std::string_view source) {
+  if (change == named_limits::change::kNone) {
+    return;
+  }
+  const double limit = context.limits.Find(backend, started_ms).value_or(0);
+  Log(log_level::kInfo, EventOf(change),
+      {{"request", request},
+       {"backend", backend},
+       {"started_ms", started_ms},
+       {"limit_per_s", limit},
+       {"source", source}});
+  context.metrics.Set("gateway_backend_limit_per_second", {{"backend", backend}}, limit);
+}
+
+void ApplyRate(gateway_context& context, const backend_record& from, const rate_statement& rate,
+               std::string_view request, instant sent) {
+  if (const auto* unreadable = std::get_if<rate_unreadable>(&rate)) {
+    Log(log_level::kWarning, "backend_limit_unreadable",
+        {{"request", request},
+         {"backend", from.id},
+         {"expected", "a number of requests a second from 0 to 1000000"},
+         {"got", unreadable->text.substr(0, kMaxLoggedText)}});
+    return;
+  }
+  const auto change =
+      context.limits.OnReply(from.id, from.started_ms, rate, sent, timer_service::now());
+  ReportLimit(context, from.id, from.started_ms, change, request, "reply");
+}
+
+}  // namespace
 
 void ApplyNotice(gateway_context& context, const backend_record& from, const http1_head& head,
-                 std::string_view request) {
+                 std::string_view request, instant sent) {
   const backend_notice notice = context.dialect.DecodeNotice(head);
   const instant now = timer_service::now();
   const auto log_notice = [&](std::string_view event, milliseconds back_off) {
@@ -27,6 +79,19 @@
     log_notice("record_mistaken", milliseconds(0));
     context.selector.MarkRecordWrong(from.id, now);
   }
+  ApplyRate(context, from, notice.rate, request, sent);
+}
+
+void ApplyPeerLimits(gateway_context& context, const std::vector<named_limit>& limits) {
+  for (const named_limit& each : limits) {
+    ReportLimit(context, each.backend, each.started_ms, context.limits.OnPeer(each), "", "peer");
+  }
+}
+
+void RecordSend(gateway_context& context, const backend_record& backend) {
+  if (context.limits.Find(backend.id, backend.started_ms)) {
+    context.metrics.Count("gateway_limited_sends", {{"backend", backend.id}});
+  }
 }
 
 bool MarkBackendLeaving(gateway_context& context, const backend_record& leaving) {
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -98,6 +98,7 @@
   attempt& operator=(const attempt&) = delete;
 
   void Send(const std::string& bytes) {
+    RecordSend(owner_.context_, backend_);
     call_ = owner_.context_.client.Start(
         {.address = backend_.address,
          .bytes = bytes,
@@ -135,8 +136,9 @@
   }
 
   head_action OnHead(const http1_head& head) override {
-    ApplyNotice(owner_.context_, backend_, head, owner_.settings_.request.id);
     facts_ = owner_.context_.dialect.DecodeReply(head, owner_.settings_.request);
+    ApplyNotice(owner_.context_, backend_, head, owner_.settings_.request.id,
+                facts_.same_request ? started_ : instant{});
     if (!facts_.same_request) {
       Log(log_level::kWarning, "stray_reply",
           {{"request", owner_.settings_.request.id}, {"backend", backend_.id}});
@@ -812,14 +814,14 @@
   if (context_.selector.backing_off(kv_holder_.id, timer_service::now())) {
     return;  // The handle expires by itself.
   }
+  RecordSend(context_, kv_holder_);
   context_.background.Send(
       {.loop = context_.loop,
        .client = context_.client,
        .address = kv_holder_.address,
        .bytes = context_.dialect.EncodeRelease(kv_holder_.address, kv_handle_),
-       .on_head = [&context = context_, holder = kv_holder_](const http1_head& head) {
-         ApplyNotice(context, holder, head, "");
-       }});
+       .on_head = [&context = context_, holder = kv_holder_, sent = timer_service::now()](
+                      const http1_head& head) { ApplyNotice(context, holder, head, "", sent); }});
 }
 
 void forward_exchange::Finish(std::string_view outcome, std::string_view why) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -41,6 +41,7 @@
                .outputs = output_length_estimate({}),
                .retries = retry_detector({}),
                .shedder = load_shedder({}),
+               .limits = named_limits({}),
                .balance = prefill_share_estimate({}),
                .prefills = prefill_placement({}),
                .background = {},
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -7,6 +7,7 @@
 #include "jacinthspool/routing/backend_selector.h"
 #include "jacinthspool/routing/forward_retry_budget.h"
 #include "jacinthspool/routing/load_shedder.h"
+#include "jacinthspool/routing/named_limits.h"
 #include "jacinthspool/routing/output_length_estimate.h"
 #include "jacinthspool/routing/prefill_placement.h"
 #include "jacinthspool/routing/prefill_share_estimate.h"
@@ -34,6 +35,7 @@
   output_length_estimate outputs;
   retry_detector retries;
   load_shedder shedder;
+  named_limits limits;
   prefill_share_estimate balance;
   prefill_placement prefills;
   background_calls background;
--- a/src/gateway/reservation_dispatcher.cc
+++ b/src/gateway/reservation_dispatcher.cc
@@ -37,6 +37,8 @@
 
   void Send() {
     gateway_context& context = owner_.context_;
+    sent_ = timer_service::now();
+    RecordSend(context, backend_);
     call_ = context.client.Start(
         {.address = backend_.address,
          .bytes = context.dialect.EncodeReservation(
@@ -57,7 +59,7 @@
 
   head_action OnHead(const http1_head& head) override {
     status_ = head.status;
-    ApplyNotice(owner_.context_, backend_, head, "");
+    ApplyNotice(owner_.context_, backend_, head, "", sent_);
     return head_action::kAccept;
   }
   void OnBody(std::string_view bytes) override { body_ += bytes; }
@@ -79,6 +81,7 @@
   bool probes_;
   std::unique_ptr<http1_call> call_;
   timer_subscription timeout_;
+  instant sent_{};
   int status_ = 0;
   std::string body_;
 };
@@ -117,13 +120,14 @@
     }
     return;
   }
+  RecordSend(context_, backend);
   context_.background.Send(
       {.loop = context_.loop,
        .client = context_.client,
        .address = backend.address,
        .bytes = context_.dialect.EncodeReservationRelease(backend.address, hold),
-       .on_head = [this,
-                   backend](const http1_head& head) { ApplyNotice(context_, backend, head, ""); },
+       .on_head = [this, backend, sent = timer_service::now()](
+                      const http1_head& head) { ApplyNotice(context_, backend, head, "", sent); },
        .on_ended = std::move(on_ended)});
 }
 
--- a/src/gateway/wire_dialect.h
+++ b/src/gateway/wire_dialect.h
@@ -9,6 +9,7 @@
 
 #include "jacinthspool/impl/time.h"
 #include "jacinthspool/routing/backend_list.h"
+#include "jacinthspool/routing/rate_statement.h"
 #include "src/transport/http1_reader.h"
 
 namespace jacinthspool {
@@ -56,6 +57,7 @@
   bool leaving = false;       ///< Accepts no new requests from now on.
   bool wrong_target = false;  ///< Is not the intended server, or not in the intended stage.
   std::optional<microseconds> back_off_for = {};  ///< Is full and accepts no request for this time.
+  rate_statement rate = {};  ///< Request rate that it accepts from all gateways together.
 };
 
 /// \brief Encodes and decodes the platform's HTTP messages to callers and backend servers.
--- a/tests/cli/command_line_test.cc
+++ b/tests/cli/command_line_test.cc
@@ -189,6 +189,18 @@
   CHECK(out.str().find("outcome = cut") != std::string::npos);
 }
 
+TEST_CASE("explain prints what gateways knew of a backend server's request limit") {
+  std::istringstream log(
+      R"({"time":"2","process":"g2","event":"backend_limit_named","request":"615fdb27541a0777","backend":"i-41ac49b1cc","limit_per_s":3})"
+      "\n"
+      R"({"time":"1","process":"g1","event":"backend_limit_named","request":"","backend":"i-41ac49b1cc","source":"peer"})"
+      "\n"
+      R"({"time":"3","process":"g1","event":"backend_put","backend":"i-41ac49b1cc"})");
+  std::ostringstream out;
+  CHECK(ExplainById(log, "i-41ac49b1cc", out) == 2);
+  CHECK(out.str().starts_with("request limit of backend server i-41ac49b1cc\n1  g1"));
+}
+
 TEST_CASE("status prints values and lists") {
   std::ostringstream out;
   PrintStatus(
--- a/tests/platform/replica_dialect_test.cc
+++ b/tests/platform/replica_dialect_test.cc
@@ -69,5 +69,35 @@
   CHECK(dialect.DecodeReply(Head({{"X-Not-Run", "1"}}), request).not_run);
 }
 
+TEST_CASE("a response states the request rate that its server accepts") {
+  const replica_dialect dialect;
+  const auto rate = [&](http_headers headers, int status = 200) {
+    headers.emplace_back("X-Server-Stamp", "s");
+    http1_head head = Head(std::move(headers));
+    head.status = status;
+    return dialect.DecodeNotice(head).rate;
+  };
+  SUBCASE("as a decimal number, the lowest of several") {
+    CHECK(std::get<rate_limited>(rate({{"Server-Limit", "2.9"}})).per_second == 2.9);
+    CHECK(std::get<rate_limited>(rate({{"server-limit", "0"}}, 500)).per_second == 0);
+    CHECK(std::get<rate_limited>(rate({{"Server-Limit", "7"}, {"Server-Limit", "3"}})).per_second ==
+          3);
+  }
+  SUBCASE("without the header it accepts any rate") {
+    CHECK(std::holds_alternative<rate_unlimited>(rate({})));
+  }
+  SUBCASE("nothing is stated by another server, or without the server's stamp") {
+    CHECK(std::holds_alternative<rate_unstated>(rate({{"Server-Limit", "3"}}, 421)));
+    CHECK(std::holds_alternative<rate_unstated>(dialect.DecodeNotice(Head({})).rate));
+  }
+  SUBCASE("an invalid value is unreadable") {
+    for (const char* value :
+         {"", "-1", "+3", "1e3", "nan", "inf", "3/s", "0x10", "3,5", "1000001", "many"}) {
+      CAPTURE(value);
+      CHECK(std::get<rate_unreadable>(rate({{"Server-Limit", value}})).text == value);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace jacinthspool::platform
