Keep a backend server's named limit over all gateways together

Cause: no gateway read the limit. The class of fault is wider: a quantity that a server sets for the whole fleet, which a process that counts alone can only exceed. A limit kept by each gateway alone would have been broken four times over, as the sends were spread evenly.

A reservation draws the request that will use it as well; releases that have no place are left out, as reservations and handles expire. - slot_queue: callers wait when all servers are at their limits, resumed ones first, then those on time by priority; what gets no slot in half of its time is rejected at once, with the time of the next free slot as Retry-After.

--- a/include/jacinthspool/routing/admission_queue.h
+++ b/include/jacinthspool/routing/admission_queue.h
@@ -68,6 +68,8 @@
   [[nodiscard]] std::vector<std::uint64_t> Expire(instant now);
 
   [[nodiscard]] std::size_t size() const { return requests_.size(); }
+  /// \returns The number of requests for the service.
+  [[nodiscard]] std::size_t Waiting(std::string_view service) const;
 
   /// \returns How long a new request of the service would wait, by the recent pace.
   [[nodiscard]] microseconds ExpectedWait(std::string_view service) const;
@@ -82,8 +84,6 @@
     double interval_us = 0;  ///< Mean time between reservations while requests waited; 0: unknown.
   };
 
-  [[nodiscard]] std::size_t Waiting(std::string_view service) const;
-
   options settings_;
   std::map<std::uint64_t, queued_request> requests_ = {};  ///< In order of arrival.
   std::map<std::string, service_pace, std::less<>> paces_ = {};
--- a/include/jacinthspool/routing/backend_selector.h
+++ b/include/jacinthspool/routing/backend_selector.h
@@ -11,6 +11,7 @@
 
 #include "jacinthspool/impl/time.h"
 #include "jacinthspool/routing/backend_list.h"
+#include "jacinthspool/routing/send_limiter.h"
 
 namespace jacinthspool {
 
@@ -31,6 +32,15 @@
   bool repeatable = false;  ///< May probe a backend server that has failed.
   const std::set<std::string>* tried = nullptr;  ///< Excluded from the choice.
   bool only_free = false;                        ///< Choose no server rather than a busy one.
+  /// Excludes the servers whose request limit is reached; null: none.
+  const send_limiter* limiter = nullptr;
+  std::uint32_t calls = 1;  ///< Requests that will be sent to the server.
+};
+
+/// \brief What the limits of a service's servers allow.
+struct limited_capacity {
+  double per_second = 0;              ///< Placements of all servers together.
+  std::optional<instant> ready = {};  ///< Of the first server; nothing: this process gets no share.
 };
 
 /// \brief Chooses the backend server for an attempt, by the results of attempts in this process.
@@ -67,9 +77,19 @@
   [[nodiscard]] const backend_record* Choose(const placement& wanted, instant now,
                                              std::uint64_t random) const;
 
+  /// \returns What the limits allow, when all servers that may be chosen have a limit; otherwise
+  /// nothing.
+  [[nodiscard]] std::optional<limited_capacity> LimitedCapacity(const placement& wanted,
+                                                                instant now) const;
+
   /// \returns true when some server accepts new requests of that service and stage.
   [[nodiscard]] bool Has(std::string_view service, engine_stage stage) const;
 
+  /// \returns The stage of the service's servers that answer requests.
+  [[nodiscard]] engine_stage ServingStage(std::string_view service) const {
+    return Has(service, engine_stage::kDecode) ? engine_stage::kDecode : engine_stage::kNone;
+  }
+
   /// \brief Counts the load of an attempt that starts.
   void OnStarted(const std::string& id, double cost);
   /// \brief Removes the load of an attempt and records its result.
--- a/src/gateway/backend_notices.cc
+++ b/src/gateway/backend_notices.cc
@@ -29,7 +29,8 @@
   if (change == named_limits::change::kNone) {
     return;
   }
-  const double limit = context.limits.Find(backend, started_ms).value_or(0);
+  UpdateShares(context);
+  const double limit = context.limiter.limits().Find(backend, started_ms).value_or(0);
   Log(log_level::kInfo, EventOf(change),
       {{"request", request},
        {"backend", backend},
@@ -50,7 +51,7 @@
     return;
   }
   const auto change =
-      context.limits.OnReply(from.id, from.started_ms, rate, sent, timer_service::now());
+      context.limiter.limits().OnReply(from.id, from.started_ms, rate, sent, timer_service::now());
   ReportLimit(context, from.id, from.started_ms, change, request, "reply");
 }
 
@@ -84,12 +85,38 @@
 
 void ApplyPeerLimits(gateway_context& context, const std::vector<named_limit>& limits) {
   for (const named_limit& each : limits) {
-    ReportLimit(context, each.backend, each.started_ms, context.limits.OnPeer(each), "", "peer");
+    ReportLimit(context, each.backend, each.started_ms, context.limiter.limits().OnPeer(each), "",
+                "peer");
   }
 }
 
-void RecordSend(gateway_context& context, const backend_record& backend) {
-  if (context.limits.Find(backend.id, backend.started_ms)) {
+void UpdateShares(gateway_context& context) {
+  const instant now = timer_service::now();
+  context.limiter.fleet().OnReport({.name = context.limiter.gateway(),
+                                    .request_rates = context.traffic.Rates(now),
+                                    .made = now});
+  context.limiter.Update(context.backends.backends(), now);
+}
+
+void ReportShares(gateway_context& context) {
+  for (const send_limiter::usage& each : context.limiter.Usage(timer_service::now())) {
+    Log(log_level::kInfo, "backend_limit_share",
+        {{"backend", each.backend},
+         {"limit_per_s", each.limit_per_second},
+         {"share_per_s", each.share.per_second},
+         {"burst", each.share.burst},
+         {"senders", each.share.senders},
+         {"gateways", context.limiter.fleet().gateways()},
+         {"gateways_known", context.limiter.fleet().reports().size()},
+         {"sent_in_4_s", each.sent_in_window}});
+    context.metrics.Set("gateway_backend_limit_share_per_second", {{"backend", each.backend}},
+                        each.share.per_second);
+  }
+}
+
+void RecordSend(gateway_context& context, const backend_record& backend, std::uint32_t calls) {
+  if (context.limiter.limited(backend)) {
+    context.limiter.OnSend(backend, calls, timer_service::now());
     context.metrics.Count("gateway_limited_sends", {{"backend", backend.id}});
   }
 }
--- a/src/gateway/backend_notices.h
+++ b/src/gateway/backend_notices.h
@@ -22,7 +22,14 @@
 /// \brief Counts a request that is sent to a backend server, whatever its purpose.
 ///
 /// Called once for each request, just before it is sent.
-void RecordSend(gateway_context& context, const backend_record& backend);
+/// \param calls Requests to count against the server's limit: 2 when the request gets a
+/// reservation, and 0 when it uses one.
+void RecordSend(gateway_context& context, const backend_record& backend, std::uint32_t calls = 1);
+
+/// \brief Computes this gateway's shares of all limits anew.
+void UpdateShares(gateway_context& context);
+/// \brief Logs the shares of the limits in force and what was sent in the last window.
+void ReportShares(gateway_context& context);
 
 /// \brief Marks a server as leaving, so that it is no longer chosen.
 /// \returns true when it was not yet marked.
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -28,6 +28,8 @@
 /// Life of an unfetched KV handle, where it is not configured.
 constexpr microseconds kDefaultHandleLife = milliseconds(300);
 constexpr std::uint32_t kMaxPrefills = 2;
+/// Fraction of its remaining time for which a request waits for a server's request limit.
+constexpr int kSlotWaitDivisor = 2;
 /// Retry-After of a rejection is the caller's remaining time divided by this.
 constexpr int kRetryAfterDivisor = 4;
 constexpr milliseconds kMinRetryAfter = milliseconds(50);
@@ -97,8 +99,9 @@
   attempt(const attempt&) = delete;
   attempt& operator=(const attempt&) = delete;
 
-  void Send(const std::string& bytes) {
-    RecordSend(owner_.context_, backend_);
+  /// \param reserved The request uses a reservation, which was counted against the server's limit.
+  void Send(const std::string& bytes, bool reserved) {
+    RecordSend(owner_.context_, backend_, reserved ? 0 : 1);
     call_ = owner_.context_.client.Start(
         {.address = backend_.address,
          .bytes = bytes,
@@ -323,6 +326,7 @@
 void forward_exchange::Start() {
   deadline_ = DeadlineOf(*settings_.route);
   context_.budget.CountRequest(settings_.received, settings_.service);
+  context_.traffic.OnRequest(settings_.service, settings_.received);
   settings_.answer->OnCallerDisconnected([this] { OnCallerDisconnected(); });
   ArmDeadline();
   is_retry_ = settings_.request.model && settings_.request.time_left &&
@@ -387,6 +391,10 @@
     context_.balance.OnRequest(settings_.service, work.prompt_tokens, wanted.tokens,
                                work.expected_output_tokens);
   }
+  if (settings_.reservations.IsHopeless(wanted, now)) {
+    OnLimitReached(kLimitReached);
+    return;
+  }
   const auto back_off_end =
       context_.selector.BackOffEnd(settings_.service, engine_stage::kDecode, now);
   if (back_off_end && *back_off_end > wanted.latest_start) {
@@ -458,8 +466,7 @@
 }
 
 engine_stage forward_exchange::ServingStage() const {
-  const bool staged = context_.selector.Has(settings_.service, engine_stage::kDecode);
-  return staged ? engine_stage::kDecode : engine_stage::kNone;
+  return context_.selector.ServingStage(settings_.service);
 }
 
 bool forward_exchange::MayRetry() const {
@@ -486,18 +493,26 @@
     SendToReservedEngine();
     return;
   }
+  const placement wanted{.service = settings_.service,
+                         .stage = stage,
+                         .cost = Cost(),
+                         .repeatable = prefill || settings_.route->repeatable(),
+                         .tried = &tried_,
+                         .limiter = &context_.limiter};
+  const bool granted = std::exchange(slot_granted_, false);
+  const bool others_wait = !prefill && !granted && settings_.slots.HasWaiting(settings_.service);
   const backend_record* chosen =
-      context_.selector.Choose({.service = settings_.service,
-                                .stage = stage,
-                                .cost = Cost(),
-                                .repeatable = prefill || settings_.route->repeatable(),
-                                .tried = &tried_},
-                               now, context_.random());
+      others_wait ? nullptr : context_.selector.Choose(wanted, now, context_.random());
   if (chosen == nullptr && prefill) {
     prefill_abandoned_ = true;
     SendNext();
     return;
   }
+  if (others_wait ||
+      (chosen == nullptr && !granted && context_.selector.LimitedCapacity(wanted, now))) {
+    WaitForSlot();
+    return;
+  }
   if (chosen == nullptr) {
     rejection_reason_ = "no backend server";
     OnServeFailed(attempt_failure::kUnsent);
@@ -520,6 +535,35 @@
   StartAttempt(prefill ? attempt_kind::kPrefill : attempt_kind::kServe, *chosen);
 }
 
+void forward_exchange::WaitForSlot() {
+  const instant now = timer_service::now();
+  const instant on_time_until =
+      is_retry_ ? instant{} : settings_.received + settings_.route->latency_objective;
+  slot_number_ =
+      settings_.slots.Enqueue({.service = settings_.service,
+                               .priority = settings_.route->priority,
+                               .resumes = answer_begun_ || settings_.request.resume_after,
+                               .on_time_until = on_time_until,
+                               .latest_start = now + (deadline_ - now) / kSlotWaitDivisor},
+                              {.on_ready =
+                                   [this] {
+                                     slot_number_ = 0;
+                                     slot_granted_ = true;
+                                     SendNext();
+                                   },
+                               .on_rejected =
+                                   [this](std::string_view why) {
+                                     slot_number_ = 0;
+                                     OnLimitReached(why);
+                                   }});
+}
+
+void forward_exchange::OnLimitReached(std::string_view why) {
+  limit_reached_ = true;
+  rejection_reason_ = why;
+  OnServeFailed(attempt_failure::kUnsent);
+}
+
 void forward_exchange::SendToReservedEngine() {
   const instant now = timer_service::now();
   if (now >= reservation_->until || !AcceptsWork(context_, reservation_->backend, now)) {
@@ -546,7 +590,7 @@
                           .prefill_only = prefill,
                           .kv_source = prefill ? std::string() : kv_source_,
                           .hold = reservation ? reservation->hold : std::string()});
-  attempt_->Send(bytes);
+  attempt_->Send(bytes, reservation.has_value());
   const double factor = prefill ? kPrefillSilenceFactor : kSilenceFactor;
   const auto wait = std::chrono::duration_cast<milliseconds>(
       factor * std::chrono::duration<double, std::milli>(settings_.route->latency_objective));
@@ -585,7 +629,8 @@
                                                                  .stage = silent.backend().stage,
                                                                  .cost = Cost(),
                                                                  .repeatable = true,
-                                                                 .tried = &tried_},
+                                                                 .tried = &tried_,
+                                                                 .limiter = &context_.limiter},
                                                                 now, context_.random()) != nullptr);
   context_.selector.OnSilent(silent.backend().id, now);
   silent.LogFailure("silent", may_abandon ? "goes elsewhere" : "waits on");
@@ -740,6 +785,10 @@
   const instant now = timer_service::now();
   const milliseconds share = TimeLeft(now) / kRetryAfterDivisor;
   milliseconds wait = std::clamp(share, kMinRetryAfter, kMaxRetryAfter);
+  if (const auto place =
+          limit_reached_ ? settings_.slots.ReserveReturn(settings_.service, now) : std::nullopt) {
+    wait = std::max(kMinRetryAfter, std::chrono::ceil<milliseconds>(*place - now));
+  }
   if (const auto back_off_end =
           context_.selector.BackOffEnd(settings_.service, ServingStage(), now)) {
     // No server accepts requests before that.
@@ -811,7 +860,8 @@
     return;
   }
   kv_source_.clear();
-  if (context_.selector.backing_off(kv_holder_.id, timer_service::now())) {
+  if (context_.selector.backing_off(kv_holder_.id, timer_service::now()) ||
+      !context_.limiter.MaySend(kv_holder_, 1, timer_service::now())) {
     return;  // The handle expires by itself.
   }
   RecordSend(context_, kv_holder_);
@@ -834,6 +884,7 @@
   EndAttempt();
   deadline_timer_.Cancel();
   settings_.reservations.Withdraw(queue_number_);
+  settings_.slots.Withdraw(slot_number_);
   ReleaseReservation();
   ReleaseHandle();
   const auto took = now - settings_.received;
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -11,6 +11,7 @@
 #include "jacinthspool/routing/next_step.h"
 #include "src/gateway/gateway_context.h"
 #include "src/gateway/reservation_dispatcher.h"
+#include "src/gateway/slot_dispatcher.h"
 #include "src/transport/http1_server.h"
 
 namespace jacinthspool {
@@ -24,6 +25,7 @@
   struct options {
     gateway_context& context;
     reservation_dispatcher& reservations;
+    slot_dispatcher& slots;
     forward_request request;
     std::shared_ptr<const forward_route> route;
     std::string service;
@@ -53,6 +55,10 @@
   std::optional<decode_reservation> TakeReservation();
   void ReleaseReservation();
   void SendNext();
+  /// \brief Sends when the limits of the service's servers allow it.
+  void WaitForSlot();
+  /// \brief Rejects the request, or ends it as its earlier attempts require.
+  void OnLimitReached(std::string_view why);
   [[nodiscard]] bool NeedsPrefill() const;
   /// \brief Records the duration of a prefill.
   void RecordPrefill(prefill_place place, microseconds taken);
@@ -109,6 +115,9 @@
   std::string kv_handle_;
   instant kv_until_{};
   std::uint64_t queue_number_ = 0;  ///< In the admission queue; 0: none.
+  std::uint64_t slot_number_ = 0;   ///< In the slot queue; 0: none.
+  bool slot_granted_ = false;       ///< The slot queue has chosen this request for the next send.
+  bool limit_reached_ = false;      ///< Rejected because of the servers' request limits.
   std::optional<decode_reservation> reservation_;
   bool is_retry_ = false;  ///< Probably a retry of a rejected request.
   bool answer_begun_ = false;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -12,6 +12,9 @@
 
 /// Period in which deferred removals of backend servers are checked.
 constexpr milliseconds kExpiryPeriod = milliseconds(250);
+/// Period of the log lines about the limits in force: the window in which sent requests are
+/// counted.
+constexpr milliseconds kShareReportPeriod = seconds(4);
 /// Retry-After while no configuration or list is known.
 constexpr milliseconds kStartRetryAfter = milliseconds(400);
 
@@ -41,13 +44,15 @@
                .outputs = output_length_estimate({}),
                .retries = retry_detector({}),
                .shedder = load_shedder({}),
-               .limits = named_limits({}),
+               .traffic = request_rate_meter({}),
+               .limiter = send_limiter({.gateway = settings.name}),
                .balance = prefill_share_estimate({}),
                .prefills = prefill_placement({}),
                .background = {},
                .metrics = {},
                .random = std::mt19937_64(std::random_device{}())},
       reservations_(context_),
+      slots_(context_),
       on_limits_(settings.on_limits) {
   // The publisher may have been unavailable before this process started.
   context_.backends.PublisherLost();
@@ -58,7 +63,10 @@
            {"list_revision", context_.backends.revision()}});
       UpdateSelector();
     }
+    UpdateShares(context_);
   });
+  share_report_ = settings.timers.Every(kShareReportPeriod,
+                                        [this](instant /*now*/) { ReportShares(context_); });
 }
 
 gateway::~gateway() = default;
@@ -68,7 +76,37 @@
                             settings.repeat_extra);
 }
 
-void gateway::SetGateways(std::uint32_t gateways) { context_.budget.SetEntries(gateways); }
+void gateway::SetGateways(std::uint32_t gateways) {
+  context_.budget.SetEntries(gateways);
+  context_.limiter.fleet().SetGateways(gateways);
+  UpdateShares(context_);
+}
+
+gateway_snapshot gateway::FleetSnapshot(fleet_scope scope) const {
+  gateway_snapshot news;
+  const send_limiter& limiter = context_.limiter;
+  for (const auto& [backend, limit] : limiter.limits().all()) {
+    news.limits.push_back(limit);
+  }
+  for (const auto& [name, report] : limiter.fleet().reports()) {
+    const bool all = scope == fleet_scope::kAll && limiter.limits().any();
+    if (all || name == limiter.gateway()) {
+      news.fleet.push_back(report);
+    }
+  }
+  return news;
+}
+
+void gateway::ApplyFleet(const gateway_snapshot& other) {
+  for (const gateway_report& report : other.fleet) {
+    if (!report.name.empty() && report.name != context_.limiter.gateway()) {
+      context_.limiter.fleet().OnReport(report);
+    }
+  }
+  ApplyPeerLimits(context_, other.limits);
+}
+
+void gateway::OnPeerAnswer() { context_.limiter.fleet().OnContact(timer_service::now()); }
 
 bool gateway::can_route() const {
   return context_.routes.configuration() != nullptr && list_known_;
@@ -102,6 +140,7 @@
   const auto exchange = std::make_shared<forward_exchange>(forward_exchange::options{
       .context = context_,
       .reservations = reservations_,
+      .slots = slots_,
       .request = std::move(*decoded),
       .route = route,
       .service = *service,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "src/gateway/discovery.h"
 #include "src/gateway/forward_exchange.h"
 #include "src/gateway/gateway_context.h"
+#include "src/gateway/slot_dispatcher.h"
 #include "src/gateway/snapshot.h"
 #include "src/settings/settings.h"
 
@@ -24,7 +25,8 @@
     http1_client& client;
     const wire_dialect& dialect;
     std::string data_centre;
-    instant started{};  ///< Start of the process; earlier use of the retry budget is unknown.
+    std::string name = {};  ///< Of this process, unique among the gateways.
+    instant started{};      ///< Start of the process; earlier use of the retry budget is unknown.
     /// Called with the limits of each configuration that becomes active.
     std::function<void(const edge_limits&)> on_limits = {};
   };
@@ -57,7 +59,21 @@
   /// \returns The parts of another gateway's snapshot that could be newer than the state here.
   [[nodiscard]] snapshot_scope WantedScope() const;
 
-  /// \brief Sets the number of gateways that share the retry budget.
+  /// \brief Which gateways' reports a snapshot holds.
+  enum class fleet_scope {
+    kOwn,  ///< Only that of this gateway.
+    kAll,  ///< All, while a limit is in force; otherwise that of this gateway.
+  };
+  /// \returns The limits that backend servers have named, and reports on the callers of gateways.
+  [[nodiscard]] gateway_snapshot FleetSnapshot(fleet_scope scope) const;
+  /// \brief Applies the limits and reports of another gateway's snapshot.
+  void ApplyFleet(const gateway_snapshot& other);
+  /// \brief Called when another gateway has answered this one.
+  void OnPeerAnswer();
+  /// \returns true while some backend server's limit is in force.
+  [[nodiscard]] bool limited() const { return context_.limiter.limits().any(); }
+
+  /// \brief Sets the number of gateways that share the retry budget and the servers' limits.
   void SetGateways(std::uint32_t gateways);
 
   /// \returns true once a configuration and a list are known.
@@ -72,9 +88,11 @@
 
   gateway_context context_;
   reservation_dispatcher reservations_;
+  slot_dispatcher slots_;
   std::function<void(const edge_limits&)> on_limits_;
   std::set<std::shared_ptr<forward_exchange>> exchanges_;
   timer_subscription expiry_;
+  timer_subscription share_report_;
   bool list_known_ = false;
   bool rejecting_ = false;
   bool publisher_lost_ = true;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -7,12 +7,13 @@
 #include "jacinthspool/routing/backend_selector.h"
 #include "jacinthspool/routing/forward_retry_budget.h"
 #include "jacinthspool/routing/load_shedder.h"
-#include "jacinthspool/routing/named_limits.h"
 #include "jacinthspool/routing/output_length_estimate.h"
 #include "jacinthspool/routing/prefill_placement.h"
 #include "jacinthspool/routing/prefill_share_estimate.h"
+#include "jacinthspool/routing/request_rate_meter.h"
 #include "jacinthspool/routing/retry_detector.h"
 #include "jacinthspool/routing/route_table.h"
+#include "jacinthspool/routing/send_limiter.h"
 #include "src/gateway/background_call.h"
 #include "src/gateway/wire_dialect.h"
 #include "src/telemetry/metrics.h"
@@ -35,7 +36,8 @@
   output_length_estimate outputs;
   retry_detector retries;
   load_shedder shedder;
-  named_limits limits;
+  request_rate_meter traffic;
+  send_limiter limiter;
   prefill_share_estimate balance;
   prefill_placement prefills;
   background_calls background;
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -38,6 +38,7 @@
              .client = client_,
              .dialect = *platform_.dialect,
              .data_centre = process_->data_centre,
+             .name = process_->name,
              .started = timer_service::now(),
              .on_limits = [this](const edge_limits& limits) { callers_->SetLimits(limits); }}) {}
 
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -13,6 +13,10 @@
 constexpr milliseconds kQueryPeriod = milliseconds(2000);
 /// Between two rounds of queries to all peers while it is not.
 constexpr milliseconds kFastQueryPeriod = milliseconds(400);
+/// Between two queries while some server's limit is in force, whose shares follow the traffic.
+constexpr milliseconds kLimitedQueryPeriod = milliseconds(800);
+/// A limit that this gateway is the first to learn is sent to all peers within this time.
+constexpr milliseconds kLimitCheckPeriod = milliseconds(100);
 /// After the start all peers are queried at the shorter interval for this time.
 constexpr milliseconds kSettleTime = seconds(3);
 /// A gateway that has not queried for this time is not counted.
@@ -44,6 +48,11 @@
     return false;
   }
   QueryPeers();
+  limit_check_ = settings_.timers.Every(kLimitCheckPeriod, [this](instant /*now*/) {
+    if (settings_.owner.limited() && !was_limited_) {
+      QueryPeers();
+    }
+  });
   return true;
 }
 
@@ -57,8 +66,23 @@
   if (const auto name = request.head.Find(kGatewayNameHeader)) {
     last_query_[std::string(*name)] = now;
   }
+  if (!request.body.empty()) {
+    if (const auto news = DecodeSnapshot(request.body)) {
+      settings_.owner.ApplyFleet(*news);
+    } else {
+      Log(log_level::kWarning, "peer_news_unreadable",
+          {{"peer", request.head.Find(kGatewayNameHeader).value_or("")},
+           {"expected", "an encoded snapshot"},
+           {"got_bytes", request.body.size()}});
+    }
+  }
   gateway_snapshot snapshot = settings_.owner.Snapshot(*scope);
   snapshot.gateways = CountGateways(now);
+  if (request.head.Find(kGatewayNameHeader)) {
+    gateway_snapshot fleet = settings_.owner.FleetSnapshot(gateway::fleet_scope::kAll);
+    snapshot.limits = std::move(fleet.limits);
+    snapshot.fleet = std::move(fleet.fleet);
+  }
   answer.Reply(http_status::kOk, {{"Content-Type", "application/octet-stream"}},
                EncodeSnapshot(snapshot));
 }
@@ -81,9 +105,12 @@
       .address = address,
       .gateway = settings_.name,
       .scope = settings_.owner.WantedScope(),
+      .news = EncodeSnapshot(settings_.owner.FleetSnapshot(gateway::fleet_scope::kOwn)),
       .on_answer = [this, address](std::optional<gateway_snapshot> snapshot) {
         if (snapshot) {
           reported_gateways_[address] = snapshot->gateways;
+          settings_.owner.OnPeerAnswer();
+          settings_.owner.ApplyFleet(*snapshot);
           settings_.owner.ApplySnapshot(std::move(*snapshot));
         }
       }});
@@ -100,14 +127,18 @@
   // At first all peers are queried, so that each soon knows the number of gateways.
   const bool settled = timer_service::now() - start_ > kSettleTime;
   const bool regular = settled && settings_.owner.can_route() && !settings_.owner.publisher_lost();
-  if (regular && !settings_.peers.empty()) {
+  const bool limited = settings_.owner.limited();
+  if (regular && limited == was_limited_ && !settings_.peers.empty()) {
     QueryPeer(settings_.peers[random_() % settings_.peers.size()]);
   } else {
     for (const std::string& peer : settings_.peers) {
       QueryPeer(peer);
     }
   }
-  const milliseconds period = regular ? kQueryPeriod : kFastQueryPeriod;
+  was_limited_ = limited;
+  const milliseconds period = !regular  ? kFastQueryPeriod
+                              : limited ? kLimitedQueryPeriod
+                                        : kQueryPeriod;
   const auto jitter = milliseconds(
       static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(period.count() / 4)));
   next_ = settings_.timers.After(period + jitter, [this](instant /*now*/) { QueryPeers(); });
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -51,7 +51,9 @@
   std::map<std::string, std::uint32_t> reported_gateways_;  ///< Count reported by each peer.
   instant start_;
   gateway_count_estimate members_;
+  bool was_limited_ = false;  ///< Some server's limit was in force at the last query.
   timer_subscription next_;
+  timer_subscription limit_check_;
   std::mt19937_64 random_;
 };
 
--- a/src/gateway/reservation_dispatcher.cc
+++ b/src/gateway/reservation_dispatcher.cc
@@ -19,6 +19,8 @@
 constexpr milliseconds kReservationLife = milliseconds(1500);
 constexpr milliseconds kReservationTimeout = milliseconds(250);
 constexpr std::size_t kMaxCalls = 8;  ///< In progress at once.
+/// Requests to an engine for one reservation: to get it, and to use it.
+constexpr std::uint32_t kReservedCalls = 2;
 /// The reply to a reservation is a short JSON object.
 constexpr std::size_t kMaxReplyBytes = 4U << 10U;
 
@@ -38,7 +40,7 @@
   void Send() {
     gateway_context& context = owner_.context_;
     sent_ = timer_service::now();
-    RecordSend(context, backend_);
+    RecordSend(context, backend_, probes_ ? 1 : kReservedCalls);
     call_ = context.client.Start(
         {.address = backend_.address,
          .bytes = context.dialect.EncodeReservation(
@@ -90,6 +92,23 @@
     : context_(context), queue_({}), headroom_({}) {}
 reservation_dispatcher::~reservation_dispatcher() = default;
 
+bool reservation_dispatcher::IsHopeless(const reservation_request& request, instant now) const {
+  const auto capacity = context_.selector.LimitedCapacity({.service = request.service,
+                                                           .stage = engine_stage::kDecode,
+                                                           .limiter = &context_.limiter,
+                                                           .calls = kReservedCalls},
+                                                          now);
+  if (!capacity) {
+    return false;
+  }
+  if (!capacity->ready || capacity->per_second <= 0) {
+    return true;
+  }
+  const std::chrono::duration<double> queued{static_cast<double>(queue_.Waiting(request.service)) /
+                                             capacity->per_second};
+  return *capacity->ready + std::chrono::duration_cast<microseconds>(queued) > request.latest_start;
+}
+
 std::uint64_t reservation_dispatcher::Enqueue(reservation_request request, handlers callbacks) {
   headroom_.Learn(request);
   const auto number = queue_.Add(std::move(request), timer_service::now());
@@ -113,7 +132,8 @@
 
 void reservation_dispatcher::ReleaseHold(const backend_record& backend, const std::string& hold,
                                          std::function<void()> on_ended) {
-  if (context_.selector.backing_off(backend.id, timer_service::now())) {
+  if (context_.selector.backing_off(backend.id, timer_service::now()) ||
+      !context_.limiter.MaySend(backend, 1, timer_service::now())) {
     // The reservation expires by itself; its server is to get no request now.
     if (on_ended) {
       context_.loop.Post(std::move(on_ended));
@@ -171,13 +191,19 @@
                                                            .stage = engine_stage::kDecode,
                                                            .cost = request.tokens,
                                                            .repeatable = true,
-                                                           .only_free = true},
+                                                           .only_free = true,
+                                                           .limiter = &context_.limiter,
+                                                           .calls = kReservedCalls},
                                                           now, context_.random());
   if (chosen == nullptr) {
     return false;
   }
   queue_.SetInProgress(*number, true);
-  const double headroom = headroom_.RequiredHeadroom(request, EngineTokens(request.service), now);
+  // A probe would take two more requests of the limit of an engine, which binds before its memory.
+  const double headroom =
+      context_.limiter.limited(*chosen)
+          ? 0
+          : headroom_.RequiredHeadroom(request, EngineTokens(request.service), now);
   StartCall(*number, *chosen, request.tokens + headroom, headroom > 0);
   return true;
 }
@@ -203,7 +229,9 @@
     if (request == nullptr) {
       return;
     }
-    if (AcceptsWork(context_, backend, timer_service::now())) {
+    const instant now = timer_service::now();
+    if (AcceptsWork(context_, backend, now) &&
+        context_.limiter.MaySend(backend, kReservedCalls, now)) {
       StartCall(number, backend, request->tokens, false);
     } else {
       queue_.SetInProgress(number, false);
--- a/src/gateway/reservation_dispatcher.h
+++ b/src/gateway/reservation_dispatcher.h
@@ -36,6 +36,10 @@
   explicit reservation_dispatcher(gateway_context& context);
   ~reservation_dispatcher();
 
+  /// \returns true when the limits of all decode engines keep the request from a reservation before
+  /// its `latest_start`.
+  [[nodiscard]] bool IsHopeless(const reservation_request& request, instant now) const;
+
   /// \brief Enqueues a request; its handlers may run before this returns.
   /// \returns The number by which it is withdrawn; 0 when it was rejected at once.
   std::uint64_t Enqueue(reservation_request request, handlers callbacks);
--- /dev/null
+++ b/src/gateway/slot_dispatcher.cc
@@ -0,0 +1,89 @@
+#include "src/gateway/slot_dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jacinthspool {
+namespace {
+
+/// Least and longest time between two passes over the queue.
+constexpr milliseconds kMinPassInterval = milliseconds(2);
+constexpr milliseconds kMaxPassInterval = milliseconds(50);
+
+}  // namespace
+
+std::optional<slot_pace> slot_dispatcher::Pace(std::string_view service, instant now) const {
+  const auto capacity =
+      context_.selector.LimitedCapacity({.service = service,
+                                         .stage = context_.selector.ServingStage(service),
+                                         .limiter = &context_.limiter},
+                                        now);
+  if (!capacity || !capacity->ready) {
+    return std::nullopt;
+  }
+  return slot_pace{.next = *capacity->ready, .per_second = capacity->per_second};
+}
+
+std::uint64_t slot_dispatcher::Enqueue(slot_request request, handlers callbacks) {
+  const std::string service = request.service;
+  const std::uint64_t number = queue_.Add(std::move(request));
+  handlers_.emplace(number, std::move(callbacks));
+  Dispatch(service);
+  ScheduleNext();
+  return handlers_.contains(number) ? number : 0;
+}
+
+void slot_dispatcher::Withdraw(std::uint64_t number) {
+  queue_.Remove(number);
+  handlers_.erase(number);
+}
+
+std::optional<instant> slot_dispatcher::ReserveReturn(const std::string& service, instant now) {
+  return queue_.ReserveReturn(service, Pace(service, now), now);
+}
+
+void slot_dispatcher::Dispatch(const std::string& service) {
+  const instant now = timer_service::now();
+  const placement wanted{.service = service,
+                         .stage = context_.selector.ServingStage(service),
+                         .repeatable = true,
+                         .limiter = &context_.limiter};
+  while (const auto number = queue_.Next(service, now)) {
+    if (context_.selector.Choose(wanted, now, context_.random()) == nullptr) {
+      break;
+    }
+    queue_.Remove(*number);
+    if (auto found = handlers_.extract(*number)) {
+      found.mapped().on_ready();
+    }
+  }
+  for (const std::uint64_t number : queue_.RemoveHopeless(service, Pace(service, now), now)) {
+    context_.metrics.Count("gateway_limited_rejections");
+    if (auto found = handlers_.extract(number)) {
+      found.mapped().on_rejected(kLimitReached);
+    }
+  }
+}
+
+void slot_dispatcher::ScheduleNext() {
+  const instant now = timer_service::now();
+  microseconds wait = kMaxPassInterval;
+  const std::vector<std::string> services = queue_.Services();
+  for (const std::string& service : services) {
+    if (const auto pace = Pace(service, now)) {
+      wait = std::min<microseconds>(wait, pace->next - now);
+    }
+  }
+  if (services.empty() || tick_.active()) {
+    return;
+  }
+  tick_ = context_.timers.After(std::max<microseconds>(wait, kMinPassInterval), [this](instant) {
+    tick_ = {};
+    for (const std::string& service : queue_.Services()) {
+      Dispatch(service);
+    }
+    ScheduleNext();
+  });
+}
+
+}  // namespace jacinthspool
--- a/src/gateway/snapshot.cc
+++ b/src/gateway/snapshot.cc
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <utility>
 
 #include "schema/generated/snapshot_generated.h"
+#include "src/transport/timer_service.h"
 
 namespace jacinthspool {
 namespace {
@@ -135,6 +137,54 @@
           .published = {wire.era, wire.revision}};
 }
 
+std::uint64_t AgeOf(instant at, instant now) {
+  return static_cast<std::uint64_t>(std::max<microseconds>(now - at, microseconds(0)).count());
+}
+
+/// \returns The time of something that old; nothing is older than a day.
+instant TimeOf(std::uint64_t age, instant now) {
+  constexpr std::uint64_t kOldest = microseconds(std::chrono::hours(24)).count();
+  return now - microseconds(static_cast<std::int64_t>(std::min(age, kOldest)));
+}
+
+std::shared_ptr<snapshot::stated_limit_value> ToWire(const named_limit& limit, instant now) {
+  auto wire = std::make_shared<snapshot::stated_limit_value>();
+  wire->backend = limit.backend;
+  wire->started_ms = limit.started_ms;
+  wire->limited = limit.per_second.has_value();
+  wire->per_second = limit.per_second.value_or(0);
+  wire->age = AgeOf(limit.stated, now);
+  return wire;
+}
+
+named_limit FromWire(const snapshot::stated_limit_value& wire, instant now) {
+  return {.backend = wire.backend,
+          .started_ms = wire.started_ms,
+          .per_second = wire.limited ? std::optional(wire.per_second) : std::nullopt,
+          .stated = TimeOf(wire.age, now)};
+}
+
+std::shared_ptr<snapshot::fleet_report_value> ToWire(const gateway_report& report, instant now) {
+  auto wire = std::make_shared<snapshot::fleet_report_value>();
+  wire->name = report.name;
+  wire->age = AgeOf(report.made, now);
+  for (const auto& [service, rate] : report.request_rates) {
+    auto each = std::make_shared<snapshot::service_rate_value>();
+    each->service = service;
+    each->per_second = rate;
+    wire->rates.push_back(std::move(each));
+  }
+  return wire;
+}
+
+gateway_report FromWire(const snapshot::fleet_report_value& wire, instant now) {
+  gateway_report report{.name = wire.name, .request_rates = {}, .made = TimeOf(wire.age, now)};
+  for (const auto& rate : wire.rates) {
+    report.request_rates[rate->service] = rate->per_second;
+  }
+  return report;
+}
+
 /// Path at which a gateway serves its snapshot.
 constexpr std::string_view kSnapshotPath = "/jacinthspool/snapshot";
 constexpr std::string_view kConfigurationAfter = "configuration=";
@@ -205,6 +255,13 @@
     each->prefill_share = share;
     wire.stages.push_back(std::move(each));
   }
+  const instant now = timer_service::now();
+  for (const named_limit& limit : value.limits) {
+    wire.limits.push_back(ToWire(limit, now));
+  }
+  for (const gateway_report& report : value.fleet) {
+    wire.fleet.push_back(ToWire(report, now));
+  }
   flatbuffers::FlatBufferBuilder builder;
   builder.Finish(snapshot::gateway_snapshot::Pack(builder, &wire));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
@@ -229,6 +286,16 @@
   for (const auto& each : wire.stages) {
     value.prefill_shares[each->service] = each->prefill_share;
   }
+  const instant now = timer_service::now();
+  for (const auto& limit : wire.limits) {
+    // A limit out of range is of a peer of another version: as if it had not been stated.
+    if (!limit->limited || (limit->per_second >= 0 && std::isfinite(limit->per_second))) {
+      value.limits.push_back(FromWire(*limit, now));
+    }
+  }
+  for (const auto& report : wire.fleet) {
+    value.fleet.push_back(FromWire(*report, now));
+  }
   return value;
 }
 
--- a/src/gateway/snapshot.h
+++ b/src/gateway/snapshot.h
@@ -11,6 +11,8 @@
 
 #include "jacinthspool/routing/backend_list.h"
 #include "jacinthspool/routing/configuration.h"
+#include "jacinthspool/routing/gateway_fleet.h"
+#include "jacinthspool/routing/named_limits.h"
 
 namespace jacinthspool {
 
@@ -29,6 +31,8 @@
 [[nodiscard]] std::optional<snapshot_scope> ScopeOf(std::string_view target);
 
 /// \brief State that one gateway sends to another.
+///
+/// Points in time are encoded as ages, since each process has its own clock.
 struct gateway_snapshot {
   std::shared_ptr<const forward_configuration> configuration;  ///< Null: none, or not requested.
   std::vector<backend_record> backends;
@@ -37,6 +41,8 @@
   std::uint32_t gateways = 0;  ///< That recently queried the sender, itself included.
   /// Share of each service's engines that should prefill, where the sender has an estimate.
   std::map<std::string, double> prefill_shares;
+  std::vector<named_limit> limits = {};    ///< Stated by backend servers.
+  std::vector<gateway_report> fleet = {};  ///< Of the gateways that the sender knows.
 };
 
 [[nodiscard]] std::string EncodeSnapshot(const gateway_snapshot& value);
--- a/src/gateway/snapshot_query.cc
+++ b/src/gateway/snapshot_query.cc
@@ -15,12 +15,17 @@
 }  // namespace
 
 snapshot_query::snapshot_query(options settings) : settings_(std::move(settings)) {
-  std::string bytes =
-      "GET " + SnapshotTarget(settings_.scope) + " HTTP/1.1\r\nHost: " + settings_.address + "\r\n";
+  std::string bytes = (settings_.news.empty() ? "GET " : "POST ") +
+                      SnapshotTarget(settings_.scope) + " HTTP/1.1\r\nHost: " + settings_.address +
+                      "\r\n";
   if (!settings_.gateway.empty()) {
     bytes += std::string(kGatewayNameHeader) + ": " + settings_.gateway + "\r\n";
   }
-  bytes += "\r\n";
+  if (!settings_.news.empty()) {
+    bytes += "Content-Type: application/octet-stream\r\nContent-Length: " +
+             std::to_string(settings_.news.size()) + "\r\n";
+  }
+  bytes += "\r\n" + settings_.news;
   call_ = settings_.client.Start({.address = settings_.address,
                                   .bytes = bytes,
                                   .connect_timeout = kAnswerTimeout,
--- a/src/gateway/snapshot_query.h
+++ b/src/gateway/snapshot_query.h
@@ -24,6 +24,7 @@
     std::string address;  ///< ip:port
     std::string gateway;  ///< Name of the querying gateway; empty: another process.
     snapshot_scope scope;
+    std::string news = {};  ///< Encoded snapshot that is sent with the query; empty: none.
     /// Called once, with nothing when the query failed. It must not destroy this object.
     std::function<void(std::optional<gateway_snapshot>)> on_answer;
   };
--- a/src/routing/backend_selector.cc
+++ b/src/routing/backend_selector.cc
@@ -94,7 +94,8 @@
   std::vector<const member*> ejected;
   double fastest_ms = 0;
   for (const auto& [id, each] : members_) {
-    if (!Matches(each, wanted) || !Available(each, now)) {
+    if (!Matches(each, wanted) || !Available(each, now) ||
+        (wanted.limiter != nullptr && !wanted.limiter->MaySend(each.record, wanted.calls, now))) {
       continue;
     }
     const bool on_probation =
@@ -134,6 +135,26 @@
   return &best->record;
 }
 
+std::optional<limited_capacity> backend_selector::LimitedCapacity(const placement& wanted,
+                                                                  instant now) const {
+  limited_capacity capacity;
+  bool any = false;
+  for (const auto& [id, each] : members_) {
+    if (!Matches(each, wanted) || !Available(each, now)) {
+      continue;
+    }
+    if (!wanted.limiter->limited(each.record)) {
+      return std::nullopt;
+    }
+    any = true;
+    capacity.per_second += wanted.limiter->Rate(each.record) / wanted.calls;
+    if (const auto ready = wanted.limiter->ReadyAt(each.record, wanted.calls, now)) {
+      capacity.ready = std::min(capacity.ready.value_or(*ready), *ready);
+    }
+  }
+  return any ? std::optional(capacity) : std::nullopt;
+}
+
 bool backend_selector::Has(std::string_view service, engine_stage stage) const {
   return std::any_of(members_.begin(), members_.end(), [&](const auto& each) {
     return Matches(each.second, {.service = service, .stage = stage});
--- a/tests/gateway/limited_fleet.h
+++ b/tests/gateway/limited_fleet.h
@@ -50,7 +50,8 @@
                   .timers = fleet.timers,
                   .client = client,
                   .dialect = fleet.dialect,
-                  .data_centre = "dc"}),
+                  .data_centre = "dc",
+                  .name = name}),
           edge(http1_server::Listen(
               {.loop = fleet.loop,
                .timers = fleet.timers,
@@ -78,7 +79,8 @@
   http1_client callers{{.loop = loop, .timers = timers}};
   scripted_backend server{loop, timers, "i-0000server"};
   testing::limit_rule rule;
-  std::string stated;  ///< Value of the limit in the server's answers; empty: no limit.
+  std::string stated;              ///< Value of the limit in the server's answers; empty: no limit.
+  std::vector<std::string> seeds;  ///< Addresses of the first gateways.
   std::vector<std::unique_ptr<member>> members;
   std::vector<std::unique_ptr<counted_call>> calls;
   std::map<int, int> statuses;  ///< Callers' answers by status.
@@ -98,19 +100,23 @@
       }
       answer.Reply(200, headers, "answer");
     };
-    std::vector<std::string> addresses;
-    for (int i = 0; i < gateways; ++i) {
-      addresses.push_back(FreeAddress());
+    for (int i = 0; i < std::min(gateways, 3); ++i) {
+      seeds.push_back(FreeAddress());
     }
-    const std::vector<std::string> seeds(addresses.begin(),
-                                         addresses.begin() + std::min(gateways, 3));
     for (int i = 0; i < gateways; ++i) {
-      members.push_back(
-          std::make_unique<member>(*this, "gateway-" + std::to_string(i), addresses[i], seeds));
-      Publish(members.back()->router);
+      Join();
     }
   }
 
+  /// \brief Starts one more gateway; the first three are the seeds of all.
+  void Join() {
+    const std::size_t index = members.size();
+    members.push_back(std::make_unique<member>(*this, "gateway-" + std::to_string(index),
+                                               index < seeds.size() ? seeds[index] : FreeAddress(),
+                                               seeds));
+    Publish(members.back()->router);
+  }
+
   std::string FreeAddress() {
     std::string error;
     const auto probe = http1_server::Listen(
