Soak: servers name, change and drop request limits while gateways fail

Now the soak's servers state limits of 0.2 to 12 a second, change and drop them, or state no number, from a random source of its own, so that the other faults of a seed stay as they were; the links to the three seed gateways that all others query are cut for 0.2 to 3 s. Each server checks the rule for the callers' requests: any 4 s, from half a second after each gateway was told; a gateway that was killed, stopped or paused is excused for touchMs (3 s), and all are while a server's own link is disturbed, as the rule says.

Traced: the sidecar ordered a stage (stage_ordered at 17:25:32.8) while its engine was silent (from 8.4 s), and the stand-in took the order for a run that never ends. An order runs nothing, so the stand-in now answers it with 202, and not at all while silent; the check itself is unchanged.

--- a/tests/limit_rule.h
+++ b/tests/limit_rule.h
@@ -40,15 +40,24 @@
 
   /// \brief An answer that names the limit is sent to the gateway.
   void OnAnswer(const std::string& gateway, instant now) {
-    if (limit_) {
+    const auto excused = excused_until_.find(gateway);
+    const bool counts = excused == excused_until_.end() || now >= excused->second;
+    if (limit_ && !gateway.empty() && counts && now >= suspended_until_) {
       told_.try_emplace(gateway, now);
     }
   }
-  /// \brief The gateway was restarted, or held up: it must be told again.
-  void Excuse(const std::string& gateway) {
+  /// \brief The gateway was restarted or held up: it must be told again, after that time.
+  void Excuse(const std::string& gateway, instant until = {}) {
     told_.erase(gateway);
+    excused_until_[gateway] = until;
     std::erase_if(counted_, [&](const arrival& each) { return each.gateway == gateway; });
   }
+  /// \brief The link of the server is disturbed until then: all gateways must be told again.
+  void Suspend(instant until) {
+    told_.clear();
+    counted_.clear();
+    suspended_until_ = std::max(suspended_until_, until);
+  }
 
   /// \returns The number of requests in the window that ends now, if there are too many.
   std::optional<std::size_t> OnArrival(const std::string& gateway, instant now) {
@@ -79,6 +88,8 @@
   std::optional<double> limit_;
   instant named_{};
   std::map<std::string, instant> told_;
+  std::map<std::string, instant> excused_until_;
+  instant suspended_until_{};
   std::deque<arrival> counted_;
   std::size_t highest_ = 0;
 };
--- a/tests/soak/server_standin.cc
+++ b/tests/soak/server_standin.cc
@@ -13,16 +13,10 @@
 constexpr milliseconds kPlainDuration = milliseconds(20);
 constexpr milliseconds kEventInterval = milliseconds(15);
 constexpr milliseconds kHandleLifetime = milliseconds(500);
+constexpr int kAccepted = 202;
 
-http_headers ResponseHeaders(const http1_request& request) {
-  return {{"X-Request-Id", std::string(request.head.Find("X-Request-Id").value_or(""))},
-          {"X-Server-Stamp", "stamp"}};
-}
-
-void Reject(const http1_request& request, http1_responder& answer, int status) {
-  http_headers headers = ResponseHeaders(request);
-  headers.emplace_back("X-Not-Run", "1");
-  answer.Reply(status, headers, "");
+std::string IdOf(const http1_request& request) {
+  return std::string(request.head.Find("X-Request-Id").value_or(""));
 }
 
 int EventNumber(const http1_request& request) {
@@ -43,6 +37,42 @@
   return retries;
 }
 
+http_headers server_standin::ResponseHeaders(const http1_request& request) {
+  http_headers headers = {{"X-Request-Id", IdOf(request)}, {"X-Server-Stamp", "stamp"}};
+  if (rule_.limit()) {
+    headers.emplace_back("Server-Limit",
+                         limit_text_.empty() ? std::to_string(*rule_.limit()) : limit_text_);
+    if (limit_text_.empty()) {
+      rule_.OnAnswer(settings_.gateway_of(IdOf(request)), timer_service::now());
+    }
+  }
+  return headers;
+}
+
+void server_standin::Reject(const http1_request& request, http1_responder& answer, int status) {
+  http_headers headers = ResponseHeaders(request);
+  headers.emplace_back("X-Not-Run", "1");
+  answer.Reply(status, headers, "");
+}
+
+void server_standin::SetLimit(std::optional<double> per_second) {
+  limit_text_.clear();
+  if (per_second) {
+    rule_.Name(*per_second, timer_service::now());
+  } else {
+    rule_.Lift();
+  }
+}
+
+void server_standin::CheckLimit(const http1_request& request) {
+  const std::string gateway = settings_.gateway_of(IdOf(request));
+  if (const auto count = rule_.OnArrival(gateway, timer_service::now())) {
+    settings_.on_limit_exceeded(settings_.id + " got " + std::to_string(*count) +
+                                " requests in 4 s, " + std::to_string(rule_.Allowed()) +
+                                " allowed");
+  }
+}
+
 server_standin::server_standin(const options& settings)
     : settings_(settings),
       server_(http1_server::Listen(
@@ -61,6 +91,7 @@
 void server_standin::Handle(const http1_request& request,
                             const std::shared_ptr<http1_responder>& answer) {
   RemoveEndedRuns();
+  CheckLimit(request);
   const std::string& target = request.head.target;
   const auto expected = request.head.Find("X-Expect-Instance");
   if (expected && *expected != settings_.id) {
@@ -73,6 +104,10 @@
     handles_.erase(name);
     settings_.record.kv_handles.erase(name);
     answer->Reply(http_status::kOk, {}, "");
+  } else if (target == "/v1/order") {
+    if (behaviour_ != behaviour::kSilent) {
+      answer->Reply(kAccepted, {}, "");
+    }
   } else if (request.head.Find("X-Stage")) {
     Prefill(request, *answer);
   } else {
@@ -126,7 +161,7 @@
 }
 
 void server_standin::Prefill(const http1_request& request, http1_responder& answer) {
-  const std::string id(request.head.Find("X-Request-Id").value_or(""));
+  const std::string id = IdOf(request);
   if (behaviour_ != behaviour::kHealthy) {
     ++settings_.record.requests[id].rejected_prefills;
     Reject(request, answer, http_status::kServiceUnavailable);
@@ -143,7 +178,7 @@
 
 void server_standin::Run(const http1_request& request,
                          const std::shared_ptr<http1_responder>& answer) {
-  const std::string id(request.head.Find("X-Request-Id").value_or(""));
+  const std::string id = IdOf(request);
   last_arrival_ = timer_service::now();
   run_record::entry& seen = settings_.record.requests[id];
   ++seen.arrivals;
@@ -160,10 +195,8 @@
     answer->Reply(http_status::kInternalServerError, ResponseHeaders(request), "failed");
     return;
   }
-  run& added = runs_.emplace_back(run{.request = id,
-                                      .headers = ResponseHeaders(request),
-                                      .answer = answer,
-                                      .next_event = EventNumber(request) + 1});
+  run& added = runs_.emplace_back(
+      run{.request = id, .answer = answer, .next_event = EventNumber(request) + 1});
   if (const auto reserved =
           reservations_.find(std::string(request.head.Find("X-Kv-Hold").value_or("")));
       reserved != reservations_.end()) {
@@ -174,6 +207,7 @@
   if (behaviour_ == behaviour::kSilent) {
     return;
   }
+  added.headers = ResponseHeaders(request);
   if (decodes) {
     answer->Begin(http_status::kOk, added.headers);
     added.timer = settings_.timers.Every(kEventInterval,
--- a/tests/soak/server_standin.h
+++ b/tests/soak/server_standin.h
@@ -2,14 +2,18 @@
 #define JACINTHSPOOL_TESTS_SOAK_SERVER_STANDIN_H_
 
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "src/transport/http1_server.h"
+#include "tests/limit_rule.h"
 
 namespace jacinthspool::testing {
 
@@ -48,6 +52,10 @@
     run_record& record;
     std::string id;
     role kind = role::kPlain;
+    /// \returns The gateway that sent the caller's request of that id; empty: unknown.
+    std::function<std::string(const std::string& id)> gateway_of;
+    /// Called when gateways that know the server's limit exceed it.
+    std::function<void(const std::string& detail)> on_limit_exceeded;
   };
 
   explicit server_standin(const options& settings);
@@ -56,6 +64,11 @@
   [[nodiscard]] const std::string& id() const { return settings_.id; }
   [[nodiscard]] role kind() const { return settings_.kind; }
   void SetBehaviour(behaviour next) { behaviour_ = next; }
+  /// \brief States a request limit in all answers from now on; nothing: none.
+  void SetLimit(std::optional<double> per_second);
+  /// \brief States that text in place of the limit, which stays in force; empty: the limit again.
+  void SetLimitText(std::string text) { limit_text_ = std::move(text); }
+  [[nodiscard]] limit_rule& rule() { return rule_; }
 
   /// \returns The names of the runs and reservations that still use memory; empty if there are
   /// none.
@@ -68,7 +81,7 @@
  private:
   struct run {
     std::string request;
-    http_headers headers;
+    http_headers headers = {};
     std::shared_ptr<http1_responder> answer;
     int next_event = 1;
     std::uint64_t tokens = 0;
@@ -80,6 +93,10 @@
     timer_subscription expiry = {};
   };
 
+  void CheckLimit(const http1_request& request);
+  /// \returns Headers of an answer that is sent now; they state the limit.
+  http_headers ResponseHeaders(const http1_request& request);
+  void Reject(const http1_request& request, http1_responder& answer, int status);
   void Handle(const http1_request& request, const std::shared_ptr<http1_responder>& answer);
   void Reserve(const http1_request& request, http1_responder& answer);
   void Prefill(const http1_request& request, http1_responder& answer);
@@ -92,6 +109,8 @@
   std::string error_;
   std::unique_ptr<http1_server> server_;
   behaviour behaviour_ = behaviour::kHealthy;
+  limit_rule rule_;
+  std::string limit_text_;
   std::list<run> runs_;
   std::map<std::string, reservation> reservations_;
   std::map<std::string, timer_subscription> handles_;
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -44,6 +44,12 @@
 constexpr milliseconds kDisconnectBound = milliseconds(1000);
 /// Callers of each plain class and gateway, after the faults.
 constexpr int kFaultFreeCallers = 10;
+/// Gateways that all others query for snapshots, as on the platform.
+constexpr int kSeedGateways = 3;
+/// What a disturbed link has held up arrives within this time after its end.
+constexpr milliseconds kLinkSettleTime = milliseconds(1000);
+/// A disturbed gateway is bound by limits again after this time.
+constexpr milliseconds kLimitExcuse = milliseconds(3000);  // touchMs
 constexpr double kDisconnectShare = 0.1;  ///< Share of the callers that disconnect early.
 
 /// One gateway and the state of its process.
@@ -136,6 +142,7 @@
       : options_(options),
         random_(options.seed),
         fault_random_(options.seed),
+        limit_random_(options.seed),
         client_({.loop = environment_.loop(), .timers = environment_.timers()}),
         store_(environment_.loop(), environment_.timers()) {}
 
@@ -182,6 +189,10 @@
   void InjectStoreFault();
   void InjectServerFault();
   void InjectOperatorChange();
+  void InjectLimitChange();
+  void LiftLimits();
+  /// \brief The limits do not bind the gateway until it has been undisturbed for a while.
+  void ExcuseFromLimits(const gateway_slot& slot);
   void CheckProcesses();
   void CheckProcess(gateway_slot& slot);
   void ProbeConfiguration(const std::string& route, instant published);
@@ -196,16 +207,20 @@
   std::mt19937_64 random_;  ///< For callers and restarts.
   /// Reseeded for each fault, so that timing does not change the plan.
   std::mt19937_64 fault_random_;
+  std::mt19937_64
+      limit_random_;  ///< For the servers' limits, so that the other faults stay the same.
   std::uint64_t faults_injected_ = 0;
   test_environment environment_;
   http1_client client_;
   run_record record_;
   store_standin store_;
   std::unique_ptr<relay> store_link_;
+  std::vector<std::unique_ptr<relay>> seed_links_;  ///< To the gateways that all others query.
   std::vector<std::unique_ptr<gateway_slot>> gateways_;
   std::unique_ptr<child_process> sidecar_;
   std::vector<std::unique_ptr<server_slot>> servers_;
   std::vector<std::unique_ptr<caller>> callers_;
+  std::map<std::string, std::string> senders_;  ///< Gateway of each caller's request.
   std::vector<timer_subscription> scheduled_;
   soak_report report_;
   std::ofstream fault_log_{environment_.PathOf("faults.log")};
@@ -233,7 +248,16 @@
                               .timers = environment_.timers(),
                               .record = record_,
                               .id = "i-" + std::to_string(servers_.size()),
-                              .kind = kind});
+                              .kind = kind,
+                              .gateway_of =
+                                  [this](const std::string& id) {
+                                    const auto sender = senders_.find(id);
+                                    return sender == senders_.end() ? "" : sender->second;
+                                  },
+                              .on_limit_exceeded =
+                                  [this](const std::string& detail) {
+                                    ReportViolation("servers' request limits hold", detail);
+                                  }});
   added->link = std::make_unique<relay>(environment_, added->server->address());
   added->service = kind == server_standin::role::kPlain ? "plain" : "model";
   added->stage = kind == server_standin::role::kPrefill  ? "prefill"
@@ -305,18 +329,27 @@
     AddServer(server_standin::role::kDecode);
   }
   std::vector<std::string> snapshots(options_.gateways);
+  std::vector<std::string> seeds;
   for (int i = 0; i < options_.gateways; ++i) {
     snapshots[i] = environment_.FreeAddress();
+    if (i < kSeedGateways) {
+      seed_links_.push_back(std::make_unique<relay>(environment_, snapshots[i]));
+      seeds.push_back(seed_links_.back()->address());
+    }
   }
   for (int i = 0; i < options_.gateways; ++i) {
     auto slot = std::make_unique<gateway_slot>();
     slot->name = "gateway-" + std::to_string(i);
     slot->address = environment_.FreeAddress();
+    std::vector<std::string> peers = seeds;
+    if (i < kSeedGateways) {
+      peers.erase(peers.begin() + i);
+    }
     slot->settings = environment_.WriteFile(slot->name + ".json",
                                             json{{"name", slot->name},
                                                  {"data_centre", "dc"},
                                                  {"listen", slot->address},
-                                                 {"peers", snapshots},
+                                                 {"peers", peers},
                                                  {"gateway",
                                                   {{"ready_listen", environment_.FreeAddress()},
                                                    {"snapshot_listen", snapshots[i]},
@@ -333,7 +366,7 @@
       "sidecar.json",
       json{{"name", "sidecar-0"},
            {"data_centre", "dc"},
-           {"peers", snapshots},
+           {"peers", seeds},
            {"sidecar", {{"engine", servers_[3]->link->address()}, {"service", "model"}}}}
           .dump());
   sidecar_ = std::make_unique<child_process>(
@@ -348,6 +381,7 @@
       environment_.PathOf(slot.name + ".log"));
   ++slot.starts;
   slot.started = timer_service::now();
+  ExcuseFromLimits(slot);
   slot.stopped = {};
   slot.paused = false;
   slot.killed = false;
@@ -356,6 +390,7 @@
 void soak::StopGateway(gateway_slot& slot) {
   slot.process->Signal(SIGTERM);
   slot.stopped = timer_service::now();
+  ExcuseFromLimits(slot);
 }
 
 // ---- callers ----
@@ -366,6 +401,7 @@
   const std::string id = "r" + std::to_string(callers_.size());
   callers_.push_back(std::make_unique<caller>(*this, id, kind, path, gateway));
   caller& added = *callers_.back();
+  senders_[id] = gateway.name;
   std::string bytes = "POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id +
                       "\r\nX-Deadline-Ms: " + std::to_string(deadline.count()) + "\r\n";
   if (streams) {
@@ -513,10 +549,11 @@
     slot.paused = true;
     slot.last_disturbed = timer_service::now();
     slot.process->Signal(SIGSTOP);
-    Schedule(DrawTime(fault_random_, milliseconds(50), milliseconds(1500)), [&slot] {
+    Schedule(DrawTime(fault_random_, milliseconds(50), milliseconds(1500)), [this, &slot] {
       slot.process->Signal(SIGCONT);
       slot.last_disturbed = timer_service::now();
       slot.paused = false;
+      ExcuseFromLimits(slot);
     });
   } else {
     RecordFault("gateway reloaded", slot.name);
@@ -565,6 +602,7 @@
     : drawn < 0.3 ? link.Stall()
     : drawn < 0.4 ? link.StallReplies()
                   : link.StallRequests();
+    slot.server->rule().Suspend(timer_service::now() + length + kLinkSettleTime);
     Schedule(length, [&link] { link.Heal(); });
   } else {
     RecordFault("server behaviour", slot.server->id() + " " + std::to_string(drawn));
@@ -603,6 +641,48 @@
   }
 }
 
+/// Servers name limits, change and drop them, and gateways lose the way to the seeds.
+void soak::InjectLimitChange() {
+  if (traffic_ended_) {
+    return;
+  }
+  const double drawn = Draw(limit_random_);
+  server_slot& slot = *servers_[limit_random_() % servers_.size()];
+  server_standin& server = *slot.server;
+  if (drawn < 0.55) {
+    const double limit = std::uniform_real_distribution<double>(0.2, 12)(limit_random_);
+    RecordFault("limit named", server.id() + " " + std::to_string(limit));
+    server.SetLimit(limit);
+  } else if (drawn < 0.75) {
+    RecordFault("limit dropped", server.id());
+    server.SetLimit(std::nullopt);
+  } else if (drawn < 0.85) {
+    RecordFault("limit unreadable", server.id());
+    server.SetLimitText("-1");
+    Schedule(milliseconds(500), [&server] { server.SetLimitText(""); });
+  } else {
+    relay& link = *seed_links_[limit_random_() % seed_links_.size()];
+    RecordFault("seed cut off", link.address());
+    link.Cut();
+    Schedule(DrawTime(limit_random_, milliseconds(200), milliseconds(3000)),
+             [&link] { link.Heal(); });
+  }
+  Schedule(DrawTime(limit_random_, milliseconds(100), milliseconds(1400)),
+           [this] { InjectLimitChange(); });
+}
+
+void soak::LiftLimits() {
+  for (const auto& slot : servers_) {
+    slot->server->SetLimit(std::nullopt);
+  }
+}
+
+void soak::ExcuseFromLimits(const gateway_slot& slot) {
+  for (const auto& each : servers_) {
+    each->server->rule().Excuse(slot.name, timer_service::now() + kLimitExcuse);
+  }
+}
+
 // ---- guarantees ----
 
 void soak::CheckProcesses() {
@@ -763,8 +843,10 @@
       environment_.timers().Every(milliseconds(50), [this](instant /*now*/) { CheckProcesses(); });
   SendRandomRequests();
   InjectFault();
+  InjectLimitChange();
   environment_.Elapse(options_.traffic_duration);
   traffic_ended_ = true;
+  LiftLimits();
   // All faults, callers and planned stops in progress end during this time.
   environment_.Elapse(kStreamDeadline + milliseconds(500));
   store_link_->Heal();
