Do not fall back on failing servers because the others are at their limits

What callers would have got: with two servers at their request limits and one ejected for failing, the ejected one was more than half of the servers that were left, so it was used again, and single-run requests ended with 502. Cause: servers at their limit were left out of the number of servers by which the ejected share is judged. They count now, and an ejected server does not keep callers from waiting for a slot of the limited ones.

--- a/include/jacinthspool/routing/backend_selector.h
+++ b/include/jacinthspool/routing/backend_selector.h
@@ -145,6 +145,8 @@
   [[nodiscard]] bool Matches(const member& each, const placement& wanted) const;
   /// \returns true when the server may be sent a request now.
   [[nodiscard]] static bool Available(const member& each, instant now);
+  /// \returns true when the server is ejected, or on probation and the request not repeatable.
+  [[nodiscard]] static bool IsEjected(const member& each, const placement& wanted, instant now);
   [[nodiscard]] double Score(const member& each, const placement& wanted, double fastest_ms,
                              instant now) const;
   /// \returns The failure share, which decays without new results.
--- a/src/routing/backend_selector.cc
+++ b/src/routing/backend_selector.cc
@@ -59,6 +59,12 @@
   return each.back_off_until <= now && !wrong;
 }
 
+bool backend_selector::IsEjected(const member& each, const placement& wanted, instant now) {
+  const bool on_probation =
+      each.ejections > 0 && !wanted.repeatable && now < each.ejected_until + kProbation;
+  return each.ejected_until > now || on_probation;
+}
+
 bool backend_selector::Matches(const member& each, const placement& wanted) const {
   return !each.record.leaving && each.record.service == wanted.service &&
          each.record.stage == wanted.stage &&
@@ -92,21 +98,23 @@
                                                std::uint64_t random) const {
   std::vector<const member*> usable;
   std::vector<const member*> ejected;
+  std::size_t at_limit = 0;
   double fastest_ms = 0;
   for (const auto& [id, each] : members_) {
-    if (!Matches(each, wanted) || !Available(each, now) ||
-        (wanted.limiter != nullptr && !wanted.limiter->MaySend(each.record, wanted.calls, now))) {
+    if (!Matches(each, wanted) || !Available(each, now)) {
+      continue;
+    }
+    const bool out = IsEjected(each, wanted, now);
+    if (wanted.limiter != nullptr && !wanted.limiter->MaySend(each.record, wanted.calls, now)) {
+      at_limit += out ? 0 : 1;
       continue;
     }
-    const bool on_probation =
-        each.ejections > 0 && !wanted.repeatable && now < each.ejected_until + kProbation;
-    const bool out = each.ejected_until > now || on_probation;
     (out ? ejected : usable).push_back(&each);
     if (!out && each.latency_ms > 0 && (fastest_ms == 0 || each.latency_ms < fastest_ms)) {
       fastest_ms = each.latency_ms;
     }
   }
-  const std::size_t all = usable.size() + ejected.size();
+  const std::size_t all = usable.size() + ejected.size() + at_limit;
   if (static_cast<double>(ejected.size()) > kMaxEjectedShare * static_cast<double>(all)) {
     usable.insert(usable.end(), ejected.begin(), ejected.end());
   }
@@ -140,7 +148,7 @@
   limited_capacity capacity;
   bool any = false;
   for (const auto& [id, each] : members_) {
-    if (!Matches(each, wanted) || !Available(each, now)) {
+    if (!Matches(each, wanted) || !Available(each, now) || IsEjected(each, wanted, now)) {
       continue;
     }
     if (!wanted.limiter->limited(each.record)) {
--- a/tests/routing/backend_selector_test.cc
+++ b/tests/routing/backend_selector_test.cc
@@ -156,5 +156,30 @@
   }
 }
 
+TEST_CASE("a failing server gets no requests because the others have reached their limits") {
+  const instant start{seconds(100)};
+  backend_selector selector({});
+  std::map<std::string, backend_record> servers;
+  for (const char* id : {"failing", "limited-1", "limited-2"}) {
+    servers[id] = {.id = id, .service = "plain"};
+  }
+  selector.Update(servers);
+  selector.OnStarted("failing", 1);
+  selector.OnEnded("failing", 1, attempt_result::kUnreachable, {}, start);
+  send_limiter limiter({.gateway = "g"});
+  limiter.fleet().OnReport({.name = "g", .made = start});
+  for (const char* id : {"limited-1", "limited-2"}) {
+    limiter.limits().OnReply(id, 0, rate_limited{2}, start, start);
+  }
+  limiter.Update(servers, start);
+  const placement wanted{.service = "plain", .limiter = &limiter};
+  CHECK(selector.Choose(wanted, start, 1) == nullptr);
+  const auto capacity = selector.LimitedCapacity(wanted, start);
+  REQUIRE(capacity);
+  CHECK(capacity->per_second > 3);
+  REQUIRE(capacity->ready);
+  CHECK(selector.Choose(wanted, *capacity->ready, 1) != nullptr);
+}
+
 }  // namespace
 }  // namespace jacinthspool
