--- a/src/routing/limit_share.cc
+++ b/src/routing/limit_share.cc
@@ -32,13 +32,13 @@
       fleet.reports().empty() ? 0 : total / static_cast<double>(fleet.reports().size());
   std::map<std::string, double> weights;
   for (const auto& [name, report] : fleet.reports()) {
-    weights[name] = std::visit(
-        overloaded{[](const equal_split&) { return 1.0; },
-                   [&](const traffic_split& by_traffic) {
-                     const double relative = mean > 0 ? fleet.RequestRate(name, service) / mean : 1;
-                     return by_traffic.equal_part + (1 - by_traffic.equal_part) * relative;
-                   }},
-        strategy);
+    const double relative = mean > 0 ? fleet.RequestRate(name, service) / mean : 1;
+    weights[name] = std::visit(overloaded{[](const equal_split&) { return 1.0; },
+                                          [&](const traffic_split& by_traffic) {
+                                            return by_traffic.equal_part +
+                                                   (1 - by_traffic.equal_part) * relative;
+                                          }},
+                               strategy);
   }
   return weights;
 }
--- a/src/routing/slot_queue.cc
+++ b/src/routing/slot_queue.cc
@@ -32,6 +32,7 @@
   }
   std::sort(ranks.begin(), ranks.end());
   std::vector<std::uint64_t> numbers;
+  numbers.reserve(ranks.size());
   for (const rank& each : ranks) {
     numbers.push_back(std::get<std::uint64_t>(each));
   }
--- a/tests/gateway/snapshot_test.cc
+++ b/tests/gateway/snapshot_test.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <limits>
+
 #include "src/gateway/peer_exchange.h"
 #include "tests/gateway/fake_platform.h"
 
@@ -31,6 +33,40 @@
   }
 }
 
+TEST_CASE("a snapshot holds the limits that servers have stated and the callers' request rates") {
+  const instant now = timer_service::now();
+  gateway_snapshot sent;
+  sent.limits = {{.backend = "i-1", .started_ms = 7, .per_second = 2.5, .stated = now - seconds(3)},
+                 {.backend = "i-2", .per_second = std::nullopt, .stated = now}};
+  sent.fleet = {{.name = "g1", .request_rates = {{"plain", 12.5}}, .made = now - seconds(1)}};
+  const auto decoded = DecodeSnapshot(EncodeSnapshot(sent));
+  REQUIRE(decoded);
+  REQUIRE(decoded->limits.size() == 2);
+  CHECK(decoded->limits[0].per_second == 2.5);
+  CHECK(decoded->limits[0].started_ms == 7);
+  CHECK(timer_service::now() - decoded->limits[0].stated >= seconds(3));
+  CHECK(timer_service::now() - decoded->limits[0].stated < seconds(4));
+  CHECK_FALSE(decoded->limits[1].per_second);
+  REQUIRE(decoded->fleet.size() == 1);
+  CHECK(decoded->fleet[0].request_rates.at("plain") == 12.5);
+
+  SUBCASE("a limit that is no valid number is left out") {
+    sent.limits[0].per_second = -1;
+    CHECK(DecodeSnapshot(EncodeSnapshot(sent))->limits.size() == 1);
+    sent.limits[0].per_second = std::numeric_limits<double>::infinity();
+    CHECK(DecodeSnapshot(EncodeSnapshot(sent))->limits.size() == 1);
+  }
+  SUBCASE("a gateway applies the limits of its peers") {
+    fake_platform platform;
+    platform.Configure();
+    platform.router.ApplyFleet(*decoded);
+    CHECK(platform.router.limited());
+    // The reports of others are passed on only while a limit is in force.
+    CHECK(platform.router.FleetSnapshot(gateway::fleet_scope::kAll).fleet.size() == 2);
+    CHECK(platform.router.FleetSnapshot(gateway::fleet_scope::kOwn).fleet.size() == 1);
+  }
+}
+
 TEST_CASE("a gateway that starts while the publisher is unavailable applies a peer's snapshot") {
   fake_platform knows;
   knows.Configure();
