Count a reservation's second request only while it may be sent

A reservation takes two requests of a decode engine's limit, one to get it and one to use it. When the engine denied it, or it was released unused, the second stayed counted, and up to half of a small limit was wasted at a full engine. It is taken back now. Test: send_limiter_test 'a bucket starts empty'.

--- a/include/jacinthspool/routing/send_limiter.h
+++ b/include/jacinthspool/routing/send_limiter.h
@@ -58,6 +58,9 @@
   /// \brief Counts requests that are sent, or that will be sent to use a reservation.
   void OnSend(const backend_record& backend, std::uint32_t calls, instant now);
 
+  /// \brief Takes back counted requests that will not be sent after all.
+  void OnUnsent(const backend_record& backend, std::uint32_t calls, instant now);
+
   /// \returns Requests a second that this gateway may send to a limited server.
   [[nodiscard]] double Rate(const backend_record& backend) const;
 
--- a/src/gateway/reservation_dispatcher.cc
+++ b/src/gateway/reservation_dispatcher.cc
@@ -127,6 +127,7 @@
 }
 
 void reservation_dispatcher::Release(const decode_reservation& reservation) {
+  context_.limiter.OnUnsent(reservation.backend, kReservedCalls - 1, timer_service::now());
   ReleaseHold(reservation.backend, reservation.hold, {});
 }
 
@@ -259,6 +260,9 @@
     ReleaseHold(call.backend(), hold, {});
     queue_.SetInProgress(call.number(), false);
   } else if (hold.empty()) {
+    if (!call.probes()) {
+      context_.limiter.OnUnsent(call.backend(), kReservedCalls - 1, now);
+    }
     context_.selector.OnEnded(
         id, call.tokens(), answered ? attempt_result::kUnknown : attempt_result::kFailed, {}, now);
     context_.selector.SetBusy(id, now + kDenialPause);
--- a/src/routing/send_limiter.cc
+++ b/src/routing/send_limiter.cc
@@ -72,6 +72,19 @@
   each.sent.insert(each.sent.end(), calls, now);
 }
 
+void send_limiter::OnUnsent(const backend_record& backend, std::uint32_t calls, instant now) {
+  const auto found = buckets_.find(backend.id);
+  if (Find(backend) == nullptr) {
+    return;
+  }
+  bucket& each = found->second;
+  each.tokens = std::min(Tokens(each, now) + calls, each.share.burst);
+  each.filled = now;
+  for (std::uint32_t i = 0; i < calls && !each.sent.empty(); ++i) {
+    each.sent.pop_back();
+  }
+}
+
 double send_limiter::Rate(const backend_record& backend) const {
   const bucket* known = Find(backend);
   return known == nullptr ? 0 : known->share.per_second;
--- a/tests/routing/send_limiter_test.cc
+++ b/tests/routing/send_limiter_test.cc
@@ -302,6 +302,10 @@
   limiter.OnSend(kServer, 1, *ready);
   CHECK_FALSE(limiter.MaySend(kServer, 1, *ready));
   CHECK(limiter.Usage(*ready).front().sent_in_window == 1);
+  limiter.OnUnsent(kServer, 1, *ready);
+  CHECK(limiter.MaySend(kServer, 1, *ready));
+  CHECK(limiter.Usage(*ready).front().sent_in_window == 0);
+  limiter.OnSend(kServer, 1, *ready);
 
   limiter.fleet().SetGateways(128);
   limiter.Update(kServers, *ready);
