Soak: limits that stand long enough to bind

Now the first server names 2 a second from the start, further limits are 0.2 to 5 a second, and a standing one is seldom changed.

--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -44,6 +44,10 @@
 constexpr milliseconds kDisconnectBound = milliseconds(1000);
 /// Callers of each plain class and gateway, after the faults.
 constexpr int kFaultFreeCallers = 10;
+/// Limit that the first server names from the start, in requests a second.
+constexpr double kFirstLimit = 2;
+/// Servers of the plain service at the start.
+constexpr std::size_t kPlainServers = 3;
 /// Gateways that all others query for snapshots, as on the platform.
 constexpr int kSeedGateways = 3;
 /// What a disturbed link has held up arrives within this time after its end.
@@ -321,7 +325,7 @@
 void soak::SetUp() {
   store_link_ = std::make_unique<relay>(environment_, store_.address());
   PublishConfiguration();
-  for (int i = 0; i < 3; ++i) {
+  for (std::size_t i = 0; i < kPlainServers; ++i) {
     AddServer(server_standin::role::kPlain);
   }
   for (int i = 0; i < 2; ++i) {
@@ -646,14 +650,16 @@
   if (traffic_ended_) {
     return;
   }
+  // Half of the changes are of the plain servers of the start, which get most requests.
+  const std::size_t servers = Draw(limit_random_) < 0.5 ? kPlainServers : servers_.size();
+  server_standin& server = *servers_[limit_random_() % servers]->server;
   const double drawn = Draw(limit_random_);
-  server_slot& slot = *servers_[limit_random_() % servers_.size()];
-  server_standin& server = *slot.server;
-  if (drawn < 0.55) {
-    const double limit = std::uniform_real_distribution<double>(0.2, 12)(limit_random_);
-    RecordFault("limit named", server.id() + " " + std::to_string(limit));
+  const bool named = server.rule().limit().has_value();
+  if (drawn < 0.6 && (!named || drawn < 0.15)) {
+    const double limit = std::uniform_real_distribution<double>(0.2, 5)(limit_random_);
+    RecordFault(named ? "limit changed" : "limit named", server.id() + " " + std::to_string(limit));
     server.SetLimit(limit);
-  } else if (drawn < 0.75) {
+  } else if (drawn < 0.7) {
     RecordFault("limit dropped", server.id());
     server.SetLimit(std::nullopt);
   } else if (drawn < 0.85) {
@@ -843,6 +849,7 @@
       environment_.timers().Every(milliseconds(50), [this](instant /*now*/) { CheckProcesses(); });
   SendRandomRequests();
   InjectFault();
+  servers_.front()->server->SetLimit(kFirstLimit);
   InjectLimitChange();
   environment_.Elapse(options_.traffic_duration);
   traffic_ended_ = true;
