Name the requests of one reservation once

send_limiter and reservation_dispatcher each had a constant of their own for the two requests that a reservation takes of a decode engine's limit. One now serves both; the value and the behaviour are the same.

routing_test 46 of 46 and gateway_test 34 of 34 cases pass; formatter and linter are clean on the changed files.

--- a/include/jacinthspool/routing/send_limiter.h
+++ b/include/jacinthspool/routing/send_limiter.h
@@ -14,6 +14,9 @@
 
 namespace jacinthspool {
 
+/// Requests to a decode engine for one reservation: to get it, and to use it.
+inline constexpr std::uint32_t kReservedCalls = 2;
+
 /// \brief Keeps this gateway's requests to each backend server within its share of the limit that
 /// the server names.
 ///
--- a/src/gateway/reservation_dispatcher.cc
+++ b/src/gateway/reservation_dispatcher.cc
@@ -19,8 +19,6 @@
 constexpr milliseconds kReservationLife = milliseconds(1500);
 constexpr milliseconds kReservationTimeout = milliseconds(250);
 constexpr std::size_t kMaxCalls = 8;  ///< In progress at once.
-/// Requests to an engine for one reservation: to get it, and to use it.
-constexpr std::uint32_t kReservedCalls = 2;
 /// The reply to a reservation is a short JSON object.
 constexpr std::size_t kMaxReplyBytes = 4U << 10U;
 
--- a/src/routing/send_limiter.cc
+++ b/src/routing/send_limiter.cc
@@ -6,11 +6,8 @@
 namespace jacinthspool {
 namespace {
 
-/// A decode engine gets a reservation and the request that uses it.
-constexpr std::uint32_t kDecodeCalls = 2;
-
 std::uint32_t CallsAtOnce(const backend_record& backend) {
-  return backend.stage == engine_stage::kDecode ? kDecodeCalls : 1;
+  return backend.stage == engine_stage::kDecode ? kReservedCalls : 1;
 }
 
 }  // namespace
