Log how long a server was silent, and which configurations a request met

A truncated stream left a line 'silent, goes elsewhere' and a line 'cut, unsent': neither told how long the server had been silent, whether it went on, or whether a configuration came in between. attempt_failed now has the events received, the length of the silence and the configuration; silence_ended is written when a silent server goes on; the request line has the configuration at the request's arrival. gateway_silences counts.

--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -147,7 +147,8 @@
           {{"request", owner_.settings_.request.id}, {"backend", backend_.id}});
       return head_action::kSkip;
     }
-    first_heard_ = last_heard_ = timer_service::now();
+    RecordHeard();
+    first_heard_ = last_heard_;
     head_ = head;
     streaming_ = kind_ == attempt_kind::kServe &&
                  owner_.settings_.route->kind == request_kind::kStreaming &&
@@ -166,7 +167,7 @@
       OnStreamBytes(bytes);
       return;
     }
-    last_heard_ = timer_service::now();
+    RecordHeard();
     if (forwarding_body_) {
       owner_.SendToCaller(bytes);
       return;
@@ -202,6 +203,13 @@
     End(unsent ? attempt_result::kUnreachable : attempt_result::kFailed, failure);
   }
 
+  /// Logs a silence once; the next answer bytes end it.
+  void ReportSilence(std::string_view reason) {
+    if (!std::exchange(silence_reported_, true)) {
+      LogFailure("silent", reason);
+    }
+  }
+
   void LogFailure(std::string_view how, std::string_view reason) const {
     Log(log_level::kWarning, "attempt_failed",
         {{"request", owner_.settings_.request.id},
@@ -211,16 +219,35 @@
          {"reason", reason},
          {"status", head_ ? head_->status : 0},
          {"took_ms", (timer_service::now() - started_) / milliseconds(1)},
+         {"events", event_count_},
+         {"silent_ms", (timer_service::now() - last_heard_) / milliseconds(1)},
+         {"configuration", owner_.context_.routes.configuration()->version},
          {"list_revision", owner_.context_.backends.revision()}});
   }
 
  private:
+  void RecordHeard() {
+    const instant now = timer_service::now();
+    if (std::exchange(silence_reported_, false)) {
+      Log(log_level::kInfo, "silence_ended",
+          {{"request", owner_.settings_.request.id},
+           {"backend", backend_.id},
+           {"silent_ms", (now - last_heard_) / milliseconds(1)},
+           {"configuration", owner_.context_.routes.configuration()->version}});
+      owner_.context_.metrics.Count("gateway_silences", {{"outcome", "ended"}});
+    }
+    last_heard_ = now;
+  }
+
   void OnStreamBytes(std::string_view bytes) {
     const std::vector<stream_event> events = events_.Split(bytes);
     // Neither an incomplete event nor a comment proves that the engine makes progress.
-    if (std::any_of(events.begin(), events.end(),
-                    [](const stream_event& each) { return !each.bytes.starts_with(':'); })) {
-      last_heard_ = timer_service::now();
+    const auto progress = static_cast<std::uint64_t>(
+        std::count_if(events.begin(), events.end(),
+                      [](const stream_event& each) { return !each.bytes.starts_with(':'); }));
+    if (progress > 0) {
+      event_count_ += progress;
+      RecordHeard();
     }
     if (events_.pending_bytes() > kMaxEventBytes) {
       LogFailure("event too long", "");
@@ -313,11 +340,15 @@
   bool forwarding_body_ = false;      ///< The body is forwarded as it arrives.
   bool paused_ = false;
   bool reported_ = false;
+  bool silence_reported_ = false;
+  std::uint64_t event_count_ = 0;  ///< Events received in this attempt, comments excluded.
   std::unique_ptr<http1_call> call_;
 };
 
 forward_exchange::forward_exchange(options settings)
-    : settings_(std::move(settings)), context_(settings_.context) {
+    : settings_(std::move(settings)),
+      context_(settings_.context),
+      first_configuration_(context_.routes.configuration()->version) {
   last_event_ = settings_.request.resume_after;
 }
 
@@ -633,7 +664,7 @@
                                                                  .limiter = &context_.limiter},
                                                                 now, context_.random()) != nullptr);
   context_.selector.OnSilent(silent.backend().id, now);
-  silent.LogFailure("silent", may_abandon ? "goes elsewhere" : "waits on");
+  silent.ReportSilence(may_abandon ? "goes elsewhere" : "waits on");
   if (!may_abandon) {
     return;
   }
@@ -909,6 +940,7 @@
        {"expected_output",
         settings_.request.model ? settings_.request.model->expected_output_tokens : 0},
        {"events", last_event_.value_or(0)},
+       {"configuration_at_start", first_configuration_},
        {"configuration", context_.routes.configuration()->version}});
   context_.metrics.Count("gateway_requests", {{"outcome", std::string(outcome)}});
   context_.metrics.Observe("gateway_request_time", {{"outcome", std::string(outcome)}}, took);
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -100,6 +100,7 @@
 
   options settings_;
   gateway_context& context_;
+  std::uint64_t first_configuration_;  ///< Version in force when the request arrived.
   instant deadline_{};
   std::unique_ptr<attempt> attempt_;
   timer_subscription deadline_timer_;
