Count a server's silence from its last bytes, not from the start of the attempt

Callers of a repeatable plain route got a truncated body when an answer above 64 KB took longer than 1.3 times the latency objective, although it kept arriving: the one check of silence looked at the time since the attempt had begun, ended the attempt, and the begun answer could only be truncated. Smaller answers that kept arriving were given up in the same way and fetched again.

--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -622,11 +622,7 @@
                           .kv_source = prefill ? std::string() : kv_source_,
                           .hold = reservation ? reservation->hold : std::string()});
   attempt_->Send(bytes, reservation.has_value());
-  const double factor = prefill ? kPrefillSilenceFactor : kSilenceFactor;
-  const auto wait = std::chrono::duration_cast<milliseconds>(
-      factor * std::chrono::duration<double, std::milli>(settings_.route->latency_objective));
-  silence_timer_ = context_.timers.After(std::max<microseconds>(wait, kMinAttemptTime),
-                                         [this](instant /*now*/) { OnSilent(*attempt_); });
+  CheckSilenceAfter(SilenceLimit(*attempt_));
 }
 
 void forward_exchange::ReportAnswer(microseconds taken) {
@@ -641,20 +637,34 @@
   attempt_.reset();
 }
 
-void forward_exchange::OnSilent(attempt& silent) {
+microseconds forward_exchange::SilenceLimit(const attempt& checked) const {
+  const milliseconds objective = settings_.route->latency_objective;
+  if (checked.streaming()) {
+    return std::max<microseconds>(kMinStallTime, objective);
+  }
+  const double factor =
+      checked.kind() == attempt_kind::kPrefill ? kPrefillSilenceFactor : kSilenceFactor;
+  return std::max<microseconds>(std::chrono::duration_cast<milliseconds>(
+                                    factor * std::chrono::duration<double, std::milli>(objective)),
+                                kMinAttemptTime);
+}
+
+void forward_exchange::CheckSilenceAfter(microseconds wait) {
+  silence_timer_ =
+      context_.timers.After(wait, [this](instant /*now*/) { CheckSilence(*attempt_); });
+}
+
+void forward_exchange::CheckSilence(attempt& silent) {
   const instant now = timer_service::now();
-  if (silent.streaming()) {
-    const auto limit = std::max<microseconds>(kMinStallTime, settings_.route->latency_objective);
-    const auto silence = now - silent.last_heard();
-    // Checked again even if no other server is available now, as one may be later.
-    const auto wait = silence < limit ? limit - silence + milliseconds(1) : limit;
-    silence_timer_ = context_.timers.After(wait, [this](instant /*now*/) { OnSilent(*attempt_); });
-    if (silence < limit || silent.paused()) {
-      return;
-    }
+  const microseconds limit = SilenceLimit(silent);
+  const microseconds silence = now - silent.last_heard();
+  // Checked again even if no other server is available now, as one may be later.
+  CheckSilenceAfter(silence < limit ? limit - silence + milliseconds(1) : limit);
+  if (silence < limit || silent.paused()) {
+    return;
   }
   const bool prefill = silent.kind() == attempt_kind::kPrefill;
-  const bool may_abandon = prefill || (settings_.route->repeatable() &&
+  const bool may_abandon = prefill || (settings_.route->repeatable() && may_resume_ &&
                                        runs_ + 1 < settings_.route->max_attempts && MayRetry() &&
                                        context_.selector.Choose({.service = settings_.service,
                                                                  .stage = silent.backend().stage,
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -72,7 +72,10 @@
   /// \brief Reports the answer time of a plain service to the load shedder.
   void ReportAnswer(microseconds taken);
   void EndAttempt();
-  void OnSilent(attempt& silent);
+  /// \returns How long the attempt's server may be silent before it is given up.
+  [[nodiscard]] microseconds SilenceLimit(const attempt& checked) const;
+  void CheckSilenceAfter(microseconds wait);
+  void CheckSilence(attempt& silent);
   void Deliver(const http1_head& head, std::string_view body);
   void ForwardEvents(const http1_head& head, const std::vector<stream_event>& events);
   /// \brief Sends part of the answer; a slow caller throttles its backend server.
