Keep a silent server's answer until its replacement is held

Callers of resumable streams got a truncated answer, and callers of repeatable plain requests a 502, though their server was sound: it fell silent for a second or so and went on.

Cause: what was held was given up before what replaces it was held. The check that came before asked whether any server of the service exists, and the silent one itself counted.

New: a stream moves once another server has room; a reservation that comes too late is given back.

Why it works: the silent attempt goes on while a reservation or a slot at another server is sought. Only when that, the time left and the retry budget are all held is the old attempt ended and the new one sent in the same turn, so that two runs never go on side by side. If the silent server speaks first, the search is withdrawn and a reservation that still comes is released. If nothing is found, the attempt goes on and the search is repeated. The search excludes the silent server itself; a request behind it in the admission queue may still use that server's memory.

A prefill that falls silent is likewise ended only while a reservation for its request is held.

--- a/include/jacinthspool/routing/admission_queue.h
+++ b/include/jacinthspool/routing/admission_queue.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -16,7 +17,9 @@
 /// \brief A request that waits for a reservation in a decode engine.
 struct reservation_request {
   std::string service = {};
-  double tokens = 0;        ///< KV cache that the request needs.
+  double tokens = 0;  ///< KV cache that the request needs.
+  /// Gets no reservation at this server, which runs the request and is silent; empty: none.
+  std::string excluded_backend = {};
   bool resumes = false;     ///< The caller already has part of the answer.
   instant on_time_until{};  ///< Reserved by then, it still meets its latency objective.
   instant latest_start{};   ///< Reserved later, it cannot end before its deadline.
@@ -46,8 +49,10 @@
 
   void Remove(std::uint64_t number);
 
+  /// \param passed_over Numbers of requests that are not returned.
   /// \returns The next request that is not in progress at an engine, or nothing.
-  [[nodiscard]] std::optional<std::uint64_t> Next(instant now) const;
+  [[nodiscard]] std::optional<std::uint64_t> Next(
+      instant now, const std::set<std::uint64_t>& passed_over = {}) const;
 
   [[nodiscard]] const reservation_request* Find(std::uint64_t number) const;
 
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -21,6 +21,8 @@
 /// A stream counts as stalled after this time without an event, or after its latency objective if
 /// that is longer.
 constexpr milliseconds kMinStallTime = milliseconds(1200);
+/// While a server is silent, a replacement is sought again after this time.
+constexpr milliseconds kSeekInterval = milliseconds(250);
 /// Multiple of the latency objective that a prefill may take.
 constexpr double kPrefillSilenceFactor = 1.2;
 /// Fraction of a KV handle's life in which it is used; it may expire on the way after that.
@@ -203,9 +205,10 @@
     End(unsent ? attempt_result::kUnreachable : attempt_result::kFailed, failure);
   }
 
-  /// Logs a silence once; the next answer bytes end it.
+  /// Logs and counts a silence once; the next bytes of the answer end it.
   void ReportSilence(std::string_view reason) {
     if (!std::exchange(silence_reported_, true)) {
+      owner_.context_.selector.OnSilent(backend_.id, timer_service::now());
       LogFailure("silent", reason);
     }
   }
@@ -237,6 +240,7 @@
       owner_.context_.metrics.Count("gateway_silences", {{"outcome", "ended"}});
     }
     last_heard_ = now;
+    owner_.StopSeeking();
   }
 
   void OnStreamBytes(std::string_view bytes) {
@@ -400,6 +404,7 @@
   }
   return {.service = settings_.service,
           .tokens = static_cast<double>(work.prompt_tokens + output),
+          .excluded_backend = seeking_ ? attempt_->backend().id : std::string(),
           .resumes = answer_begun_ || settings_.request.resume_after.has_value(),
           .on_time_until = is_retry_ ? instant{} : settings_.received + objective - kFirstEventTime,
           .latest_start = std::max(now + kMinAttemptTime, latest_start)};
@@ -411,26 +416,29 @@
     return;
   }
   EndAttempt();
-  const instant now = timer_service::now();
-  if (TimeLeft(now) < kMinAttemptTime) {
+  if (TimeLeft(timer_service::now()) < kMinAttemptTime) {
     OnServeFailed(attempt_failure::kUnsent);
     return;
   }
+  Reserve();
+}
+
+void forward_exchange::Reserve() {
+  const instant now = timer_service::now();
   const reservation_request wanted = MakeReservationRequest(now);
-  if (sends_ == 0 && !wanted.resumes) {
+  if (sends_ == 0 && !wanted.resumes && !seeking_) {
     const model_work& work = *settings_.request.model;
     context_.balance.OnRequest(settings_.service, work.prompt_tokens, wanted.tokens,
                                work.expected_output_tokens);
   }
   if (settings_.reservations.IsHopeless(wanted, now)) {
-    OnLimitReached(kLimitReached);
+    OnNoPlace(kLimitReached);
     return;
   }
   const auto back_off_end =
       context_.selector.BackOffEnd(settings_.service, engine_stage::kDecode, now);
   if (back_off_end && *back_off_end > wanted.latest_start) {
-    rejection_reason_ = "all engines want quiet";
-    OnServeFailed(attempt_failure::kUnsent);
+    OnNoPlace("all engines want quiet");
     return;
   }
   queue_number_ =
@@ -442,16 +450,16 @@
                                               .on_rejected =
                                                   [this](std::string_view why) {
                                                     queue_number_ = 0;
-                                                    rejection_reason_ = why;
-                                                    OnServeFailed(attempt_failure::kUnsent);
+                                                    OnNoPlace(why);
                                                   }});
 }
 
 void forward_exchange::OnReserved(decode_reservation reservation) {
+  ReleaseReservation();
   context_.selector.OnStarted(reservation.backend.id, reservation.tokens);
   reservation_ = std::move(reservation);
   reservation_wait_ = timer_service::now() - settings_.received;
-  SendNext();
+  OnPlaceHeld();
 }
 
 std::optional<decode_reservation> forward_exchange::TakeReservation() {
@@ -462,6 +470,18 @@
   return std::exchange(reservation_, std::nullopt);
 }
 
+bool forward_exchange::IsUsable(const decode_reservation& held, instant now) const {
+  return now < held.until && AcceptsWork(context_, held.backend, now);
+}
+
+bool forward_exchange::HoldsPlace(instant now) const {
+  if (reservation_) {
+    return IsUsable(*reservation_, now);
+  }
+  return !NeedsReservation() && context_.selector.Choose(MakePlacement(ServingStage(), false), now,
+                                                         context_.random()) != nullptr;
+}
+
 void forward_exchange::ReleaseReservation() {
   if (const auto reservation = TakeReservation()) {
     settings_.reservations.Release(*reservation);
@@ -505,6 +525,11 @@
   return TimeLeft(now) > kMinAttemptTime && context_.budget.left(now, settings_.service) >= 1;
 }
 
+bool forward_exchange::PayForSend(instant now) {
+  return sends_ == 0 || std::exchange(send_paid_, false) ||
+         context_.budget.Draw(now, settings_.service);
+}
+
 void forward_exchange::SendNext() {
   const auto self = shared_from_this();
   EndAttempt();
@@ -524,12 +549,7 @@
     SendToReservedEngine();
     return;
   }
-  const placement wanted{.service = settings_.service,
-                         .stage = stage,
-                         .cost = Cost(),
-                         .repeatable = prefill || settings_.route->repeatable(),
-                         .tried = &tried_,
-                         .limiter = &context_.limiter};
+  const placement wanted = MakePlacement(stage, prefill);
   const bool granted = std::exchange(slot_granted_, false);
   const bool others_wait = !prefill && !granted && settings_.slots.HasWaiting(settings_.service);
   const backend_record* chosen =
@@ -551,9 +571,8 @@
   }
   // The first prefill that an engine accepts is free, but a rejected one costs a retry: no prefill
   // is sent that the budget could not cover.
-  const bool allowed = prefill      ? context_.budget.left(now, settings_.service) >= 1
-                       : sends_ > 0 ? context_.budget.Draw(now, settings_.service)
-                                    : true;
+  const bool allowed =
+      prefill ? context_.budget.left(now, settings_.service) >= 1 : PayForSend(now);
   if (!allowed) {
     prefill_abandoned_ = true;
     if (prefill) {
@@ -566,6 +585,15 @@
   StartAttempt(prefill ? attempt_kind::kPrefill : attempt_kind::kServe, *chosen);
 }
 
+placement forward_exchange::MakePlacement(engine_stage stage, bool prefill) const {
+  return {.service = settings_.service,
+          .stage = stage,
+          .cost = Cost(),
+          .repeatable = prefill || settings_.route->repeatable(),
+          .tried = &tried_,
+          .limiter = &context_.limiter};
+}
+
 void forward_exchange::WaitForSlot() {
   const instant now = timer_service::now();
   const instant on_time_until =
@@ -580,29 +608,40 @@
                                    [this] {
                                      slot_number_ = 0;
                                      slot_granted_ = true;
-                                     SendNext();
+                                     OnPlaceHeld();
                                    },
                                .on_rejected =
                                    [this](std::string_view why) {
                                      slot_number_ = 0;
-                                     OnLimitReached(why);
+                                     OnNoPlace(why);
                                    }});
 }
 
-void forward_exchange::OnLimitReached(std::string_view why) {
-  limit_reached_ = true;
+void forward_exchange::OnPlaceHeld() {
+  if (seeking_) {
+    ReplaceSilentAttempt();
+  } else {
+    SendNext();
+  }
+}
+
+void forward_exchange::OnNoPlace(std::string_view why) {
+  if (std::exchange(seeking_, false)) {
+    return;  // The silent attempt goes on.
+  }
+  limit_reached_ = limit_reached_ || why == kLimitReached;
   rejection_reason_ = why;
   OnServeFailed(attempt_failure::kUnsent);
 }
 
 void forward_exchange::SendToReservedEngine() {
   const instant now = timer_service::now();
-  if (now >= reservation_->until || !AcceptsWork(context_, reservation_->backend, now)) {
+  if (!IsUsable(*reservation_, now)) {
     ReleaseReservation();
     ReserveAndSend();
     return;
   }
-  if (sends_ > 0 && !context_.budget.Draw(now, settings_.service)) {
+  if (!PayForSend(now)) {
     OnServeFailed(attempt_failure::kUnsent);
     return;
   }
@@ -650,40 +689,79 @@
 }
 
 void forward_exchange::CheckSilenceAfter(microseconds wait) {
-  silence_timer_ =
-      context_.timers.After(wait, [this](instant /*now*/) { CheckSilence(*attempt_); });
+  silence_timer_ = context_.timers.After(wait, [this](instant /*now*/) { CheckSilence(); });
+}
+
+void forward_exchange::CheckSilence() {
+  const auto self = shared_from_this();
+  const microseconds limit = SilenceLimit(*attempt_);
+  const microseconds silence = timer_service::now() - attempt_->last_heard();
+  if (silence < limit || attempt_->paused()) {
+    CheckSilenceAfter(silence < limit ? limit - silence + milliseconds(1) : limit);
+    return;
+  }
+  const bool may_move = attempt_->kind() == attempt_kind::kPrefill ||
+                        (settings_.route->repeatable() && may_resume_ &&
+                         runs_ + 1 < settings_.route->max_attempts && MayRetry());
+  attempt_->ReportSilence(may_move ? "seeks a replacement" : "waits on");
+  CheckSilenceAfter(may_move ? kSeekInterval : limit);
+  if (may_move && !seeking_) {
+    SeekReplacement();
+  }
 }
 
-void forward_exchange::CheckSilence(attempt& silent) {
+void forward_exchange::SeekReplacement() {
   const instant now = timer_service::now();
-  const microseconds limit = SilenceLimit(silent);
-  const microseconds silence = now - silent.last_heard();
-  // Checked again even if no other server is available now, as one may be later.
-  CheckSilenceAfter(silence < limit ? limit - silence + milliseconds(1) : limit);
-  if (silence < limit || silent.paused()) {
+  const bool prefill = attempt_->kind() == attempt_kind::kPrefill;
+  if (prefill && reservation_ && IsUsable(*reservation_, now)) {
+    ReplaceSilentAttempt();
     return;
   }
-  const bool prefill = silent.kind() == attempt_kind::kPrefill;
-  const bool may_abandon = prefill || (settings_.route->repeatable() && may_resume_ &&
-                                       runs_ + 1 < settings_.route->max_attempts && MayRetry() &&
-                                       context_.selector.Choose({.service = settings_.service,
-                                                                 .stage = silent.backend().stage,
-                                                                 .cost = Cost(),
-                                                                 .repeatable = true,
-                                                                 .tried = &tried_,
-                                                                 .limiter = &context_.limiter},
-                                                                now, context_.random()) != nullptr);
-  context_.selector.OnSilent(silent.backend().id, now);
-  silent.ReportSilence(may_abandon ? "goes elsewhere" : "waits on");
-  if (!may_abandon) {
+  seeking_ = true;
+  tried_.insert(attempt_->backend().id);
+  if (NeedsReservation()) {
+    Reserve();
     return;
   }
-  silent.Report(attempt_result::kUnknown);
+  const bool others_wait = settings_.slots.HasWaiting(settings_.service);
+  if (!others_wait && HoldsPlace(now)) {
+    ReplaceSilentAttempt();
+  } else if (others_wait ||
+             context_.selector.LimitedCapacity(MakePlacement(ServingStage(), false), now)) {
+    WaitForSlot();
+  } else {
+    seeking_ = false;
+  }
+}
+
+void forward_exchange::StopSeeking() {
+  if (std::exchange(seeking_, false)) {
+    settings_.reservations.Withdraw(std::exchange(queue_number_, 0));
+    settings_.slots.Withdraw(std::exchange(slot_number_, 0));
+  }
+}
+
+void forward_exchange::ReplaceSilentAttempt() {
+  const instant now = timer_service::now();
+  const bool prefill = attempt_->kind() == attempt_kind::kPrefill;
+  seeking_ = false;
+  const bool may_send = TimeLeft(now) > kMinAttemptTime && HoldsPlace(now);
+  if (!prefill && (!may_send || !context_.budget.Draw(now, settings_.service))) {
+    ReleaseReservation();
+    slot_granted_ = false;
+    return;
+  }
+  attempt_->LogFailure("silent", "goes elsewhere");
+  attempt_->Report(attempt_result::kUnknown);
+  context_.metrics.Count("gateway_silences", {{"outcome", "moved"}});
   if (prefill) {
     OnPrefillFailed(attempt_failure::kLost);
-  } else {
-    OnServeFailed(attempt_failure::kLost);
+    return;
   }
+  send_paid_ = true;
+  ++runs_;
+  kv_source_.clear();
+  SendNext();
 }
 
 void forward_exchange::OnPrefilled(const backend_record& backend, const std::string& handle) {
@@ -703,6 +781,7 @@
 }
 
 void forward_exchange::OnPrefillFailed(attempt_failure failure) {
+  StopSeeking();
   if (failure != attempt_failure::kUnsent) {
     context_.budget.Charge(timer_service::now(), settings_.service);
   }
@@ -715,6 +794,7 @@
 }
 
 void forward_exchange::OnServeFailed(attempt_failure failure) {
+  StopSeeking();
   if (attempt_) {
     tried_.insert(attempt_->backend().id);
   }
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -48,7 +48,16 @@
   void ReserveAndSend();
   [[nodiscard]] bool NeedsReservation() const;
   [[nodiscard]] reservation_request MakeReservationRequest(instant now) const;
+  /// \brief Enqueues the request for a reservation.
+  void Reserve();
   void OnReserved(decode_reservation reservation);
+  /// \brief A reservation or a request slot is held: sends, or replaces the silent attempt.
+  void OnPlaceHeld();
+  /// \brief No server has room: rejects the request, or lets the silent attempt go on.
+  void OnNoPlace(std::string_view why);
+  [[nodiscard]] bool IsUsable(const decode_reservation& held, instant now) const;
+  /// \returns true when an attempt could be sent now, apart from the retry budget.
+  [[nodiscard]] bool HoldsPlace(instant now) const;
   /// \brief Sends the request to the engine of its reservation.
   void SendToReservedEngine();
   /// \returns The reservation, which the caller of this function must use or release.
@@ -57,8 +66,9 @@
   void SendNext();
   /// \brief Sends when the limits of the service's servers allow it.
   void WaitForSlot();
-  /// \brief Rejects the request, or ends it as its earlier attempts require.
-  void OnLimitReached(std::string_view why);
+  [[nodiscard]] placement MakePlacement(engine_stage stage, bool prefill) const;
+  /// \returns false when the send is a retry that the budget does not allow.
+  [[nodiscard]] bool PayForSend(instant now);
   [[nodiscard]] bool NeedsPrefill() const;
   /// \brief Records the duration of a prefill.
   void RecordPrefill(prefill_place place, microseconds taken);
@@ -72,10 +82,17 @@
   /// \brief Reports the answer time of a plain service to the load shedder.
   void ReportAnswer(microseconds taken);
   void EndAttempt();
-  /// \returns How long the attempt's server may be silent before it is given up.
+  /// \returns How long the attempt's server may be silent before a replacement is sought.
   [[nodiscard]] microseconds SilenceLimit(const attempt& checked) const;
   void CheckSilenceAfter(microseconds wait);
-  void CheckSilence(attempt& silent);
+  void CheckSilence();
+  /// \brief Looks for room at another server while the silent attempt goes on.
+  ///
+  /// The silent server may be about to continue, so the attempt is ended only once everything
+  /// that its replacement needs is held.
+  void SeekReplacement();
+  void StopSeeking();
+  void ReplaceSilentAttempt();
   void Deliver(const http1_head& head, std::string_view body);
   void ForwardEvents(const http1_head& head, const std::vector<stream_event>& events);
   /// \brief Sends part of the answer; a slow caller throttles its backend server.
@@ -121,6 +138,8 @@
   std::uint64_t queue_number_ = 0;  ///< In the admission queue; 0: none.
   std::uint64_t slot_number_ = 0;   ///< In the slot queue; 0: none.
   bool slot_granted_ = false;       ///< The slot queue has chosen this request for the next send.
+  bool seeking_ = false;            ///< A replacement for the silent attempt is sought.
+  bool send_paid_ = false;          ///< The next send has been charged to the retry budget.
   bool limit_reached_ = false;      ///< Rejected because of the servers' request limits.
   std::optional<decode_reservation> reservation_;
   bool is_retry_ = false;  ///< Probably a retry of a rejected request.
--- a/src/gateway/reservation_dispatcher.cc
+++ b/src/gateway/reservation_dispatcher.cc
@@ -180,23 +180,37 @@
   }
 }
 
+const backend_record* reservation_dispatcher::ChooseEngine(const reservation_request& request,
+                                                           instant now) const {
+  const std::set<std::string> excluded = {request.excluded_backend};
+  return context_.selector.Choose({.service = request.service,
+                                   .stage = engine_stage::kDecode,
+                                   .cost = request.tokens,
+                                   .repeatable = true,
+                                   .tried = &excluded,
+                                   .only_free = true,
+                                   .limiter = &context_.limiter,
+                                   .calls = kReservedCalls},
+                                  now, context_.random());
+}
+
 bool reservation_dispatcher::TryNext(instant now) {
-  const auto number = queue_.Next(now);
-  if (!number) {
-    return false;
+  std::set<std::uint64_t> passed_over;
+  auto number = queue_.Next(now);
+  const backend_record* chosen = nullptr;
+  for (; number; number = queue_.Next(now, passed_over)) {
+    const reservation_request& first = *queue_.Find(*number);
+    chosen = ChooseEngine(first, now);
+    if (chosen != nullptr || first.excluded_backend.empty()) {
+      break;
+    }
+    // An engine that this request may not use can have memory for the ones behind it.
+    passed_over.insert(*number);
   }
-  const reservation_request& request = *queue_.Find(*number);
-  const backend_record* chosen = context_.selector.Choose({.service = request.service,
-                                                           .stage = engine_stage::kDecode,
-                                                           .cost = request.tokens,
-                                                           .repeatable = true,
-                                                           .only_free = true,
-                                                           .limiter = &context_.limiter,
-                                                           .calls = kReservedCalls},
-                                                          now, context_.random());
   if (chosen == nullptr) {
     return false;
   }
+  const reservation_request& request = *queue_.Find(*number);
   queue_.SetInProgress(*number, true);
   // A probe would take two more requests of the limit of an engine, which binds before its memory.
   const double headroom =
--- a/src/gateway/reservation_dispatcher.h
+++ b/src/gateway/reservation_dispatcher.h
@@ -59,6 +59,8 @@
   class reservation_call;
   void Dispatch();
   bool TryNext(instant now);
+  [[nodiscard]] const backend_record* ChooseEngine(const reservation_request& request,
+                                                   instant now) const;
   void StartCall(std::uint64_t number, const backend_record& backend, double tokens, bool probes);
   void OnCallEnded(reservation_call& call, const std::string& hold, bool answered);
   /// \brief Releases a reservation, unless its engine is backing off: it expires there.
--- a/src/routing/admission_queue.cc
+++ b/src/routing/admission_queue.cc
@@ -27,14 +27,15 @@
                     [&](const auto& each) { return each.second.request.service == service; }));
 }
 
-std::optional<std::uint64_t> admission_queue::Next(instant now) const {
+std::optional<std::uint64_t> admission_queue::Next(
+    instant now, const std::set<std::uint64_t>& passed_over) const {
   const auto rank = [&](const reservation_request& request) {
     return request.resumes ? 0 : IsLate(request, now) ? 2 : 1;
   };
   std::optional<std::uint64_t> best;
   int best_rank = 0;
   for (const auto& [number, waiting] : requests_) {
-    if (waiting.in_progress) {
+    if (waiting.in_progress || passed_over.contains(number)) {
       continue;
     }
     const int own = rank(waiting.request);
--- a/tests/gateway/silent_server_test.cc
+++ b/tests/gateway/silent_server_test.cc
@@ -117,7 +117,10 @@
   std::set<std::string> paths;  ///< Of the requests that have been run.
   std::vector<scripted_backend*> engines;
   std::vector<scripted_backend*> plain;
+  std::vector<timer_subscription> slow_replies;
+  milliseconds reservation_time{};  ///< Until an engine answers a reservation.
   int reservations = 0;
+  int releases = 0;
   int runs = 0;
   bool denies = false;       ///< Engines reject reservations.
   http_headers notice = {};  ///< In the engines' rejections of reservations.
@@ -138,9 +141,13 @@
   void Handle(scripted_backend& server, const http1_request& request, http1_responder& answer) {
     if (request.head.target == "/v1/hold-take") {
       ++reservations;
-      answer.Reply(denies ? 503 : 200, denies ? notice : http_headers(),
-                   denies ? "{}" : R"({"hold":"room1"})");
+      slow_replies.push_back(
+          timers.After(reservation_time, [this, reply = server.answers.back()](instant /*now*/) {
+            reply->Reply(denies ? 503 : 200, denies ? notice : http_headers(),
+                         denies ? "{}" : R"({"hold":"room1"})");
+          }));
     } else if (request.head.method == "DELETE") {
+      ++releases;
       answer.Reply(200, {}, "");
     } else {
       ++runs;
@@ -204,8 +211,9 @@
   const auto all = static_cast<int>(callers.size());
   REQUIRE(RunUntil(servers.loop, [&] { return servers.runs >= all; }));
   servers.denies = !frees;
-  for (auto& [path, caller] : callers) {
-    CAPTURE(path);
+  for (pausing_caller& each : callers) {
+    fake_caller& caller = each.caller;
+    CAPTURE(each.path);
     CHECK(caller.Wait([&] { return IsWhole(caller) || !caller.open; }));
     CHECK(IsWhole(caller));
   }
@@ -231,6 +239,33 @@
   CHECK(servers.runs == 1);
 }
 
+TEST_CASE("a replacement that is sought for a silent server") {
+  pausing_servers servers;
+  fake_caller caller(servers);
+
+  SUBCASE("takes over the stream once another server has room") {
+    caller.Send("/stream/", pausing_answer::Headers(seconds(20), stage::kMidStream));
+    REQUIRE(caller.Receives(scripted_backend::Event(1)));
+    servers.denies = true;
+    servers.Run(milliseconds(1800));
+    CHECK(servers.runs == 1);
+    CHECK(caller.open);
+    servers.denies = false;
+    CHECK(caller.Wait([&] { return IsWhole(caller) || !caller.open; }));
+    CHECK(servers.runs == 2);
+  }
+  SUBCASE("is given back when the server goes on first") {
+    caller.Send("/stream/", pausing_answer::Headers(milliseconds(1300), stage::kMidStream));
+    REQUIRE(caller.Receives(scripted_backend::Event(1)));
+    servers.reservation_time = milliseconds(180);
+    CHECK(caller.Wait([&] { return IsWhole(caller) || !caller.open; }));
+    CHECK(servers.runs == 1);
+    CHECK(RunUntil(servers.loop, [&] { return servers.releases == 1; }));
+    CHECK(servers.reservations == 2);
+  }
+  CHECK(IsWhole(caller));
+}
+
 TEST_CASE("a configuration applied beside a silent server loses no caller's answer") {
   pausing_servers servers;
   const std::string pause = pausing_answer::Headers(milliseconds(1500), stage::kMidStream);
--- a/tests/routing/admission_queue_test.cc
+++ b/tests/routing/admission_queue_test.cc
@@ -33,6 +33,10 @@
     const auto third = queue.Add(resumed, later);
     CHECK(queue.Next(later) == third);
   }
+  SUBCASE("a request that no engine may take leaves its turn to the next") {
+    CHECK(queue.Next(later, {*second}) == first);
+    CHECK_FALSE(queue.Next(later, {*first, *second}));
+  }
   SUBCASE("a request in progress is skipped") {
     queue.SetInProgress(*second, true);
     CHECK(queue.Next(later) == first);
