Let a shorter idle timeout begin with the next idle time of a connection

Beside a change of the configuration a caller's request got no answer: the new configuration had a shorter idle timeout, and each connection that was idle for longer was closed within half a second, though its caller could still rely on the timeout before it and had just sent a request.

The timeout in force when a connection became idle holds until its next request; a longer one applies at once. http1_test 'a request on an idle connection is not lost to the idle timeout', second part, failed before: a request 0.8 s after the change got no answer.

--- a/src/transport/http1_server.cc
+++ b/src/transport/http1_server.cc
@@ -3,6 +3,7 @@
 #include <event2/listener.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <set>
 #include <span>
@@ -83,7 +84,7 @@
                  .max_head_bytes = owner_->limits.max_head_bytes,
                  .max_body_bytes = owner_->limits.max_body_bytes}),
         stream_(owner_->settings.loop, socket, *this, {.user_timeout = kCallerUserTimeout}) {
-    idle_since_ = timer_service::now();
+    BecomeIdle();
   }
 
   void OnConnected() override {}
@@ -95,7 +96,7 @@
       return;
     }
     if (!reader_.inside_message()) {
-      idle_since_ = timer_service::now();
+      BecomeIdle();
     }
     reader_.Feed({reinterpret_cast<const char*>(bytes.data()), bytes.size()});
     if (answering_) {
@@ -124,7 +125,9 @@
       return;
     }
     const bool in_message = reader_.inside_message();
-    milliseconds limit = owner_->limits.idle_timeout;
+    // A longer timeout that is configured meanwhile applies at once, a shorter one only to the
+    // next idle time: the caller may still rely on the one before.
+    milliseconds limit = std::max(idle_timeout_, owner_->limits.idle_timeout);
     if (in_message && !head_) {
       limit = owner_->limits.head_timeout;
     } else if (owner_->stopped_accepting && !in_message) {
@@ -184,6 +187,11 @@
   }
 
  private:
+  void BecomeIdle() {
+    idle_since_ = timer_service::now();
+    idle_timeout_ = owner_->limits.idle_timeout;
+  }
+
   [[nodiscard]] bool MustClose() {
     close_ = close_ || owner_->close_after_answers;
     return close_;
@@ -236,7 +244,7 @@
     on_caller_gone_ = {};
     on_drained_ = {};
     --owner_->in_progress;
-    idle_since_ = timer_service::now();
+    BecomeIdle();
     if (retired_) {
       return;
     }
@@ -284,6 +292,7 @@
   std::function<void()> on_caller_gone_;
   std::function<void()> on_drained_;
   instant idle_since_{};
+  milliseconds idle_timeout_{};  ///< In force when the connection became idle.
   bool answering_ = false;
   bool head_request_ = false;
   bool close_ = false;
--- a/tests/transport/http1_test.cc
+++ b/tests/transport/http1_test.cc
@@ -217,6 +217,18 @@
         fixture.timers.After(milliseconds(450), [&](instant) { fixture.caller.Write(kGet); });
     answer_next();
   }
+  SUBCASE("when a configuration with a shorter timeout comes in between") {
+    const instant start = timer_service::now();
+    fixture.Wait([&] { return timer_service::now() - start > milliseconds(400); });
+    fixture.server->SetLimits({.idle_timeout = milliseconds(200)});
+    fixture.Wait([&] { return timer_service::now() - start > milliseconds(1200); });
+    fixture.caller.Write(kGet);
+    answer_next();
+    // The shorter timeout holds for the next idle time.
+    const instant idle = timer_service::now();
+    CHECK(fixture.Closed());
+    CHECK(timer_service::now() - idle < seconds(2));
+  }
 }
 
 TEST_CASE("a planned stop closes an idle connection within 2 s") {
