Stop seeking a reservation when the silent prefill's reply ends

While a silent prefill's request sought a new reservation, the prefill's reply ended with bytes that are no part of its body (the last chunk); the search went on without an attempt, and the next reservation request read the attempt's server. The end of any attempt now ends the search. silent_prefill_test 'a prefill whose reply ends while a reservation is sought anew is used' crashed before.

--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -192,6 +192,7 @@
 
   void OnEnd(call_outcome end, const std::string& reason) override {
     const auto owner = owner_.shared_from_this();
+    owner->StopSeeking();
     if (end == call_outcome::kWhole) {
       OnWhole();
       return;
--- /dev/null
+++ b/tests/gateway/silent_prefill_test.cc
@@ -0,0 +1,98 @@
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "tests/gateway/fake_platform.h"
+
+namespace jacinthspool {
+namespace {
+
+constexpr const char* kSizes = "X-Token-Count: 3000,100\r\nX-Length-Hint: 50\r\n";
+
+/// \brief One prefill and two decode engines; the first decode engine to grant one is remembered.
+struct staged_engines : fake_platform {
+  std::vector<timer_subscription> later;
+  std::vector<scripted_backend*> decoders;
+  scripted_backend* prefiller = nullptr;
+  scripted_backend* first = nullptr;
+  bool denies = false;  ///< Decode engines reject reservations.
+  int prefills = 0;
+  int decodes = 0;
+  std::function<void(const http1_request&, http1_responder&)> decode =
+      [](const http1_request& request, http1_responder& answer) {
+        answer.Begin(200, scripted_backend::Genuine(request));
+        answer.Send(scripted_backend::Event(1));
+        answer.End();
+      };
+
+  staged_engines() {
+    Configure(seconds(20));
+    prefiller = &AddBackend("model", engine_stage::kPrefill);
+    for (int i = 0; i < 2; ++i) {
+      decoders.push_back(&AddBackend("model", engine_stage::kDecode));
+      decoders.back()->script = [this, engine = decoders.back()](const http1_request& request,
+                                                                 http1_responder& answer) {
+        if (request.head.target == "/v1/hold-take") {
+          first = first == nullptr ? engine : first;
+          answer.Reply(denies ? 503 : 200, {}, denies ? "{}" : R"({"hold":"room1"})");
+        } else if (request.head.method == "DELETE") {
+          answer.Reply(200, {}, "");
+        } else {
+          ++decodes;
+          decode(request, answer);
+        }
+      };
+    }
+  }
+
+  void After(milliseconds wait, std::function<void()> action) {
+    later.push_back(timers.After(wait, [action = std::move(action)](instant) { action(); }));
+  }
+};
+
+bool HasAnswer(fake_caller& caller) {
+  return caller.Wait([&] {
+    return caller.received.ends_with("0\r\n\r\n") || !caller.open ||
+           caller.received.find("Retry-After") != std::string::npos;
+  });
+}
+
+TEST_CASE("a prefill whose reply ends while a reservation is sought anew is used") {
+  staged_engines engines;
+  engines.prefiller->script = [&](const http1_request& request, http1_responder& answer) {
+    answer.Begin(200, scripted_backend::Genuine(request));
+    answer.Send(R"({"handle":"kv1","tokens":3000})");
+    engines.denies = true;
+    engines.Publish(*engines.first, "model", engine_stage::kDecode, true);
+    // Its last bytes are no part of the body.
+    engines.After(milliseconds(600), [&] { engines.prefiller->answers.back()->End(); });
+    engines.After(milliseconds(700), [&] { engines.denies = false; });
+  };
+  fake_caller caller(engines);
+  caller.Send("/stream/", kSizes);
+  CHECK(HasAnswer(caller));
+  CHECK(caller.received.starts_with("HTTP/1.1 200"));
+  CHECK(engines.decodes == 1);
+}
+
+TEST_CASE("a silent prefill is waited for while no reservation can be had") {
+  staged_engines engines;
+  engines.prefiller->script = [&](const http1_request& request, http1_responder&) {
+    ++engines.prefills;
+    engines.denies = true;
+    engines.Publish(*engines.first, "model", engine_stage::kDecode, true);
+    engines.After(milliseconds(1000), [&] { engines.denies = false; });
+    engines.After(milliseconds(900), [&engines, headers = scripted_backend::Genuine(request)] {
+      engines.prefiller->answers.back()->Reply(200, headers, R"({"handle":"kv1","tokens":3000})");
+    });
+  };
+  fake_caller caller(engines);
+  caller.Send("/stream/", kSizes);
+  CHECK(HasAnswer(caller));
+  CHECK(caller.received.starts_with("HTTP/1.1 200"));
+  CHECK(engines.prefills == 1);
+}
+
+}  // namespace
+}  // namespace jacinthspool
