Prefill a moved request in place, while its reservation lasts

The request had moved before its first event; a second engine was to prefill its prompt first, which took longer than the reservation lasts, and no other was to be had. A moved request now goes to its reserved engine at once. silent_prefill_test 'a request that moves away from a silent engine does not spend its reservation waiting' failed before (502).

--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -762,6 +762,8 @@
   send_paid_ = true;
   ++runs_;
   kv_source_.clear();
+  // The reservation would run out while another engine prefills.
+  prefill_abandoned_ = true;
   SendNext();
 }
 
--- a/tests/gateway/silent_prefill_test.cc
+++ b/tests/gateway/silent_prefill_test.cc
@@ -94,5 +94,38 @@
   CHECK(engines.prefills == 1);
 }
 
+TEST_CASE("a request that moves away from a silent engine does not spend its reservation waiting") {
+  staged_engines engines;
+  auto next = std::make_shared<forward_configuration>(
+      *engines.router.Snapshot({.configuration_after = 0}).configuration);
+  next->version = 2;
+  for (forward_route& route : next->routes) {
+    route.latency_objective = milliseconds(1400);
+  }
+  engines.router.OnConfiguration(next);
+  engines.prefiller->script = [&](const http1_request& request, http1_responder& answer) {
+    if (++engines.prefills == 1) {
+      answer.Reply(200, scripted_backend::Genuine(request), R"({"handle":"kv1","tokens":3000})");
+      return;
+    }
+    // Longer than the life of a reservation.
+    engines.denies = true;
+    engines.After(milliseconds(1600), [&engines, headers = scripted_backend::Genuine(request)] {
+      engines.prefiller->answers.back()->Reply(200, headers, R"({"handle":"kv2","tokens":3000})");
+    });
+  };
+  engines.decode = [&, answered = engines.decode](const http1_request& request,
+                                                  http1_responder& answer) {
+    if (engines.decodes > 1) {
+      answered(request, answer);
+    }
+  };
+  fake_caller caller(engines);
+  caller.Send("/stream/", kSizes);
+  CHECK(HasAnswer(caller));
+  CHECK(caller.received.starts_with("HTTP/1.1 200"));
+  CHECK(engines.decodes == 2);
+}
+
 }  // namespace
 }  // namespace jacinthspool
