Leave a request unread that arrives while its idle connection is being closed

A connection that is being closed is not read any more, so that the close resets it and the caller may repeat the request. http1_test 'a request that arrives while its idle connection is being closed stays unread' failed before (an orderly close).

--- a/src/transport/http1_server.cc
+++ b/src/transport/http1_server.cc
@@ -279,6 +279,8 @@
       return;
     }
     retired_ = true;
+    // A request that arrives now must stay unread, so that its caller sees a reset.
+    stream_.PauseReading(true);
     const auto self = weak_from_this().lock();
     owner_->connections.erase(self);
     owner_->settings.loop.Post([self] {});
--- a/tests/transport/http1_test.cc
+++ b/tests/transport/http1_test.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <cerrno>
 #include <memory>
 #include <optional>
 #include <string>
@@ -33,10 +34,15 @@
   raw_socket caller = raw_socket::Connect(server->port());
   std::string received;
   bool open = true;
+  bool reset = false;  ///< The connection was not closed in order.
 
   bool Wait(const std::function<bool()>& condition) {
     return RunUntil(loop, [&] {
-      open = open && caller.Read(received);
+      if (open) {
+        errno = 0;
+        open = caller.Read(received);
+        reset = !open && errno == ECONNRESET;
+      }
       return condition();
     });
   }
@@ -231,6 +237,23 @@
   }
 }
 
+TEST_CASE("a request that arrives while its idle connection is being closed stays unread") {
+  server_fixture fixture;
+  fixture.server->SetLimits({.idle_timeout = milliseconds(100)});
+  // The check of the timeouts, at 500 ms, and the arrival run in one turn of the loop.
+  const instant start = timer_service::now();
+  const auto busy = fixture.timers.After(milliseconds(490), [&](instant) {
+    while (timer_service::now() - start < milliseconds(560)) {
+    }
+  });
+  const auto arrival =
+      fixture.timers.After(milliseconds(510), [&](instant) { fixture.caller.Write(kGet); });
+  CHECK(fixture.Closed());
+  // After an orderly close the caller could not know that the request had not been read.
+  CHECK(fixture.requests.empty());
+  CHECK(fixture.reset);
+}
+
 TEST_CASE("a planned stop closes an idle connection within 2 s") {
   server_fixture fixture;
   REQUIRE(fixture.server);
