Bound the calls whose answers no caller waits for

The engine that had granted a probe never answered its release, the call had no timeout, and the request stayed in progress at that engine. Such calls now end after 250 ms, stage orders after 1 s. streaming_test 'an engine that does not answer the release of a probe delays no request until its end' failed before (no answer within the 4 s of the request).

--- a/src/gateway/background_call.cc
+++ b/src/gateway/background_call.cc
@@ -12,6 +12,10 @@
 
   void Start() {
     call_ = settings_.client.Start({.address = settings_.address, .bytes = settings_.bytes}, *this);
+    timeout_ = settings_.timers.After(settings_.timeout, [this](instant /*now*/) {
+      call_.reset();
+      OnEnd(call_outcome::kLost, "no answer in time");
+    });
   }
 
   head_action OnHead(const http1_head& head) override {
@@ -22,6 +26,7 @@
   }
   void OnBody(std::string_view /*bytes*/) override {}
   void OnEnd(call_outcome /*end*/, const std::string& /*reason*/) override {
+    timeout_.Cancel();
     if (settings_.on_ended) {
       settings_.on_ended();
     }
@@ -37,6 +42,7 @@
   background_calls& owner_;
   background_call_options settings_;
   std::unique_ptr<http1_call> call_;
+  timer_subscription timeout_;
 };
 
 background_calls::background_calls() = default;
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -991,6 +991,7 @@
   RecordSend(context_, kv_holder_);
   context_.background.Send(
       {.loop = context_.loop,
+       .timers = context_.timers,
        .client = context_.client,
        .address = kv_holder_.address,
        .bytes = context_.dialect.EncodeRelease(kv_holder_.address, kv_handle_),
--- a/src/gateway/reservation_dispatcher.cc
+++ b/src/gateway/reservation_dispatcher.cc
@@ -142,6 +142,7 @@
   RecordSend(context_, backend);
   context_.background.Send(
       {.loop = context_.loop,
+       .timers = context_.timers,
        .client = context_.client,
        .address = backend.address,
        .bytes = context_.dialect.EncodeReservationRelease(backend.address, hold),
--- a/src/sidecar/sidecar_daemon.cc
+++ b/src/sidecar/sidecar_daemon.cc
@@ -130,10 +130,12 @@
          {"prefill_share", prefill_share_.value_or(-1)},
          {"list_revision", list_position_.revision}});
     one_way_.Send({.loop = loop_,
+                   .timers = timers_,
                    .client = client_,
                    .address = own->address,
                    .bytes = platform_.dialect->EncodeStageOrder(
-                       own->address, own->id, *change, process_->name, list_position_.ordinal())});
+                       own->address, own->id, *change, process_->name, list_position_.ordinal()),
+                   .timeout = seconds(1)});
   }
 
   std::shared_ptr<const process_settings> process_;
--- a/tests/gateway/streaming_test.cc
+++ b/tests/gateway/streaming_test.cc
@@ -232,6 +232,34 @@
   CHECK_FALSE(caller.received.ends_with("0\r\n\r\n"));
 }
 
+TEST_CASE("an engine that does not answer the release of a probe delays no request until its end") {
+  fake_platform platform;
+  platform.Configure();
+  bool open = false;
+  scripted_backend* granted = nullptr;
+  for (int i = 0; i < 2; ++i) {
+    scripted_backend& engine = platform.AddBackend("model", engine_stage::kDecode);
+    engine.script = [&](const http1_request& request, http1_responder& answer) {
+      if (request.head.target == "/v1/hold-take") {
+        granted = open && granted == nullptr ? &engine : granted;
+        answer.Reply(open ? 200 : 503, {}, open ? R"({"hold":"room1"})" : "{}");
+      } else if (request.head.method != "DELETE") {
+        ServeEvents(request, answer, 1, 1);
+        answer.End();
+      } else if (&engine != granted) {
+        answer.Reply(200, {}, "");
+      }
+    };
+  }
+  // Late requests probe for spare memory first.
+  const auto opens = platform.timers.After(milliseconds(120), [&](instant) { open = true; });
+  fake_caller caller(platform);
+  const instant start = timer_service::now();
+  caller.Send("/stream/", kSizes);
+  CHECK(caller.Receives("0\r\n\r\n"));
+  CHECK(timer_service::now() - start < seconds(2));
+}
+
 TEST_CASE("a caller that disconnects releases its reservation") {
   fake_engines engines;
   engines.prefill->script = [&](const http1_request&, http1_responder&) {
