Decode the parts of a prompt that requests share

Requests that share one part of their prompts ended server after server, and no gateway looks at the parts: the header is only forwarded.

forward_request gets the ids of all parts but the last, which belongs to the request itself. The adapter decodes the header once, up to 128 parts of up to 16 hexadecimal digits. A header in no valid form states no parts, is forwarded unchanged as before, and counts in gateway_unreadable_prompt_parts. Nothing acts on the parts yet.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -118,6 +118,9 @@
     Reject(*answer, http_status::kBadRequest, "", "a header has no valid value");
     return;
   }
+  if (decoded->parts_unreadable) {
+    context_.metrics.Count("gateway_unreadable_prompt_parts");
+  }
   if (!can_route()) {
     Reject(*answer, http_status::kServiceUnavailable, decoded->id, "no configuration or list yet");
     return;
--- a/src/gateway/wire_dialect.h
+++ b/src/gateway/wire_dialect.h
@@ -31,7 +31,10 @@
   std::optional<std::uint64_t> resume_after =
       {};  ///< The caller has received the stream up to this event.
   std::optional<model_work> model = {};
-  http_headers passed = {};  ///< Headers that are forwarded unchanged.
+  /// Ids of the parts of the prompt that other requests may share, in order.
+  std::vector<std::uint64_t> shared_parts = {};
+  bool parts_unreadable = false;  ///< The parts are stated, but in no valid form.
+  http_headers passed = {};       ///< Headers that are forwarded unchanged.
   std::string body = {};
 };
 
--- a/tests/gateway/forwarding_test.cc
+++ b/tests/gateway/forwarding_test.cc
@@ -11,7 +11,7 @@
   scripted_backend& server = platform.AddBackend("plain");
   server.script = &scripted_backend::Serve;
   fake_caller caller(platform);
-  caller.Send("/once/x?y=1", "X-Kv-Hold: forged\r\nX-Other: kept\r\n");
+  caller.Send("/once/x?y=1", "X-Kv-Hold: forged\r\nX-Other: kept\r\nX-Prompt-Prefix: a:1,?\r\n");
   REQUIRE(caller.Receives("answer"));
   CHECK(caller.received.starts_with("HTTP/1.1 200"));
   CHECK(caller.received.find("X-Server-Stamp: stamp") != std::string::npos);
@@ -20,6 +20,9 @@
   CHECK(sent.head.target == "/once/x?y=1");
   CHECK(sent.body == "body");
   CHECK(sent.head.Find("X-Other") == "kept");
+  CHECK(sent.head.Find("X-Prompt-Prefix") == "a:1,?");
+  CHECK(platform.router.metrics().Render().find("gateway_unreadable_prompt_parts 1") !=
+        std::string::npos);
   CHECK_FALSE(sent.head.Find("X-Kv-Hold"));
   CHECK(sent.head.Find("X-Expect-Instance") == server.id);
 
--- a/tests/platform/replica_dialect_test.cc
+++ b/tests/platform/replica_dialect_test.cc
@@ -51,6 +51,61 @@
   CHECK_FALSE(dialect.DecodeRequest(Head({{"Host", "h"}, {"X-Deadline-Ms", "soon"}})));
 }
 
+TEST_CASE("a request states the parts of its prompt that other requests may share") {
+  using parts = std::vector<std::uint64_t>;
+  const replica_dialect dialect;
+  const auto decode = [&](const std::vector<std::string>& values) {
+    http_headers headers = {{"Host", "h"}};
+    for (const std::string& each : values) {
+      headers.emplace_back("X-Prompt-Prefix", each);
+    }
+    const auto request = dialect.DecodeRequest(Head(std::move(headers)));
+    REQUIRE(request);
+    CHECK(request->passed.size() == values.size() + 1);
+    return *request;
+  };
+  const std::string longest = "ffffffffffffffff:1";
+  std::string many = "1:1";
+  for (int i = 1; i < 128; ++i) {
+    many += ",1:1";
+  }
+  SUBCASE("all but the last, in order, in upper or lower case") {
+    CHECK(decode({"5c1e07a2:800,91bd3f06:410,e4402b7d:250"}).shared_parts ==
+          parts{0x5c1e07a2, 0x91bd3f06});
+    CHECK(decode({"5C1E07A2:800, 91bD3f06:410 ,\te4402b7d:250 "}).shared_parts ==
+          parts{0x5c1e07a2, 0x91bd3f06});
+    CHECK(decode({",a:1, ,b:2,"}).shared_parts == parts{0xa});
+    CHECK(decode({longest + "," + longest}).shared_parts == parts{UINT64_MAX});
+    CHECK(decode({many}).shared_parts == parts(127, 1));
+  }
+  SUBCASE("in repeated headers as well") {
+    CHECK(decode({"a:1,b:2", "c:3"}).shared_parts == parts{0xa, 0xb});
+  }
+  SUBCASE("none") {
+    for (const auto& values : std::vector<std::vector<std::string>>{{}, {""}, {","}, {"a:1"}}) {
+      CHECK(decode(values).shared_parts.empty());
+      CHECK_FALSE(decode(values).parts_unreadable);
+    }
+  }
+  SUBCASE("an unreadable header states none and is forwarded unchanged") {
+    std::string thousands = many;
+    for (int i = 0; i < 5000; ++i) {
+      thousands += ",2:1";
+    }
+    for (const std::string& value :
+         {std::string("a:1,0xb:2,c:3"), std::string("a:1,-b:2,c:3"), std::string("a:1,g:2,c:3"),
+          std::string("a:1,b b:2,c:3"), std::string("a:1,:2,c:3"), std::string("a:1,b,c:3"),
+          std::string("a:1,b:,c:3"), std::string("a:1,b:-2,c:3"), std::string("a:1,b:2:3,c:3"),
+          std::string("a:1,b:2,c"), std::string("0") + longest + ",a:1", many + ",1:1",
+          thousands}) {
+      CAPTURE(value.substr(0, 20));
+      CHECK(decode({value}).shared_parts.empty());
+      CHECK(decode({value}).parts_unreadable);
+      CHECK(decode({"a:1,b:2", value}).shared_parts.empty());
+    }
+  }
+}
+
 TEST_CASE("a response is sound only with the server stamp and the request id") {
   const replica_dialect dialect;
   const forward_request request{.id = "r1"};
