--- a/tests/gateway/fake_platform.h
+++ b/tests/gateway/fake_platform.h
@@ -26,12 +26,13 @@
   std::string error;
   std::unique_ptr<http1_server> server;
 
-  scripted_backend(event_loop& loop, timer_service& timers, std::string the_id)
+  scripted_backend(event_loop& loop, timer_service& timers, std::string the_id,
+                   std::string listen = "127.0.0.1:0")
       : id(std::move(the_id)),
         server(http1_server::Listen(
             {.loop = loop,
              .timers = timers,
-             .address = "127.0.0.1:0",
+             .address = std::move(listen),
              .on_request =
                  [this](http1_request request, std::shared_ptr<http1_responder> answer) {
                    requests.push_back(std::move(request));
