Cut gateways off at the peers' addresses in the fleet whose engines end

Each gateway of crashing_fleet queries the first ones through a relay of its own, which closes all calls while either end is cut. Before, a gateway that came back began its exchange anew and queried all peers at once, which a gateway that was cut off does not do.

--- a/tests/gateway/crashing_fleet.h
+++ b/tests/gateway/crashing_fleet.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -10,6 +11,7 @@
 #include <vector>
 
 #include "tests/crash_rule.h"
+#include "tests/gateway/peer_relay.h"
 #include "tests/gateway/peered_gateways.h"
 
 namespace jacinthspool {
@@ -87,6 +89,8 @@
   std::vector<std::unique_ptr<engine>> engines;
   std::vector<std::string> free_addresses;  ///< Of engines that have ended.
   std::vector<std::unique_ptr<sound_call>> sound_calls;
+  /// By the gateways that query and that are queried.
+  std::map<std::pair<std::size_t, std::size_t>, std::unique_ptr<peer_relay>> relays;
   std::uint64_t revision = 1;
   int incarnations = 0;
   int ended_before_event = 0;  ///< Engines that ended under sound answers without an event.
@@ -108,6 +112,18 @@
     sound_traffic = timers.Every(settings.sound_interval, [this](instant /*now*/) { SendSound(); });
   }
 
+  std::vector<std::string> SeedsOf(std::size_t index) override {
+    std::vector<std::string> addresses;
+    for (std::size_t seed = 0; seed < seeds.size(); ++seed) {
+      std::unique_ptr<peer_relay>& relay = relays[{index, seed}];
+      if (!relay) {
+        relay = std::make_unique<peer_relay>(loop, timers, callers, seeds[seed]);
+      }
+      addresses.push_back(seed == index ? seeds[seed] : relay->address());
+    }
+    return addresses;
+  }
+
   void Publish(gateway& router) override {
     auto made = std::make_shared<forward_configuration>();
     made->version = 1;
@@ -336,14 +352,13 @@
     Restart(index);
     rule.Excuse(members[index]->name, timer_service::now() + testing::crash_rule::kTouch);
   }
-  /// \brief Cuts a gateway off from its peers.
-  void Cut(std::size_t index) {
-    rule.Excuse(members[index]->name, instant::max());
-    members[index]->peers.reset();
-  }
-  void Rejoin(std::size_t index) {
-    members[index]->StartPeers();
-    rule.Excuse(members[index]->name, timer_service::now() + testing::crash_rule::kTouch);
+  /// \brief Cuts a gateway off from its peers, or ends that.
+  void Cut(std::size_t index, bool cut) {
+    for (const auto& [ends, relay] : relays) {
+      relay->cut = ends.first == index || ends.second == index ? cut : relay->cut;
+    }
+    rule.Excuse(members[index]->name,
+                cut ? instant::max() : timer_service::now() + testing::crash_rule::kTouch);
   }
 };
 
--- a/tests/gateway/crashing_part_test.cc
+++ b/tests/gateway/crashing_part_test.cc
@@ -87,12 +87,12 @@
       const std::size_t cut = (stopped + 1) % fleet.members.size();
       if (disturbed > 0) {
         fleet.Kill(stopped);
-        fleet.Cut(cut);
+        fleet.Cut(cut, true);
       }
       fleet.Run(seconds(2));
       if (disturbed > 0) {
         fleet.Return(stopped);
-        fleet.Rejoin(cut);
+        fleet.Cut(cut, false);
       }
     }
     CheckRule(fleet);
--- a/tests/gateway/peered_gateways.h
+++ b/tests/gateway/peered_gateways.h
@@ -37,7 +37,6 @@
     gateway router;
     std::string error;
     std::unique_ptr<http1_server> edge;
-    peer_exchange::options peer_settings;
     std::unique_ptr<peer_exchange> peers;
     timer_subscription callers;
 
@@ -60,17 +59,14 @@
                      router.HandleRequest(std::move(request), std::move(answer));
                    }},
               error)),
-          peer_settings{.loop = fleet.loop,
-                        .timers = fleet.timers,
-                        .client = client,
-                        .owner = router,
-                        .listen = std::move(listen),
-                        .name = name,
-                        .peers = std::move(seeds)} {
-      StartPeers();
-    }
-    void StartPeers() {
-      peers = std::make_unique<peer_exchange>(peer_settings);
+          peers(
+              std::make_unique<peer_exchange>(peer_exchange::options{.loop = fleet.loop,
+                                                                     .timers = fleet.timers,
+                                                                     .client = client,
+                                                                     .owner = router,
+                                                                     .listen = std::move(listen),
+                                                                     .name = name,
+                                                                     .peers = std::move(seeds)})) {
       peers->Start(error);
     }
   };
@@ -87,6 +83,9 @@
 
   virtual ~peered_gateways() = default;
 
+  /// \returns The addresses at which a gateway finds the first gateways.
+  virtual std::vector<std::string> SeedsOf(std::size_t /*index*/) { return seeds; }
+
   /// \brief Gives a gateway that starts the configuration and the list.
   virtual void Publish(gateway& router) = 0;
 
@@ -107,9 +106,9 @@
 
   /// \brief Starts a gateway that was stopped, without what it knew.
   void Restart(std::size_t index) {
-    members[index] =
-        std::make_unique<member>(*this, "gateway-" + std::to_string(index),
-                                 index < seeds.size() ? seeds[index] : FreeAddress(), seeds);
+    members[index] = std::make_unique<member>(*this, "gateway-" + std::to_string(index),
+                                              index < seeds.size() ? seeds[index] : FreeAddress(),
+                                              SeedsOf(index));
     Publish(members[index]->router);
   }
 
