Hold signals from the first step of a daemon until its loop runs

A gateway that got SIGTERM in its start ended with code 143, or 129 after SIGHUP, instead of a planned stop with code 0: the handlers were installed last, after the addresses were bound and the store was asked. The same held for sidecar, agent and entry. SIGPIPE was ignored only once the loop existed.

Evidence: new process_test 'a signal in the first moments of a daemon does not end it before it can stop' (the settings are read from a pipe, so the test holds each daemon in its start).

Why it works: RunDaemon blocks SIGTERM, SIGINT and SIGHUP before it parses anything, so they stay pending. event_loop::Run lets them through once the handlers stand, and blocks them again when it ends, so that a second SIGTERM while the process ends does not change its code. A signal without a handler (SIGINT at a gateway) has its usual effect from then on.

--- a/src/cli/daemon_commands.cc
+++ b/src/cli/daemon_commands.cc
@@ -12,6 +12,7 @@
 #include "src/gateway/gateway_daemon.h"
 #include "src/settings/settings.h"
 #include "src/sidecar/sidecar_daemon.h"
+#include "src/transport/held_signals.h"
 
 namespace jacinthspool {
 namespace {
@@ -69,6 +70,7 @@
 }
 
 int RunDaemon(const daemon_command& command, const std::vector<std::string>& arguments) {
+  HoldSignals();
   TCLAP::CmdLine line(command.summary, ' ', JACINTHSPOOL_VERSION);
   TCLAP::ValueArg<std::string> config(
       "c", "config", "Settings of this process (JSON with comments)", true, "", "FILE", line);
--- a/src/transport/event_loop.cc
+++ b/src/transport/event_loop.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "src/telemetry/log.h"
+#include "src/transport/held_signals.h"
 
 namespace jacinthspool {
 namespace {
@@ -84,7 +85,10 @@
   event_base_free(state_->base);
 }
 
-void event_loop::Run() { event_base_loop(state_->base, EVLOOP_NO_EXIT_ON_EMPTY); }
+void event_loop::Run() {
+  const signal_release release;
+  event_base_loop(state_->base, EVLOOP_NO_EXIT_ON_EMPTY);
+}
 
 void event_loop::Stop() { event_base_loopbreak(state_->base); }
 
