Drop a server whose removal a peer has seen, also while the store is away

Cause: such a gateway takes its list from peers. What a peer's list lacks it took for an entry that had lapsed while the store was away, and kept until 2 s after the store's return, although the peer had watched the store and seen the removal. The list alone does not tell the two apart: a peer that drops a server also forgets to say that it was leaving.

A record no newer than the removal, from a peer that has missed it, does not bring the server back; its next publication does. A lapse that nobody has seen as a removal is put off as before.

--- a/include/jacinthspool/routing/backend_list.h
+++ b/include/jacinthspool/routing/backend_list.h
@@ -28,13 +28,22 @@
   store_position published = {};  ///< Position of this record in the store.
 };
 
+/// \brief A backend server whose entry a gateway has seen removed while the publisher was
+/// available.
+struct departed_backend {
+  std::string id = {};
+  std::uint64_t started_ms = 0;  ///< Of the incarnation that departed, as in its record.
+  store_position at = {};        ///< Position of the removal.
+};
+
 /// \brief The backend servers that are published and may be used.
 ///
 /// While the publisher is unavailable, its entries expire although the servers are
 /// alive. Removals are therefore deferred until a grace period after the publisher
 /// is reachable again, and only servers that are still missing are dropped. A
-/// publisher that is restored from an older copy begins a new era: removals of
-/// servers that the copy lacks are deferred in the same way, and servers that it
+/// removal that another gateway has seen at an available publisher is no such
+/// lapse and takes effect at once. A publisher that is restored from an older copy begins a new
+/// era: removals of servers that the copy lacks are deferred in the same way, and servers that it
 /// contains although their removal was seen get no requests until they are
 /// published again.
 class backend_list {
@@ -58,6 +67,18 @@
   void Put(backend_record record);
   void Remove(const std::string& id, store_position at, instant now);
 
+  /// \brief Applies a removal that another gateway has seen, unless a newer record is known.
+  ///
+  /// Records that are not newer than the removal are ignored from then on.
+  /// \returns true when the list has changed.
+  bool Depart(const departed_backend& departed, instant now);
+
+  /// \returns The removals after that position that were not deferred.
+  [[nodiscard]] std::vector<departed_backend> DepartedAfter(const store_position& after) const;
+
+  /// \returns The position from which on removals may have been missed or deferred.
+  [[nodiscard]] store_position lost_at() const { return lost_at_; }
+
   /// \brief Marks an incarnation as leaving, as reported by the server itself or by a peer.
   ///
   /// The mark overrides published records until another incarnation has the id.
@@ -89,10 +110,13 @@
   /// \brief An incarnation whose removal was seen.
   struct removal {
     std::uint64_t started_ms = 0;
+    store_position at = {};
     instant seen{};
   };
 
   [[nodiscard]] bool PublisherUnstable(instant now) const;
+  /// \returns true if the record is from before the server's removal.
+  [[nodiscard]] bool Removed(const backend_record& record) const;
   /// \returns The record, marked as leaving if its incarnation was reported to leave.
   [[nodiscard]] backend_record WithLeavingMark(backend_record record);
   /// \brief Keeps the leaving marks of the older era, which the new one may have lost, and starts
@@ -101,7 +125,7 @@
   /// \brief Marks entries whose removal was seen in the older era, for as long as they may be
   /// stale.
   void MarkStaleEntries(instant now);
-  void Drop(const std::string& id, instant now);
+  void Drop(const std::string& id, store_position at, instant now);
 
   options settings_;
   std::map<std::string, backend_record> backends_;
@@ -112,6 +136,7 @@
   std::map<std::string, instant> stale_entries_;           ///< By id, with the expiry of the mark.
   store_position position_;
   bool lost_ = false;
+  store_position lost_at_;
   instant regained_at_{};
 };
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -201,7 +201,10 @@
        {"revision", record.published.revision}});
   const std::string id = record.id;
   context_.backends.Put(std::move(record));
-  context_.selector.Update(context_.backends.backends().at(id));
+  const auto& listed = context_.backends.backends();
+  if (const auto known = listed.find(id); known != listed.end()) {
+    context_.selector.Update(known->second);
+  }
 }
 
 void gateway::OnBackendRemoved(const std::string& id, store_position at) {
@@ -231,6 +234,19 @@
           {{"backend", record.id}, {"list_revision", other.list_position.revision}});
     }
   }
+  bool departed = false;
+  for (const departed_backend& each : other.departed) {
+    if (context_.backends.Depart(each, timer_service::now())) {
+      Log(log_level::kInfo, "peer_says_departed",
+          {{"backend", each.id},
+           {"revision", each.at.revision},
+           {"list_revision", other.list_position.revision}});
+      departed = true;
+    }
+  }
+  if (departed) {
+    UpdateSelector();
+  }
   const bool newer = other.list_position > context_.backends.position();
   if (other.list_position != store_position() && !other.backends.empty() &&
       (!list_known_ || (publisher_lost_ && newer))) {
@@ -242,7 +258,8 @@
   const auto& configuration = context_.routes.configuration();
   const bool wants_list = !list_known_ || publisher_lost_;
   return {.configuration_after = configuration ? configuration->version : 0,
-          .list_after = wants_list ? std::optional(context_.backends.position()) : std::nullopt};
+          .list_after = wants_list ? std::optional(context_.backends.position()) : std::nullopt,
+          .departed_after = wants_list ? std::optional(context_.backends.lost_at()) : std::nullopt};
 }
 
 gateway_snapshot gateway::Snapshot(const snapshot_scope& scope) const {
@@ -265,6 +282,9 @@
       }
     }
   }
+  if (scope.departed_after) {
+    own.departed = context_.backends.DepartedAfter(*scope.departed_after);
+  }
   for (const auto& [id, record] : context_.backends.backends()) {
     if (includes_list || record.leaving) {
       own.backends.push_back(record);
--- a/src/gateway/snapshot.cc
+++ b/src/gateway/snapshot.cc
@@ -137,6 +137,19 @@
           .published = {wire.era, wire.revision}};
 }
 
+std::shared_ptr<snapshot::departed_backend_value> ToWire(const departed_backend& departed) {
+  auto wire = std::make_shared<snapshot::departed_backend_value>();
+  wire->id = departed.id;
+  wire->started_ms = departed.started_ms;
+  wire->revision = departed.at.revision;
+  wire->era = departed.at.era;
+  return wire;
+}
+
+departed_backend FromWire(const snapshot::departed_backend_value& wire) {
+  return {.id = wire.id, .started_ms = wire.started_ms, .at = {wire.era, wire.revision}};
+}
+
 std::uint64_t AgeOf(instant at, instant now) {
   return static_cast<std::uint64_t>(std::max<microseconds>(now - at, microseconds(0)).count());
 }
@@ -190,6 +203,8 @@
 constexpr std::string_view kConfigurationAfter = "configuration=";
 constexpr std::string_view kListAfter = "list=";
 constexpr std::string_view kListEra = "era=";
+constexpr std::string_view kDepartedAfter = "departed=";
+constexpr std::string_view kDepartedEra = "departed_in=";
 
 /// \returns The number after `name` in a query, or nothing.
 std::optional<std::uint64_t> NumberIn(std::string_view query, std::string_view name) {
@@ -220,6 +235,10 @@
     append(kListAfter, scope.list_after->revision);
     append(kListEra, scope.list_after->era);
   }
+  if (scope.departed_after) {
+    append(kDepartedAfter, scope.departed_after->revision);
+    append(kDepartedEra, scope.departed_after->era);
+  }
   return target;
 }
 
@@ -235,6 +254,9 @@
     // A process of an earlier version sends no era.
     scope.list_after = store_position(NumberIn(query, kListEra).value_or(0), *revision);
   }
+  if (const auto revision = NumberIn(query, kDepartedAfter)) {
+    scope.departed_after = store_position(NumberIn(query, kDepartedEra).value_or(0), *revision);
+  }
   return scope;
 }
 
@@ -262,6 +284,9 @@
   for (const gateway_report& report : value.fleet) {
     wire.fleet.push_back(ToWire(report, now));
   }
+  for (const departed_backend& each : value.departed) {
+    wire.departed.push_back(ToWire(each));
+  }
   flatbuffers::FlatBufferBuilder builder;
   builder.Finish(snapshot::gateway_snapshot::Pack(builder, &wire));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
@@ -296,6 +321,9 @@
   for (const auto& report : wire.fleet) {
     value.fleet.push_back(FromWire(*report, now));
   }
+  for (const auto& each : wire.departed) {
+    value.departed.push_back(FromWire(*each));
+  }
   return value;
 }
 
--- a/src/gateway/snapshot.h
+++ b/src/gateway/snapshot.h
@@ -22,6 +22,8 @@
   std::optional<std::uint64_t> configuration_after = 0;
   /// The complete list is included when it is newer than this position; nothing: never.
   std::optional<store_position> list_after = store_position();
+  /// The servers that departed after this position are included; nothing: none.
+  std::optional<store_position> departed_after = std::nullopt;
 };
 
 /// \returns The path and query of a request for that scope.
@@ -43,6 +45,8 @@
   std::map<std::string, double> prefill_shares;
   std::vector<named_limit> limits = {};    ///< Stated by backend servers.
   std::vector<gateway_report> fleet = {};  ///< Of the gateways that the sender knows.
+  /// Servers that the sender has seen depart; others that its list lacks may have lapsed.
+  std::vector<departed_backend> departed = {};
 };
 
 [[nodiscard]] std::string EncodeSnapshot(const gateway_snapshot& value);
--- a/src/routing/backend_list.cc
+++ b/src/routing/backend_list.cc
@@ -15,6 +15,9 @@
   }
   std::map<std::string, backend_record> next;
   for (backend_record& record : records) {
+    if (Removed(record)) {
+      continue;
+    }
     std::string id = record.id;
     next.insert_or_assign(std::move(id), WithLeavingMark(std::move(record)));
   }
@@ -29,7 +32,7 @@
       continue;
     }
     if (!PublisherUnstable(now)) {
-      removals_[id] = {.started_ms = record.started_ms, .seen = now};
+      removals_[id] = {.started_ms = record.started_ms, .at = at, .seen = now};
       continue;
     }
     const auto known = deferred.find(id);
@@ -63,7 +66,7 @@
 void backend_list::Put(backend_record record) {
   position_ = std::max(position_, record.published);
   const auto known = backends_.find(record.id);
-  if (known != backends_.end() && known->second.published > record.published) {
+  if (Removed(record) || (known != backends_.end() && known->second.published > record.published)) {
     return;
   }
   deferred_removals_.erase(record.id);
@@ -105,16 +108,47 @@
     deferred_removals_[id] = at;
     return;
   }
-  Drop(id, now);
+  Drop(id, at, now);
+}
+
+bool backend_list::Depart(const departed_backend& departed, instant now) {
+  const auto known = backends_.find(departed.id);
+  if (known != backends_.end()) {
+    if (known->second.published > departed.at) {
+      return false;
+    }
+    Drop(departed.id, departed.at, now);
+    return true;
+  }
+  const auto seen = removals_.find(departed.id);
+  if (seen == removals_.end() || seen->second.at < departed.at) {
+    removals_[departed.id] = {.started_ms = departed.started_ms, .at = departed.at, .seen = now};
+  }
+  return false;
 }
 
-void backend_list::Drop(const std::string& id, instant now) {
+std::vector<departed_backend> backend_list::DepartedAfter(const store_position& after) const {
+  std::vector<departed_backend> departed;
+  for (const auto& [id, each] : removals_) {
+    if (each.at > after) {
+      departed.push_back({.id = id, .started_ms = each.started_ms, .at = each.at});
+    }
+  }
+  return departed;
+}
+
+bool backend_list::Removed(const backend_record& record) const {
+  const auto seen = removals_.find(record.id);
+  return seen != removals_.end() && !(record.published > seen->second.at);
+}
+
+void backend_list::Drop(const std::string& id, store_position at, instant now) {
   const auto known = backends_.find(id);
   if (known == backends_.end()) {
     return;
   }
   const backend_record& record = known->second;
-  removals_[id] = {.started_ms = record.started_ms, .seen = now};
+  removals_[id] = {.started_ms = record.started_ms, .at = at, .seen = now};
   if (record.leaving && !stale_entries_.contains(id)) {
     leaving_notices_[id] = {.started_ms = record.started_ms, .received = now};
   }
@@ -123,7 +157,11 @@
   backends_.erase(known);
 }
 
-void backend_list::PublisherLost() { lost_ = true; }
+void backend_list::PublisherLost() {
+  if (!std::exchange(lost_, true) && deferred_removals_.empty()) {
+    lost_at_ = position_;
+  }
+}
 
 void backend_list::PublisherRegained(instant now) {
   if (std::exchange(lost_, false)) {
@@ -155,7 +193,7 @@
     return unmarked;
   }
   for (const auto& [id, at] : std::exchange(deferred_removals_, {})) {
-    Drop(id, now);
+    Drop(id, at, now);
   }
   return true;
 }
--- a/tests/gateway/snapshot_test.cc
+++ b/tests/gateway/snapshot_test.cc
@@ -117,6 +117,65 @@
   }
 }
 
+TEST_CASE("a gateway without the publisher drops a server whose removal a peer has seen") {
+  fake_platform sees;
+  fake_platform cut_off;
+  for (fake_platform* each : {&sees, &cut_off}) {
+    each->Configure();
+    each->router.OnPublisherRegained();
+    each->router.OnBackends({{.id = "goes", .service = "plain", .published = 1},
+                             {.id = "stays", .service = "plain", .published = 2}},
+                            2);
+  }
+  // The grace period after the publisher's return ends.
+  REQUIRE(RunUntil(sees.loop, [&, start = timer_service::now()] {
+    return timer_service::now() - start > seconds(2);
+  }));
+  cut_off.router.OnPublisherLost("cut off");
+  const auto ask = [&](fake_platform& peer) {
+    const auto scope = ScopeOf(SnapshotTarget(cut_off.router.WantedScope()));
+    REQUIRE(scope);
+    cut_off.router.ApplySnapshot(*DecodeSnapshot(EncodeSnapshot(peer.router.Snapshot(*scope))));
+  };
+  const auto listed = [&] { return cut_off.router.Snapshot().backends; };
+
+  SUBCASE("one that left without a word") {
+    sees.router.OnBackendRemoved("goes", 5);
+    ask(sees);
+    REQUIRE(listed().size() == 1);
+    CHECK(listed()[0].id == "stays");
+
+    SUBCASE("and takes it back when it is published again") {
+      sees.router.OnBackendPut({.id = "goes", .service = "plain", .published = 6});
+      ask(sees);
+      CHECK(listed().size() == 2);
+    }
+  }
+  SUBCASE("one that said that it leaves") {
+    sees.router.OnBackendPut({.id = "goes", .service = "plain", .leaving = true, .published = 4});
+    sees.router.OnBackendRemoved("goes", 5);
+    ask(sees);
+    CHECK(listed().size() == 1);
+  }
+  SUBCASE("although another peer's list came first") {
+    fake_platform lapsed;
+    lapsed.Configure();
+    lapsed.router.OnBackends({{.id = "stays", .service = "plain", .published = 2}}, 5);
+    ask(lapsed);
+    CHECK(listed().size() == 2);
+    sees.router.OnBackendRemoved("goes", 5);
+    ask(sees);
+    CHECK(listed().size() == 1);
+  }
+  SUBCASE("but keeps one whose entry lapsed while that peer was without the publisher, too") {
+    sees.router.OnPublisherLost("cut off");
+    sees.router.OnPublisherRegained();
+    sees.router.OnBackends({{.id = "stays", .service = "plain", .published = 2}}, 5);
+    ask(sees);
+    CHECK(listed().size() == 2);
+  }
+}
+
 TEST_CASE("a gateway that has just started defers removals for the grace period") {
   fake_platform platform;
   platform.Configure();
--- a/tests/routing/backend_list_test.cc
+++ b/tests/routing/backend_list_test.cc
@@ -94,6 +94,75 @@
   }
 }
 
+TEST_CASE("a removal that a peer has seen is not taken for a lapse") {
+  const instant start{seconds(100)};
+  backend_list list({.expiry_grace = seconds(2)});
+  list.Replace({Record("a", 1), Record("b", 2)}, 2, start);
+  list.PublisherLost();
+  CHECK(list.lost_at() == store_position(2));
+
+  SUBCASE("the server is dropped at once") {
+    CHECK(list.Depart({.id = "a", .at = 5}, start));
+    CHECK_FALSE(list.backends().contains("a"));
+    CHECK_FALSE(list.Depart({.id = "a", .at = 5}, start));
+
+    SUBCASE("the list of another peer that has missed the removal does not bring it back") {
+      list.Replace({Record("a", 1), Record("b", 2)}, 6, start);
+      CHECK_FALSE(list.backends().contains("a"));
+    }
+    SUBCASE("an old entry of the publisher does not bring it back") {
+      list.Put(Record("a", 4));
+      CHECK_FALSE(list.backends().contains("a"));
+    }
+    SUBCASE("it is back when it is published again") {
+      list.Put(Record("a", 6));
+      CHECK(list.backends().contains("a"));
+      CHECK_FALSE(list.backends().at("a").leaving);
+      CHECK_FALSE(list.Depart({.id = "a", .at = 5}, start));
+      CHECK(list.DepartedAfter(2).empty());
+    }
+    SUBCASE("other gateways without the publisher are told") {
+      REQUIRE(list.DepartedAfter(4).size() == 1);
+      CHECK(list.DepartedAfter(4)[0].id == "a");
+      CHECK(list.DepartedAfter(5).empty());
+    }
+  }
+  SUBCASE("also if its removal was deferred before") {
+    list.Replace({Record("b", 2)}, 9, start);
+    CHECK(list.backends().contains("a"));
+    CHECK(list.Depart({.id = "a", .at = 5}, start));
+    CHECK_FALSE(list.backends().contains("a"));
+  }
+  SUBCASE("also if the list comes later") {
+    CHECK_FALSE(list.Depart({.id = "c", .at = 5}, start));
+    list.Replace({Record("b", 2), Record("c", 3)}, 6, start);
+    CHECK_FALSE(list.backends().contains("c"));
+  }
+  SUBCASE("a record that is newer than the removal stays") {
+    list.Put(Record("a", 6));
+    CHECK_FALSE(list.Depart({.id = "a", .at = 5}, start));
+    CHECK(list.backends().contains("a"));
+  }
+  SUBCASE("a removal of an older era does not concern a record of the new one") {
+    backend_record record = Record("a", 1);
+    record.published = {2, 1};
+    list.Put(record);
+    CHECK_FALSE(list.Depart({.id = "a", .at = {1, 90}}, start));
+    CHECK(list.backends().contains("a"));
+  }
+  SUBCASE("a deferred removal is not told to others until it has taken effect") {
+    list.Remove("a", 7, start);
+    CHECK(list.DepartedAfter(2).empty());
+    list.PublisherRegained(start);
+    list.PublisherLost();
+    CHECK(list.lost_at() == store_position(2));
+    list.PublisherRegained(start);
+    CHECK(list.Expire(start + seconds(2)));
+    REQUIRE(list.DepartedAfter(2).size() == 1);
+    CHECK(list.DepartedAfter(2)[0].at == store_position(7));
+  }
+}
+
 /// \returns The record as published in the second era.
 backend_record Copied(const std::string& id, std::uint64_t revision) {
   backend_record record = Record(id, revision);
