--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -205,7 +205,9 @@
 }
 
 void gateway::OnBackendRemoved(const std::string& id, store_position at) {
-  Log(log_level::kInfo, "backend_removed", {{"backend", id}, {"revision", at.revision}});
+  if (context_.backends.backends().contains(id)) {
+    Log(log_level::kInfo, "backend_removed", {{"backend", id}, {"revision", at.revision}});
+  }
   context_.backends.Remove(id, at, timer_service::now());
   UpdateSelector();
 }
--- a/tests/platform/store_watch_test.cc
+++ b/tests/platform/store_watch_test.cc
@@ -1,7 +1,9 @@
 #include "platform/store_watch.h"
 
 #include <doctest/doctest.h>
+#include <unistd.h>
 
+#include <cstdio>
 #include <map>
 #include <string>
 #include <vector>
@@ -24,6 +26,39 @@
          R"("headerTimeoutMs":1000,"idleTimeoutMs":1000}})";
 }
 
+/// Collects the log lines of its lifetime, which are written to standard output.
+class log_capture {
+ public:
+  log_capture() : saved_(dup(STDOUT_FILENO)), file_(std::tmpfile()) {
+    REQUIRE(file_ != nullptr);
+    dup2(fileno(file_), STDOUT_FILENO);
+  }
+  ~log_capture() {
+    dup2(saved_, STDOUT_FILENO);
+    close(saved_);
+    std::fclose(file_);
+  }
+  log_capture(const log_capture&) = delete;
+  log_capture& operator=(const log_capture&) = delete;
+
+  [[nodiscard]] std::string Text() const {
+    std::string text(static_cast<std::size_t>(lseek(fileno(file_), 0, SEEK_END)), '\0');
+    CHECK(pread(fileno(file_), text.data(), text.size(), 0) >= 0);
+    return text;
+  }
+  static std::size_t Count(const std::string& text, const std::string& word) {
+    std::size_t count = 0;
+    for (std::size_t at = text.find(word); at != std::string::npos; at = text.find(word, at + 1)) {
+      ++count;
+    }
+    return count;
+  }
+
+ private:
+  int saved_;
+  std::FILE* file_;
+};
+
 /// Records the latest state that the watch reported.
 struct recording_listener : discovery_listener {
   std::uint64_t version = 0;
@@ -156,5 +191,111 @@
   }
 }
 
+/// Items that no reader can use, as JSON text.
+std::vector<std::string> OddItems() {
+  return {R"({"key":"servers/m","value":"?","rev":3,"createRev":3,"lease":0})",
+          R"({"key":"servers/m","rev":3})",
+          R"({"key":"servers/m","value":"e30=","rev":99999999999999999999999})",
+          R"({"key":["servers/m"],"value":"e30=","rev":3})",
+          R"({"value":"e30=","rev":3})",
+          R"({"key":"s","rev":3,"tombstone":true})",
+          R"({"key":"s","value":"e30=","rev":3})",
+          "{}",
+          "7"};
+}
+
+TEST_CASE("one odd item among the backend servers neither hides the others nor stops the watch") {
+  for (const std::string& odd : OddItems()) {
+    CAPTURE(odd);
+    watch_rig rig;
+
+    SUBCASE("it is among the changes") {
+      rig.store.PutText("servers/m", odd);
+      rig.store.Put("servers/z", Registration("10.0.0.9:80"));
+      rig.Elapse(milliseconds(200));
+      CHECK(rig.listener.addresses.contains("z"));
+    }
+    SUBCASE("it is in the list") {
+      rig.store.PutText("servers/m", odd);
+      rig.store.Put("servers/z", Registration("10.0.0.9:80"));
+      rig.store.BackUp();
+      rig.store.RestoreBackup();
+      rig.Elapse(milliseconds(600));
+      REQUIRE(rig.listener.lists.back().era == 2);
+    }
+    CHECK(rig.listener.addresses.contains("a"));
+    CHECK(rig.listener.addresses.size() == 2);
+    CHECK(rig.listener.lost <= 1);  // The restore cuts the watches.
+
+    rig.store.Put("servers/b", Registration("10.0.0.2:80"));
+    rig.store.Put("op/config", Configuration(2));
+    rig.Elapse(milliseconds(300));
+    CHECK(rig.listener.addresses.contains("b"));
+    CHECK(rig.listener.version == 2);
+  }
+}
+
+TEST_CASE("an odd item under the configuration's key leaves the last good configuration") {
+  for (const std::string& odd : OddItems()) {
+    CAPTURE(odd);
+    watch_rig rig;
+    rig.store.PutText("op/config", odd);
+    rig.Elapse(milliseconds(200));
+    CHECK(rig.listener.version == 1);
+    rig.store.Put("op/config", Configuration(3));
+    rig.Elapse(milliseconds(300));
+    CHECK(rig.listener.version == 3);
+    CHECK(rig.listener.lost == 0);
+  }
+}
+
+TEST_CASE("a list of several pages is read whole, whatever its keys are") {
+  for (const char* odd : {"servers/b b", "servers/b&after=z", "servers/b\r\n\r\nGET / HTTP/1.1",
+                          "servers/b%41", "servers/b#?", "servers/b\xc3\xa4"}) {
+    CAPTURE(odd);
+    watch_rig rig;
+    rig.store.SetPageSize(1);
+    rig.store.Put(odd, "odd");
+    rig.store.Put("servers/c", Registration("10.0.0.3:80"));
+    rig.store.BackUp();
+    rig.store.RestoreBackup();
+    rig.Elapse(milliseconds(600));
+    REQUIRE(rig.listener.lists.back().era == 2);
+    CHECK(rig.listener.addresses.size() == 2);
+  }
+  SUBCASE("a page without any key does not have the same page read over and over") {
+    watch_rig rig;
+    rig.store.SetPageSize(1);
+    rig.store.PutText("servers/ ", "{}");
+    rig.store.BackUp();
+    rig.store.RestoreBackup();
+    const std::uint64_t before = rig.store.calls();
+    rig.Elapse(milliseconds(1000));
+    CHECK(rig.store.calls() - before < 30);
+    CHECK(rig.listener.addresses.contains("a"));
+  }
+}
+
+TEST_CASE("an odd item does not fill the log") {
+  watch_rig rig;
+  const log_capture log;
+  for (int i = 0; i < 40; ++i) {
+    rig.store.Put("servers/odd", R"({"state":")" + std::string(4000, 'x') + std::to_string(i));
+    rig.Elapse(milliseconds(40));
+  }
+  const std::string text = log.Text();
+  CHECK(log_capture::Count(text, "registration_unreadable") == 1);
+  CHECK(log_capture::Count(text, "servers/odd") == 1);
+  CHECK(text.size() < 2000);
+
+  SUBCASE("nor do many of them") {
+    for (int i = 0; i < 300; ++i) {
+      rig.store.Put("servers/odd" + std::to_string(i), "odd");
+    }
+    rig.Elapse(milliseconds(300));
+    CHECK(log_capture::Count(log.Text(), "registration_unreadable") <= 50);
+  }
+}
+
 }  // namespace
 }  // namespace jacinthspool::platform
