Refuse entries of the store with numbers or addresses out of range

Numbers of an entry were read as 64 bits and narrowed: slots became one, a time-out of 2^63 ms a negative one, and "kvHoldS": 1e300 an undefined duration that is added to instants. A configuration whose routes were no list was applied as one without routes. The address of a server was kept as text, so port 65536, a host name or a line break was met only when a request was to be sent there: each such attempt waited for the connect timeout, and the text went into the Host header; so did the id into a header.

32-bit numbers are refused beyond their range, times beyond 2^32 - 1 ms, which is what peers can pass on.

--- a/tests/platform/store_records_test.cc
+++ b/tests/platform/store_records_test.cc
@@ -160,6 +160,120 @@
   }
 }
 
+std::string Replaced(std::string text, const std::string& from, const std::string& to) {
+  const std::size_t at = text.find(from);
+  REQUIRE(at != std::string::npos);
+  return text.replace(at, from.size(), to);
+}
+
+TEST_CASE("a registration with an address that is none or a number out of range is refused") {
+  const std::string valid =
+      R"({"service":"s1","address":"10.0.0.1:80","zone":"z","slots":64,"state":"ready","born":5})";
+  const auto decode = [](const std::string& value, const std::string& key = "servers/i-1") {
+    std::string error;
+    const auto record = DecodeBackend({.key = key, .value = value, .published = 12}, error);
+    CHECK(record.has_value() == error.empty());
+    return record;
+  };
+  REQUIRE(decode(valid));
+  for (const char* address : {"",
+                              ":",
+                              ":80",
+                              "10.0.0.1",
+                              "10.0.0.1:",
+                              "10.0.0.1:0",
+                              "10.0.0.1:65536",
+                              "10.0.0.1:-1",
+                              "10.0.0.1:99999999999999999999",
+                              "10.0.0.1:80x",
+                              "10.0.0.1:5:80",
+                              "10.0.0:80",
+                              "10.0.0.256:80",
+                              "host:80",
+                              "10.0.0.1:80/x",
+                              "10.0.0.1 :80",
+                              "10.0.0.1\\r\\nA: b:80",
+                              "10.0.0.1\\u0000:80",
+                              "[::1:80",
+                              "::1]:80",
+                              "::1:80",
+                              "[::1]x:80"}) {
+    CAPTURE(address);
+    CHECK_FALSE(decode(Replaced(valid, "10.0.0.1:80", address)));
+  }
+  for (const char* address : {"10.0.0.1:1", "10.0.0.1:65535", "[::1]:80"}) {
+    CAPTURE(address);
+    CHECK(decode(Replaced(valid, "10.0.0.1:80", address)));
+  }
+  for (const char* number : {"4294967296", "4294967297", "18446744073709551615", "1e30", "1.5",
+                             "-1", "99999999999999999999999", "\"64\"", "null"}) {
+    CAPTURE(number);
+    CHECK_FALSE(decode(Replaced(valid, "64", number)));
+  }
+  for (const char* number : {"1e30", "5.5", "-5", "99999999999999999999999", "\"5\"", "null"}) {
+    CAPTURE(number);
+    CHECK_FALSE(decode(Replaced(valid, ":5", ":" + std::string(number))));
+  }
+  SUBCASE("an id that cannot stand in a header is refused") {
+    for (const char* id : {" ", "a b", "a\r\nX-Kv-Hold: 1", "\xc3\xa4", "\x7f", "\x01"}) {
+      CAPTURE(id);
+      CHECK_FALSE(decode(valid, "servers/" + std::string(id)));
+    }
+    CHECK_FALSE(decode(valid, "servers/" + std::string(300, 'x')));
+  }
+}
+
+TEST_CASE("a configuration with a number out of range is refused as a whole") {
+  std::string error;
+  REQUIRE(DecodeConfiguration(kConfiguration, error));
+  const auto refused = [&](const std::string& from, const std::string& to) {
+    CAPTURE(to);
+    error.clear();
+    CHECK_FALSE(DecodeConfiguration(Replaced(kConfiguration, from, to), error));
+    CHECK_FALSE(error.empty());
+  };
+  // 64-bit times overflow when they are added to instants, and 32-bit ones are truncated.
+  for (const char* number : {"4294967296", "9223372036854775807", "9223372036854775808",
+                             "18446744073709551615", "1e300", "1e400", "-1", "1.5"}) {
+    const std::string text = number;
+    for (const char* name :
+         {"\"timeoutMs\":14000", "\"goalMs\":900", "\"gapAimMs\":300", "\"priority\":1",
+          "\"attempts\":2", "\"weight\":90", "\"stride\":12", "\"maxHeaderBytes\":16384",
+          "\"headerTimeoutMs\":3000", "\"idleTimeoutMs\":15000"}) {
+      const std::string member = name;
+      refused(member, member.substr(0, member.find(':') + 1) + text);
+    }
+  }
+  for (const char* number : {"1e300", "1e18", "4294968", "-0.5", "\"1\"", "null", "[]"}) {
+    refused("\"kvHoldS\":0.5", "\"kvHoldS\":" + std::string(number));
+  }
+  for (const char* number : {"1e300", "1e18", "4294967296", "-1", "\"1\"", "null"}) {
+    refused("\"holdMs\":2000.0", "\"holdMs\":" + std::string(number));
+  }
+  SUBCASE("the longest times are read as they are") {
+    const auto longest = DecodeConfiguration(
+        Replaced(kConfiguration, "\"goalMs\":900", "\"goalMs\":4294967295"), error);
+    REQUIRE(longest);
+    CHECK(longest->routes[0].latency_objective == milliseconds(4294967295LL));
+    CHECK(longest->routes[0].silence_limit == milliseconds(4294967295LL));
+  }
+  SUBCASE("a member of another type is not taken for an empty one") {
+    for (const char* text : {R"({"version":7,"routes":{},"services":[],"limits":{}})",
+                             R"({"version":7,"routes":null,"services":[],"limits":{}})",
+                             R"({"version":7,"routes":[],"services":{},"limits":{}})"}) {
+      CAPTURE(text);
+      const std::string limits =
+          R"({"maxHeaderBytes":1,"maxBodyBytes":1,"headerTimeoutMs":1,"idleTimeoutMs":1})";
+      CHECK_FALSE(DecodeConfiguration(Replaced(text, "{}}", limits + "}"), error));
+    }
+    refused(R"("engine":{"kvTokens":42331,"kvHoldS":0.5,"holdMs":2000.0,
+   "stride":12,"backups":true})",
+            "\"engine\":7");
+    refused(R"("split":[{"service":"s1","weight":90},{"service":"s2","weight":10}])",
+            "\"split\":7");
+  }
+}
+
 TEST_CASE("the reason why an entry cannot be read is short") {
   std::string error;
   const store_item item{.key = "servers/i-1",
