--- a/tests/platform/store_records_test.cc
+++ b/tests/platform/store_records_test.cc
@@ -1,7 +1,9 @@
 #include "platform/store_records.h"
 
 #include <doctest/doctest.h>
+#include <sys/resource.h>
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -274,6 +276,69 @@
   }
 }
 
+std::string Nested(std::size_t depth, const std::string& open, const std::string& close) {
+  std::string text;
+  for (std::size_t i = 0; i < depth; ++i) {
+    text += open;
+  }
+  text += "1";
+  for (std::size_t i = 0; i < depth; ++i) {
+    text += close;
+  }
+  return text;
+}
+
+/// \returns Peak memory of this process in KB, as the kernel counts it.
+std::int64_t PeakMemoryKb() {
+  rusage used{};
+  REQUIRE(getrusage(RUSAGE_SELF, &used) == 0);
+  return used.ru_maxrss;
+}
+
+TEST_CASE("a very deeply nested entry is refused, and takes no more memory than its text") {
+  for (const std::size_t depth : {std::size_t{40}, std::size_t{1000000}}) {
+    for (const bool arrays : {true, false}) {
+      CAPTURE(depth);
+      CAPTURE(arrays);
+      const std::string deep = arrays ? Nested(depth, "[", "]") : Nested(depth, "{\"a\":", "}");
+      std::string error;
+      CHECK_FALSE(
+          DecodeBackend({.key = "servers/i-1",
+                         .value = R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":1,)"
+                                  R"("state":"ready","extra":)" +
+                                  deep + "}",
+                         .published = 12},
+                        error));
+      CHECK(error == "nested too deeply");
+      std::string configuration = kConfiguration;
+      configuration.insert(1, "\"extra\":" + deep + ",");
+      error.clear();
+      CHECK_FALSE(DecodeConfiguration(configuration, error));
+      CHECK(error == "nested too deeply");
+    }
+  }
+  SUBCASE("a reply with a deeply nested item keeps its other items") {
+    for (const std::string& odd :
+         {Nested(1000000, "[", "]"), R"({"key":)" + Nested(1000000, "[", "]") + "}",
+          R"({"key":"servers/m","value":)" + Nested(1000000, "{\"a\":", "}") + R"(,"rev":1})"}) {
+      std::string error;
+      const auto reply = DecodeStoreReply(
+          R"({"storeRevision":9,"items":[{"key":"servers/a","value":"e30=","rev":1},)" + odd +
+              R"(,{"key":"servers/z","value":"e30=","rev":2}]})",
+          error);
+      REQUIRE(reply);
+      CHECK(UsableKeys(*reply) == std::vector<std::string>{"servers/a", "servers/z"});
+    }
+  }
+  SUBCASE("memory") {
+    const std::string value = std::string(12U << 20U, '[');
+    const std::int64_t before = PeakMemoryKb();
+    std::string error;
+    CHECK_FALSE(DecodeBackend({.key = "servers/i-1", .value = value, .published = 12}, error));
+    CHECK(PeakMemoryKb() - before < 64 * 1024);
+  }
+}
+
 TEST_CASE("the reason why an entry cannot be read is short") {
   std::string error;
   const store_item item{.key = "servers/i-1",
