Check the records and the configuration that a peer passes on

A gateway that has lost the store takes list and configuration from its peers. What a peer of an earlier version had accepted was used unchecked: in a trial with the decoder before this change, 3 of 3 records were taken although two named no server (port 70000; no address and a line break in the id), and a configuration with a hold of -1 us.

One bounded line says which peer sent it and why.

--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -108,6 +108,12 @@
       .news = EncodeSnapshot(settings_.owner.FleetSnapshot(gateway::fleet_scope::kOwn)),
       .on_answer = [this, address](std::optional<gateway_snapshot> snapshot) {
         if (snapshot) {
+          if (!snapshot->fault.empty() && fault_lines_.Permits(address, timer_service::now())) {
+            Log(log_level::kWarning, "peer_state_unusable",
+                {{"peer", address},
+                 {"reason", snapshot->fault},
+                 {"suppressed", fault_lines_.TakeSuppressed()}});
+          }
           reported_gateways_[address] = snapshot->gateways;
           settings_.owner.OnPeerAnswer();
           settings_.owner.ApplyFleet(*snapshot);
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -10,6 +10,7 @@
 #include "jacinthspool/routing/gateway_count_estimate.h"
 #include "src/gateway/gateway.h"
 #include "src/gateway/snapshot_query.h"
+#include "src/telemetry/line_limit.h"
 #include "src/transport/http1_client.h"
 #include "src/transport/http1_server.h"
 
@@ -51,7 +52,8 @@
   std::map<std::string, std::uint32_t> reported_gateways_;  ///< Count reported by each peer.
   instant start_;
   gateway_count_estimate members_;
-  bool was_limited_ = false;  ///< Some server's limit was in force at the last query.
+  bool was_limited_ = false;    ///< Some server's limit was in force at the last query.
+  line_limit fault_lines_{{}};  ///< By peer.
   timer_subscription next_;
   timer_subscription limit_check_;
   std::mt19937_64 random_;
--- a/src/gateway/snapshot.cc
+++ b/src/gateway/snapshot.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "schema/generated/snapshot_generated.h"
+#include "src/gateway/record_check.h"
 #include "src/transport/timer_service.h"
 
 namespace jacinthspool {
@@ -274,14 +275,27 @@
   }
   snapshot::gateway_snapshot_value wire;
   snapshot::Getgateway_snapshot(bytes.data())->UnPackTo(&wire);
-  gateway_snapshot value{
-      .configuration = wire.configuration ? FromWire(*wire.configuration) : nullptr,
-      .backends = {},
-      .list_position = {wire.list_era, wire.list_revision},
-      .gateways = wire.gateways,
-      .prefill_shares = {}};
-  for (const auto& record : wire.backends) {
-    value.backends.push_back(FromWire(*record));
+  gateway_snapshot value{.configuration = nullptr,
+                         .backends = {},
+                         .list_position = {wire.list_era, wire.list_revision},
+                         .gateways = wire.gateways,
+                         .prefill_shares = {}};
+  // A peer of another version may accept what this one cannot use.
+  if (wire.configuration) {
+    auto configuration = FromWire(*wire.configuration);
+    if (const std::string_view fault = FaultOf(*configuration); fault.empty()) {
+      value.configuration = std::move(configuration);
+    } else {
+      value.fault = fault;
+    }
+  }
+  for (const auto& each : wire.backends) {
+    backend_record record = FromWire(*each);
+    if (const std::string_view fault = FaultOf(record); fault.empty()) {
+      value.backends.push_back(std::move(record));
+    } else {
+      value.fault = fault;
+    }
   }
   for (const auto& each : wire.stages) {
     value.prefill_shares[each->service] = each->prefill_share;
--- a/src/gateway/snapshot.h
+++ b/src/gateway/snapshot.h
@@ -43,6 +43,8 @@
   std::map<std::string, double> prefill_shares;
   std::vector<named_limit> limits = {};    ///< Stated by backend servers.
   std::vector<gateway_report> fleet = {};  ///< Of the gateways that the sender knows.
+  /// Why part of a decoded snapshot cannot be used and was left out; empty: nothing was.
+  std::string_view fault = {};
 };
 
 [[nodiscard]] std::string EncodeSnapshot(const gateway_snapshot& value);
--- a/tests/gateway/snapshot_test.cc
+++ b/tests/gateway/snapshot_test.cc
@@ -67,6 +67,51 @@
   }
 }
 
+TEST_CASE("what a peer passes on is checked before it is used") {
+  const backend_record sound{.id = "i-1", .service = "s", .address = "10.0.0.1:80"};
+  gateway_snapshot sent;
+  sent.list_position = {1, 7};
+
+  SUBCASE("a record that names no server to use is left out, the others stand") {
+    for (const char* address : {"", "10.0.0.1:0", "10.0.0.1:70000", "nowhere:80", "10.0.0.1"}) {
+      CAPTURE(address);
+      sent.backends = {sound, {.id = "i-2", .service = "s", .address = address}, sound};
+      const auto decoded = DecodeSnapshot(EncodeSnapshot(sent));
+      REQUIRE(decoded);
+      CHECK(decoded->backends.size() == 2);
+      CHECK_FALSE(decoded->fault.empty());
+    }
+    sent.backends = {sound, {.id = "a\r\nb", .service = "s", .address = "10.0.0.1:80"}};
+    CHECK(DecodeSnapshot(EncodeSnapshot(sent))->backends.size() == 1);
+    sent.backends = {sound, sound};
+    sent.backends[1].stage = static_cast<engine_stage>(9);
+    CHECK(DecodeSnapshot(EncodeSnapshot(sent))->backends.size() == 1);
+  }
+  SUBCASE("a configuration out of range is left out, the list stands") {
+    forward_configuration odd;
+    SUBCASE("life of a KV handle") {
+      odd.services["s"] = {
+          .name = "s",
+          .engine = engine_profile{.kv_handle_life = microseconds::max(), .longest_hold = {}}};
+    }
+    SUBCASE("negative hold") {
+      odd.services["s"] = {
+          .name = "s",
+          .engine = engine_profile{.kv_handle_life = {}, .longest_hold = microseconds(-1)}};
+    }
+    SUBCASE("kind") { odd.routes = {{.kind = static_cast<request_kind>(9)}}; }
+    SUBCASE("limits") { odd.limits.max_head_bytes = std::size_t{1} << 40U; }
+    odd.version = 3;
+    sent.configuration = std::make_shared<forward_configuration>(odd);
+    sent.backends = {sound};
+    const auto decoded = DecodeSnapshot(EncodeSnapshot(sent));
+    REQUIRE(decoded);
+    CHECK(decoded->configuration == nullptr);
+    CHECK(decoded->backends.size() == 1);
+    CHECK_FALSE(decoded->fault.empty());
+  }
+}
+
 TEST_CASE("a gateway that starts while the publisher is unavailable applies a peer's snapshot") {
   fake_platform knows;
   knows.Configure();
