Believe a reply without an id only on a connection that carried nothing else

Refusals of reservations have no id, and go over the same connections as requests.

What proves "not run" now: the request's own id, or no id on a connection that has carried no other request, where no earlier reply can be pending. Any other reply is read past, so that the request's own answer still counts, and the connection is closed after it. A connection on which bytes arrived before the request was sent is not used. A request without an id, and a run at the server that prefilled it, get a connection of their own. A reservation reads past replies that carry a request's id; a late copy without an id can still cost it a place, but claims nothing about a request.

--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -108,8 +108,7 @@
         {.address = backend_.address,
          .bytes = bytes,
          .expects_body = owner_.settings_.request.method != "HEAD",
-         // A late duplicate of its first answer on the old connection would have the same id.
-         .new_connection = owner_.tried_.contains(backend_.id),
+         .new_connection = NeedsNewConnection(),
          .connect_timeout = kConnectTimeout,
          .max_body_bytes = kind_ == attempt_kind::kPrefill
                                ? kMaxPrefillReplyBytes
@@ -142,11 +141,15 @@
 
   head_action OnHead(const http1_head& head) override {
     facts_ = owner_.context_.dialect.DecodeReply(head, owner_.settings_.request);
+    const bool ours = AnswersRequest(facts_.origin, call_->first_on_connection());
     ApplyNotice(owner_.context_, backend_, head, owner_.settings_.request.id,
-                facts_.same_request ? started_ : instant{});
-    if (!facts_.same_request) {
+                ours ? started_ : instant{});
+    if (!ours) {
       Log(log_level::kWarning, "stray_reply",
-          {{"request", owner_.settings_.request.id}, {"backend", backend_.id}});
+          {{"request", owner_.settings_.request.id},
+           {"backend", backend_.id},
+           {"status", head.status},
+           {"has_id", facts_.origin != reply_origin::kUnstated}});
       return head_action::kSkip;
     }
     RecordHeard();
@@ -229,6 +232,12 @@
   }
 
  private:
+  /// \returns true when an earlier reply on a kept connection could not be told from this one's.
+  [[nodiscard]] bool NeedsNewConnection() const {
+    const bool same_id = owner_.tried_.contains(backend_.id) || owner_.kv_holder_.id == backend_.id;
+    return same_id || owner_.settings_.request.id.empty();
+  }
+
   void RecordHeard() {
     const instant now = timer_service::now();
     if (std::exchange(silence_reported_, false)) {
--- a/src/gateway/reservation_dispatcher.cc
+++ b/src/gateway/reservation_dispatcher.cc
@@ -58,6 +58,11 @@
   [[nodiscard]] bool probes() const { return probes_; }
 
   head_action OnHead(const http1_head& head) override {
+    if (owner_.context_.dialect.HasRequestId(head)) {
+      Log(log_level::kWarning, "stray_reply",
+          {{"reservation", number_}, {"backend", backend_.id}, {"status", head.status}});
+      return head_action::kSkip;
+    }
     status_ = head.status;
     ApplyNotice(owner_.context_, backend_, head, "", sent_);
     return head_action::kAccept;
--- a/src/gateway/wire_dialect.h
+++ b/src/gateway/wire_dialect.h
@@ -45,11 +45,27 @@
   std::string hold = {};       ///< Reservation at the backend server; empty: none.
 };
 
+/// \brief Which request a reply states that it answers.
+enum class reply_origin {
+  kThisRequest,     ///< It has this request's id.
+  kAnotherRequest,  ///< It has another id.
+  kUnstated,        ///< It has no id.
+};
+
+/// \brief Decides whether a reply can be believed to answer the present request.
+///
+/// A reply without an id may be a late copy of an earlier one, unless its connection has carried no
+/// other request.
+[[nodiscard]] constexpr bool AnswersRequest(reply_origin origin, bool first_on_connection) {
+  return origin == reply_origin::kThisRequest ||
+         (origin == reply_origin::kUnstated && first_on_connection);
+}
+
 /// \brief What the head of a backend server's reply states about the request.
 struct reply_facts {
-  bool same_request = false;  ///< The reply is to the request that was sent.
-  bool not_run = false;       ///< The request has not run and never will there.
-  bool sound = false;         ///< The reply has the marks of a genuine answer.
+  reply_origin origin = reply_origin::kUnstated;
+  bool not_run = false;  ///< The request has not run and never will there.
+  bool sound = false;    ///< The reply has the marks of a genuine answer.
 };
 
 /// \brief What the head of any reply states about the backend server that sent it.
@@ -79,6 +95,10 @@
   [[nodiscard]] virtual reply_facts DecodeReply(const http1_head& head,
                                                 const forward_request& request) const = 0;
 
+  /// \returns true when a reply to a call without an id has one, so that it answers another
+  /// request.
+  [[nodiscard]] virtual bool HasRequestId(const http1_head& head) const = 0;
+
   /// \brief Decodes what a reply to any request states about its server.
   [[nodiscard]] virtual backend_notice DecodeNotice(const http1_head& head) const = 0;
 
--- a/src/transport/http1_client.cc
+++ b/src/transport/http1_client.cc
@@ -127,6 +127,8 @@
   }
 
   [[nodiscard]] const std::string& address() const { return address_; }
+  /// \returns true when bytes have arrived that belong to no call.
+  [[nodiscard]] bool HasUnread() const { return stream_.has_unread(); }
   [[nodiscard]] bool IsFresh(instant now, milliseconds max_idle) const {
     return now - idle_since_ < std::min<microseconds>(max_idle, announced_idle_);
   }
@@ -210,6 +212,7 @@
     skipping_ = verdict == head_action::kSkip;
     reply_began_ = !skipping_;
     if (skipping_) {
+      stray_ = true;
       CountSkipped();
       return;
     }
@@ -237,7 +240,9 @@
       return;
     }
     // If the reply came before the whole request was sent, the rest of the request is still queued.
-    const bool reusable = keep_ && stream_.queued_bytes() == 0 && reader_.buffered() == 0;
+    // After a reply to another request it is not known how many more follow.
+    const bool reusable =
+        keep_ && !stray_ && stream_.queued_bytes() == 0 && reader_.buffered() == 0;
     if (reusable) {
       owner_->Keep(shared_from_this());
     }
@@ -282,7 +287,8 @@
   bool connected_ = false;
   bool reply_began_ = false;
   bool skipping_ = false;
-  int skipped_ = 0;  ///< Reply heads discarded in the current call.
+  int skipped_ = 0;     ///< Reply heads discarded in the current call.
+  bool stray_ = false;  ///< A reply to another request was received.
   bool keep_ = false;
   bool retired_ = false;
   bool paused_ = false;
@@ -295,6 +301,7 @@
   call_handle(std::shared_ptr<connection> on, std::uint64_t call_number)
       : connection_(std::move(on)), call_number_(call_number) {}
   ~call_handle() override { connection_->Abandon(call_number_); }
+  [[nodiscard]] bool first_on_connection() const override { return call_number_ == 1; }
   void PauseReply(bool paused) override { connection_->PauseReply(call_number_, paused); }
   call_handle(const call_handle&) = delete;
   call_handle& operator=(const call_handle&) = delete;
@@ -315,7 +322,7 @@
   while (!kept.empty()) {
     std::shared_ptr<connection> last = std::move(kept.back());
     kept.pop_back();
-    if (last->IsFresh(now, call.max_idle)) {
+    if (last->IsFresh(now, call.max_idle) && !last->HasUnread()) {
       return last;
     }
     last->Abandon();
--- a/src/transport/http1_client.h
+++ b/src/transport/http1_client.h
@@ -16,8 +16,10 @@
 /// \brief How the client proceeds after the head of a reply.
 enum class head_action {
   kAccept,  ///< The reply belongs to this call; its body follows.
-  kSkip,    ///< The reply belongs to another request: discard it and wait for the next.
-  kClose,   ///< The connection cannot be trusted and is closed.
+  /// The reply belongs to another request: discard it and wait for the next. The connection is
+  /// closed after the call.
+  kSkip,
+  kClose,  ///< The connection cannot be trusted and is closed.
 };
 
 /// \brief How a call ended.
@@ -46,6 +48,8 @@
 class http1_call {
  public:
   virtual ~http1_call() = default;
+  /// \returns true when its connection has carried no earlier call.
+  [[nodiscard]] virtual bool first_on_connection() const = 0;
   /// \brief Pauses or resumes reading of the reply.
   virtual void PauseReply(bool paused) = 0;
 };
--- a/tests/gateway/forwarding_test.cc
+++ b/tests/gateway/forwarding_test.cc
@@ -1,4 +1,5 @@
 #include <doctest/doctest.h>
+#include <fcntl.h>
 
 #include "tests/gateway/fake_platform.h"
 
@@ -197,5 +198,183 @@
   CHECK(staying.requests.size() == 8);
 }
 
+/// A backend server that writes any bytes at any time.
+struct raw_backend {
+  fake_platform& platform;
+  raw_socket listener = raw_socket::Listen();
+  std::vector<raw_socket> connections = {};
+  std::string read = {};  ///< Bytes of the newest connection that no request was taken from.
+
+  explicit raw_backend(fake_platform& the_platform, const std::string& service,
+                       engine_stage stage = engine_stage::kNone)
+      : platform(the_platform) {
+    fcntl(listener.descriptor(), F_SETFL, O_NONBLOCK);
+    platform.router.OnBackendPut({.id = "raw",
+                                  .service = service,
+                                  .address = "127.0.0.1:" + std::to_string(listener.port()),
+                                  .data_centre = "dc",
+                                  .stage = stage,
+                                  .slots = 4,
+                                  .published = ++platform.revision});
+  }
+  /// \returns true when a complete request with that text has arrived, which is then taken.
+  bool Takes(fake_caller& caller, std::string_view text) {
+    const auto end = [&] {
+      const std::size_t at = read.find(text);
+      return at == std::string::npos ? at : read.find("\r\n\r\n", at);
+    };
+    const bool arrived = caller.Wait([&] {
+      if (raw_socket next = listener.Accept(); next.is_open()) {
+        read.clear();
+        connections.push_back(std::move(next));
+      }
+      if (!connections.empty()) {
+        connections.back().Read(read);
+      }
+      return end() != std::string::npos || !caller.open ||
+             caller.received.find("HTTP/1.1 5") != std::string::npos;
+    });
+    const bool taken = arrived && end() != std::string::npos;
+    read.erase(0, taken ? end() : 0);
+    return taken;
+  }
+  void Write(std::string_view text) const { connections.back().Write(text); }
+  bool NewestIsClosed(fake_caller& caller) {
+    return caller.Wait([&] { return !connections.back().Read(read); });
+  }
+};
+
+std::string Reply(std::string_view status, std::string_view headers, std::string_view body = "") {
+  return "HTTP/1.1 " + std::string(status) + " x\r\n" + std::string(headers) +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
+}
+constexpr const char* kMarks = "X-Request-Id: r1\r\nX-Server-Stamp: s\r\n";
+
+/// Refusals that a server has written before, without the id of a request.
+const std::vector<std::string>& EarlierRefusals() {
+  static const std::vector<std::string> refusals = {
+      Reply("503", "X-Not-Run: 1\r\n"),
+      Reply("503", "X-Not-Run: 1\r\nX-Server-Stamp: s\r\n"),
+      Reply("429", "X-Not-Run: 1\r\n"),
+      Reply("408", "X-Not-Run: 1\r\n"),
+      Reply("400", "X-Not-Run: 1\r\n"),
+      Reply("421", ""),
+      Reply("421", "X-Not-Run: 1\r\n"),
+      Reply("503", "X-Not-Run: 1\r\nX-Request-Id: r0\r\n"),
+      Reply("503", "X-Not-Run: 1\r\nX-Request-Id: \r\n")};
+  return refusals;
+}
+
+TEST_CASE("an earlier refusal, written once more, is not told to the next caller") {
+  for (const std::string& refusal : EarlierRefusals()) {
+    CAPTURE(refusal);
+    fake_platform platform;
+    platform.Configure(milliseconds(700));
+    raw_backend server(platform, "plain");
+    fake_caller caller(platform);
+    caller.Send("/once/1");
+    REQUIRE(server.Takes(caller, "POST /once/1"));
+    server.Write(Reply("200", kMarks, "first"));
+    REQUIRE(caller.Receives("first"));
+    scripted_backend& other = platform.AddBackend("plain");
+    other.script = &scripted_backend::Serve;
+    platform.Publish(other, "plain", engine_stage::kNone, true);
+    caller.received.clear();
+    caller.Send("/once/2");
+    REQUIRE(server.Takes(caller, "POST /once/2"));
+    REQUIRE(server.connections.size() == 1);
+    platform.Publish(other, "plain", engine_stage::kNone, false);
+    server.Write(refusal);
+
+    SUBCASE("the request is running: its answer reaches the caller, and it runs nowhere else") {
+      const instant start = timer_service::now();
+      caller.Wait([&] { return timer_service::now() - start > milliseconds(30); });
+      server.Write(Reply("200", kMarks, "second"));
+      CHECK(caller.Receives("second"));
+      CHECK(caller.received.starts_with("HTTP/1.1 200"));
+      CHECK(server.NewestIsClosed(caller));
+    }
+    SUBCASE("the answer never comes: the outcome is unknown") {
+      CHECK(caller.Receives("HTTP/1.1 504"));
+    }
+    SUBCASE("the connection breaks: the outcome is unknown") {
+      server.connections.back().Reset();
+      CHECK(caller.Receives("HTTP/1.1 502"));
+    }
+    CHECK(other.requests.empty());
+  }
+}
+
+TEST_CASE("a refusal that belongs to the request is believed") {
+  fake_platform platform;
+  platform.Configure();
+  raw_backend server(platform, "plain");
+  fake_caller caller(platform);
+  std::string refusal;
+  SUBCASE("it has no id, and the connection has carried no other request") {
+    refusal = Reply("503", "X-Not-Run: 1\r\n");
+  }
+  SUBCASE("it has the request's id") {
+    caller.Send("/once/1");
+    REQUIRE(server.Takes(caller, "POST /once/1"));
+    server.Write(Reply("200", kMarks, "first"));
+    REQUIRE(caller.Receives("first"));
+    caller.received.clear();
+    refusal = Reply("503", "X-Not-Run: 1\r\nX-Request-Id: r1\r\n");
+  }
+  caller.Send("/once/2");
+  REQUIRE(server.Takes(caller, "POST /once/2"));
+  scripted_backend& other = platform.AddBackend("plain");
+  other.script = &scripted_backend::Serve;
+  server.Write(refusal);
+  CHECK(caller.Receives("answer"));
+  CHECK(other.requests.size() == 1);
+}
+
+TEST_CASE("a request without an id gets a connection of its own, so that its refusal is known") {
+  fake_platform platform;
+  platform.Configure();
+  raw_backend server(platform, "plain");
+  fake_caller caller(platform);
+  caller.Send("/once/1");
+  REQUIRE(server.Takes(caller, "POST /once/1"));
+  server.Write(Reply("200", kMarks, "first"));
+  REQUIRE(caller.Receives("first"));
+  caller.received.clear();
+  caller.socket.Write("POST /once/2 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+  REQUIRE(server.Takes(caller, "POST /once/2"));
+  CHECK(server.connections.size() == 2);
+  server.Write(Reply("400", "X-Not-Run: 1\r\n"));
+  CHECK(caller.Receives("HTTP/1.1 503"));
+}
+
+TEST_CASE("a refused reservation, written once more, does not refuse the request that follows") {
+  fake_platform platform;
+  platform.Configure();
+  raw_backend engine(platform, "model", engine_stage::kDecode);
+  fake_caller caller(platform);
+  constexpr const char* kSizes = "X-Token-Count: 30,10\r\n";
+  caller.Send("/brittle/", kSizes);
+  REQUIRE(engine.Takes(caller, "POST /v1/hold-take"));
+
+  SUBCASE("in place of the answer to the run") {
+    engine.Write(Reply("200", "", R"({"hold":"h1"})"));
+    REQUIRE(engine.Takes(caller, "POST /brittle/"));
+    REQUIRE(engine.connections.size() == 1);
+    engine.Write(Reply("503", "X-Not-Run: 1\r\n", "{}"));
+    engine.Write(Reply("200", std::string(kMarks) + "X-Stream: 1\r\n",
+                       scripted_backend::Event(1) + scripted_backend::Event(2)));
+    CHECK(caller.Receives(scripted_backend::Event(2)));
+    CHECK(caller.received.starts_with("HTTP/1.1 200"));
+  }
+  SUBCASE("in place of the answer to the reservation, with the id of an earlier request") {
+    engine.Write(Reply("503", "X-Not-Run: 1\r\nX-Request-Id: r0\r\n"));
+    engine.Write(Reply("200", "", R"({"hold":"h1"})"));
+    REQUIRE(engine.Takes(caller, "POST "));
+    CHECK(engine.read.find("X-Kv-Hold") == std::string::npos);
+    CHECK(caller.received.empty());
+  }
+}
+
 }  // namespace
 }  // namespace jacinthspool
--- a/tests/platform/replica_dialect_test.cc
+++ b/tests/platform/replica_dialect_test.cc
@@ -64,8 +64,13 @@
               Head({{"X-Request-Id", "r1"}, {"X-Server-Stamp", "s"}, {"Content-Encoding", "gzip"}}),
               request)
           .sound);
-  CHECK_FALSE(dialect.DecodeReply(Head({{"X-Request-Id", "r2"}, {"X-Server-Stamp", "s"}}), request)
-                  .same_request);
+  const auto origin = [&](const http_headers& headers) {
+    return dialect.DecodeReply(Head(headers), request).origin;
+  };
+  CHECK(origin({{"X-Request-Id", "r1"}}) == reply_origin::kThisRequest);
+  CHECK(origin({{"X-Request-Id", "r2"}, {"X-Server-Stamp", "s"}}) == reply_origin::kAnotherRequest);
+  CHECK(origin({{"X-Not-Run", "1"}}) == reply_origin::kUnstated);
+  CHECK(origin({{"X-Request-Id", ""}}) == reply_origin::kUnstated);
   CHECK(dialect.DecodeReply(Head({{"X-Not-Run", "1"}}), request).not_run);
 }
 
--- a/tests/transport/http1_test.cc
+++ b/tests/transport/http1_test.cc
@@ -1,4 +1,5 @@
 #include <doctest/doctest.h>
+#include <poll.h>
 
 #include <memory>
 #include <optional>
@@ -316,6 +317,15 @@
     CHECK(caller.End() == call_outcome::kWhole);
     CHECK(caller.client.connections_opened() == 2);
   }
+  SUBCASE("except when bytes arrived on it that were not read before the call") {
+    peer.Write(kWhole);
+    pollfd arrived{.fd = caller.listener.descriptor(), .events = POLLIN, .revents = 0};
+    poll(&arrived, 1, 200);
+    caller.Start();
+    REQUIRE(caller.client.connections_opened() == 2);
+    const raw_socket next = caller.Answer(kWhole);
+    CHECK(caller.End() == call_outcome::kWhole);
+  }
   SUBCASE("except after unsolicited bytes arrived on it") {
     caller.call.reset();
     peer.Write(kWhole);
@@ -340,6 +350,14 @@
   CHECK(caller.End() == call_outcome::kWhole);
   CHECK(caller.body == "own");
   CHECK(caller.statuses == std::vector<int>{200, 201});
+
+  SUBCASE("and its connection is not used again") {
+    caller.verdict = head_action::kAccept;
+    caller.Start();
+    REQUIRE(caller.client.connections_opened() == 2);
+    const raw_socket next = caller.Answer(kWhole);
+    CHECK(caller.End() == call_outcome::kWhole);
+  }
 }
 
 TEST_CASE("destroying a call closes its connection") {
