--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "jacinthspool/impl/overloaded.h"
 #include "src/gateway/backend_notices.h"
 #include "src/gateway/background_call.h"
 #include "src/telemetry/log.h"
@@ -52,6 +53,8 @@
 constexpr std::size_t kMaxEventBytes = 256U << 10U;
 /// Reading from the backend server pauses while this much is unsent to the caller.
 constexpr std::size_t kMaxUnsentBytes = 128U << 10U;
+/// Logged when a server answers the resumption of a stream with a reply of its own.
+constexpr std::string_view kNotTheRest = "not the rest of the stream";
 
 /// \returns true for a status by which a server states that the request has not run.
 bool PromisesNotRun(int status) {
@@ -160,7 +163,7 @@
                  head.status == http_status::kOk && facts_.sound;
     if (streaming_) {
       prefilling_in_place_ = owner_.kv_source_.empty() && owner_.settings_.request.model &&
-                             !owner_.settings_.request.resume_after && !owner_.answer_begun_;
+                             !owner_.settings_.request.resume_after && !owner_.AnswerBegun();
       // The engine has fetched the prompt's KV cache, so there is no handle to release.
       owner_.kv_source_.clear();
     }
@@ -186,10 +189,13 @@
       End(attempt_result::kFailed, attempt_failure::kUnsound);
       return;
     }
+    if (!owner_.BeginBody(*head_)) {
+      LogFailure(kNotTheRest, "");
+      End(attempt_result::kFailed, attempt_failure::kUnsound);
+      return;
+    }
     forwarding_body_ = true;
-    owner_.may_resume_ = false;
     const std::string begun = std::exchange(body_, {});
-    owner_.BeginAnswer(*head_);
     owner_.SendToCaller(begun);
   }
 
@@ -361,7 +367,8 @@
 forward_exchange::forward_exchange(options settings)
     : settings_(std::move(settings)),
       context_(settings_.context),
-      first_configuration_(context_.routes.configuration()->version) {
+      first_configuration_(context_.routes.configuration()->version),
+      answer_(std::move(settings_.answer)) {
   last_event_ = settings_.request.resume_after;
 }
 
@@ -371,7 +378,7 @@
   deadline_ = DeadlineOf(*settings_.route);
   context_.budget.CountRequest(settings_.received, settings_.service);
   context_.traffic.OnRequest(settings_.service, settings_.received);
-  settings_.answer->OnCallerDisconnected([this] { OnCallerDisconnected(); });
+  std::get<http1_responder>(answer_).OnCallerDisconnected([this] { OnCallerDisconnected(); });
   ArmDeadline();
   is_retry_ = settings_.request.model && settings_.request.time_left &&
               context_.retries.IsRetry(settings_.route->name, *settings_.request.time_left,
@@ -408,13 +415,13 @@
   instant latest_start = deadline_ - decoding - kFirstEventTime;
   const milliseconds silence = settings_.route->silence_limit;
   const milliseconds objective = settings_.route->latency_objective;
-  if (silence > milliseconds(0) && !answer_begun_) {
+  if (silence > milliseconds(0) && !AnswerBegun()) {
     latest_start = std::min(latest_start, settings_.received + silence - kFirstEventTime);
   }
   return {.service = settings_.service,
           .tokens = static_cast<double>(work.prompt_tokens + output),
           .excluded_backend = seeking_ ? attempt_->backend().id : std::string(),
-          .resumes = answer_begun_ || settings_.request.resume_after.has_value(),
+          .resumes = AnswerBegun() || settings_.request.resume_after.has_value(),
           .on_time_until = is_retry_ ? instant{} : settings_.received + objective - kFirstEventTime,
           .latest_start = std::max(now + kMinAttemptTime, latest_start)};
 }
@@ -507,7 +514,7 @@
 }
 
 bool forward_exchange::NeedsPrefill() const {
-  if (!settings_.request.model || !kv_source_.empty() || prefill_abandoned_ || answer_begun_ ||
+  if (!settings_.request.model || !kv_source_.empty() || prefill_abandoned_ || AnswerBegun() ||
       settings_.request.resume_after ||
       !context_.selector.Has(settings_.service, engine_stage::kPrefill)) {
     return false;
@@ -610,7 +617,7 @@
   slot_number_ =
       settings_.slots.Enqueue({.service = settings_.service,
                                .priority = settings_.route->priority,
-                               .resumes = answer_begun_ || settings_.request.resume_after,
+                               .resumes = AnswerBegun() || settings_.request.resume_after,
                                .on_time_until = on_time_until,
                                .latest_start = now + (deadline_ - now) / kSlotWaitDivisor},
                               {.on_ready =
@@ -816,7 +823,7 @@
   const next_step step = DecideNextStep(
       *settings_.route, {.last = failure,
                          .runs = runs_,
-                         .answer_begun = answer_begun_,
+                         .answer_begun = AnswerBegun(),
                          .may_retry = attempt_ != nullptr && may_resume_ && MayRetry()});
   switch (step) {
     case next_step::kSendAgain:
@@ -827,7 +834,7 @@
       return;
     case next_step::kPassReply:
       if (failed_head_ && !PromisesNotRun(failed_head_->status)) {
-        settings_.answer->Reply(failed_head_->status, EndToEndHeaders(*failed_head_), failed_body_);
+        Reply(failed_head_->status, EndToEndHeaders(*failed_head_), failed_body_);
         Finish("backend_error", ToString(failure));
         return;
       }
@@ -844,14 +851,46 @@
 
 void forward_exchange::Deliver(const http1_head& head, std::string_view body) {
   const auto self = shared_from_this();
-  settings_.answer->Reply(head.status, EndToEndHeaders(head), body);
-  Finish("served", "");
+  std::visit(overloaded{[&](http1_responder& unanswered) {
+                          std::move(unanswered).Reply(head.status, EndToEndHeaders(head), body);
+                          Finish("served", "");
+                        },
+                        [&](http1_stream& /*begun*/) {
+                          attempt_->LogFailure(kNotTheRest, "");
+                          OnServeFailed(attempt_failure::kUnsound);
+                        },
+                        [](std::monostate) {}},
+             answer_);
+}
+
+void forward_exchange::Reply(int status, const http_headers& headers, std::string_view body) {
+  std::visit(
+      overloaded{
+          [&](http1_responder& unanswered) { std::move(unanswered).Reply(status, headers, body); },
+          [](http1_stream& begun) { std::move(begun).Abort(); }, [](std::monostate) {}},
+      answer_);
+}
+
+bool forward_exchange::BeginBody(const http1_head& head) {
+  if (!std::holds_alternative<http1_responder>(answer_)) {
+    return false;
+  }
+  may_resume_ = false;
+  BeginAnswer(head);
+  return true;
 }
 
 void forward_exchange::BeginAnswer(const http1_head& head) {
-  if (!std::exchange(answer_begun_, true)) {
+  if (auto* unanswered = std::get_if<http1_responder>(&answer_)) {
     time_to_first_event_ = timer_service::now() - settings_.received;
-    settings_.answer->Begin(head.status, EndToEndHeaders(head));
+    answer_ = std::move(*unanswered).Begin(head.status, EndToEndHeaders(head));
+  }
+}
+
+void forward_exchange::EndAnswer() {
+  if (auto* begun = std::get_if<http1_stream>(&answer_)) {
+    std::move(*begun).End();
+    answer_ = std::monostate();
   }
 }
 
@@ -874,12 +913,16 @@
 
 void forward_exchange::SendToCaller(std::string_view bytes) {
   const auto self = shared_from_this();
-  settings_.answer->Send(bytes);
-  if (ended_ || !attempt_ || settings_.answer->unsent_bytes() <= kMaxUnsentBytes) {
+  auto* begun = std::get_if<http1_stream>(&answer_);
+  if (begun == nullptr) {
+    return;
+  }
+  begun->Send(bytes);
+  if (ended_ || !attempt_ || begun->unsent_bytes() <= kMaxUnsentBytes) {
     return;
   }
   attempt_->PauseReply(true);
-  settings_.answer->OnDrained([this] {
+  begun->OnDrained([this] {
     if (attempt_ && attempt_->paused()) {
       attempt_->PauseReply(false);
     }
@@ -888,14 +931,14 @@
 
 void forward_exchange::EndForwardedBody() {
   const auto self = shared_from_this();
-  settings_.answer->End();
+  EndAnswer();
   Finish("served", "");
 }
 
 void forward_exchange::EndStream(const http1_head& head) {
   const auto self = shared_from_this();
   BeginAnswer(head);
-  settings_.answer->End();
+  EndAnswer();
   if (settings_.request.model && last_event_ && !settings_.request.resume_after) {
     const std::uint64_t tokens = *last_event_ * TokensPerEvent();
     context_.outputs.Learn(settings_.service, settings_.request.model->expected_output_tokens,
@@ -908,7 +951,7 @@
 
 void forward_exchange::Reject(std::string_view why) {
   const auto self = shared_from_this();
-  if (answer_begun_) {
+  if (AnswerBegun()) {
     Cut(why);
     return;
   }
@@ -928,20 +971,21 @@
   // together.
   const auto jitter = milliseconds(
       static_cast<std::int64_t>(context_.random() % static_cast<std::uint64_t>(wait.count())) / 4);
-  settings_.answer->Reply(http_status::kServiceUnavailable,
-                          context_.dialect.RejectionHeaders(wait + jitter), "not run\n");
+  Reply(http_status::kServiceUnavailable, context_.dialect.RejectionHeaders(wait + jitter),
+        "not run\n");
   Finish("refused", why);
 }
 
 void forward_exchange::Fail(int status, std::string_view why) {
   const auto self = shared_from_this();
-  settings_.answer->Reply(status, {}, "outcome unknown\n");
+  Reply(status, {}, "outcome unknown\n");
   Finish("failed", why);
 }
 
 void forward_exchange::Cut(std::string_view why) {
   const auto self = shared_from_this();
-  settings_.answer->Abort();
+  std::visit(overloaded{[](std::monostate) {}, [](auto& open) { std::move(open).Abort(); }},
+             answer_);
   Finish("cut", why);
 }
 
@@ -974,7 +1018,7 @@
     return;
   }
   const bool may_have_run = runs_ > 0 || (attempt_ && attempt_->kind() == attempt_kind::kServe);
-  if (answer_begun_) {
+  if (AnswerBegun()) {
     Cut("time is up");
   } else if (may_have_run) {
     Fail(http_status::kGatewayTimeout, "time is up");
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <variant>
 
 #include "jacinthspool/routing/event_splitter.h"
 #include "jacinthspool/routing/next_step.h"
@@ -29,7 +30,7 @@
     forward_request request;
     std::shared_ptr<const forward_route> route;
     std::string service;
-    std::shared_ptr<http1_responder> answer;
+    http1_responder answer;
     instant received{};
     /// Called once, when the exchange has ended.
     std::function<void(forward_exchange&)> on_ended;
@@ -97,9 +98,17 @@
   void ForwardEvents(const http1_head& head, const std::vector<stream_event>& events);
   /// \brief Sends part of the answer; a slow caller throttles its backend server.
   void SendToCaller(std::string_view bytes);
+  /// \returns true when the head of an answer was sent to the caller.
+  [[nodiscard]] bool AnswerBegun() const { return std::holds_alternative<http1_stream>(answer_); }
+  /// \brief Sends a complete answer; a begun one is truncated instead.
+  void Reply(int status, const http_headers& headers, std::string_view body);
   void EndForwardedBody();
   void EndStream(const http1_head& head);
+  /// \brief Sends the head unless an earlier attempt has begun the stream.
   void BeginAnswer(const http1_head& head);
+  /// \returns false when a stream has begun, which a body cannot continue.
+  [[nodiscard]] bool BeginBody(const http1_head& head);
+  void EndAnswer();
   void Reject(std::string_view why);
   void Fail(int status, std::string_view why);
   void Cut(std::string_view why);
@@ -143,7 +152,8 @@
   bool limit_reached_ = false;      ///< Rejected because of the servers' request limits.
   std::optional<decode_reservation> reservation_;
   bool is_retry_ = false;  ///< Probably a retry of a rejected request.
-  bool answer_begun_ = false;
+  /// Not begun, begun, or ended; each state has only what may follow in it.
+  std::variant<http1_responder, http1_stream, std::monostate> answer_;
   bool may_resume_ = true;  ///< False after part of a plain answer: only events can be resumed.
   microseconds reservation_wait_{};     ///< From the request's arrival to its last reservation.
   microseconds time_to_first_event_{};  ///< From the request's arrival to the start of the answer.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -112,28 +112,30 @@
   return context_.routes.configuration() != nullptr && list_known_;
 }
 
-void gateway::HandleRequest(http1_request request, std::shared_ptr<http1_responder> answer) {
+void gateway::HandleRequest(http1_request request, http1_responder answer) {
   auto decoded = context_.dialect.DecodeRequest(request.head);
   if (!decoded) {
-    Reject(*answer, http_status::kBadRequest, "", "a header has no valid value");
+    Reject(std::move(answer), http_status::kBadRequest, "", "a header has no valid value");
     return;
   }
   if (!can_route()) {
-    Reject(*answer, http_status::kServiceUnavailable, decoded->id, "no configuration or list yet");
+    Reject(std::move(answer), http_status::kServiceUnavailable, decoded->id,
+           "no configuration or list yet");
     return;
   }
   if (rejecting_) {
-    Reject(*answer, http_status::kServiceUnavailable, decoded->id, "stopping");
+    Reject(std::move(answer), http_status::kServiceUnavailable, decoded->id, "stopping");
     return;
   }
   const auto route = context_.routes.Find(decoded->host, decoded->target);
   if (!route) {
-    Reject(*answer, http_status::kNotFound, decoded->id, "no route");
+    Reject(std::move(answer), http_status::kNotFound, decoded->id, "no route");
     return;
   }
   const std::string* service = ServiceOf(*route, HashKey(decoded->id));
   if (service == nullptr) {
-    Reject(*answer, http_status::kServiceUnavailable, decoded->id, "route without a service");
+    Reject(std::move(answer), http_status::kServiceUnavailable, decoded->id,
+           "route without a service");
     return;
   }
   decoded->body = std::move(request.body);
@@ -151,7 +153,7 @@
   exchange->Start();
 }
 
-void gateway::Reject(http1_responder& answer, int status, std::string_view id,
+void gateway::Reject(http1_responder answer, int status, std::string_view id,
                      std::string_view why) {
   Log(log_level::kWarning, "request_rejected",
       {{"request", id},
@@ -160,11 +162,11 @@
        {"configuration",
         context_.routes.configuration() ? context_.routes.configuration()->version : 0}});
   context_.metrics.Count("gateway_rejected", {{"status", std::to_string(status)}});
-  answer.Reply(status,
-               status == http_status::kServiceUnavailable
-                   ? context_.dialect.RejectionHeaders(kStartRetryAfter)
-                   : http_headers{},
-               std::string(why) + "\n");
+  std::move(answer).Reply(status,
+                          status == http_status::kServiceUnavailable
+                              ? context_.dialect.RejectionHeaders(kStartRetryAfter)
+                              : http_headers{},
+                          std::string(why) + "\n");
 }
 
 void gateway::OnConfiguration(std::shared_ptr<const forward_configuration> next) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -38,7 +38,7 @@
   void ApplySettings(const gateway_settings& settings);
 
   /// \brief Answers a request, at once or later.
-  void HandleRequest(http1_request request, std::shared_ptr<http1_responder> answer);
+  void HandleRequest(http1_request request, http1_responder answer);
 
   /// \brief Rejects all further requests; those in progress continue.
   ///
@@ -84,7 +84,7 @@
 
  private:
   void UpdateSelector();
-  void Reject(http1_responder& answer, int status, std::string_view id, std::string_view why);
+  void Reject(http1_responder answer, int status, std::string_view id, std::string_view why);
 
   gateway_context context_;
   reservation_dispatcher reservations_;
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -45,28 +45,28 @@
   bool Start(std::string& error) {
     const gateway_settings& settings = *process_->gateway;
     gateway_.ApplySettings(settings);
-    callers_ = http1_server::Listen(
-        {.loop = loop_,
-         .timers = timers_,
-         .address = process_->listen,
-         .on_request =
-             [this](http1_request request, std::shared_ptr<http1_responder> answer) {
-               gateway_.HandleRequest(std::move(request), std::move(answer));
-             }},
-        error);
-    ready_ = !callers_ ? nullptr
-                       : http1_server::Listen(
-                             {.loop = loop_,
+    callers_ =
+        http1_server::Listen({.loop = loop_,
                               .timers = timers_,
-                              .address = settings.ready_listen,
+                              .address = process_->listen,
                               .on_request =
-                                  [this](const http1_request& /*request*/,
-                                         const std::shared_ptr<http1_responder>& answer) {
-                                    answer->Reply(ready() ? http_status::kOk
-                                                          : http_status::kServiceUnavailable,
-                                                  {}, "");
+                                  [this](http1_request request, http1_responder answer) {
+                                    gateway_.HandleRequest(std::move(request), std::move(answer));
                                   }},
                              error);
+    ready_ =
+        !callers_
+            ? nullptr
+            : http1_server::Listen(
+                  {.loop = loop_,
+                   .timers = timers_,
+                   .address = settings.ready_listen,
+                   .on_request =
+                       [this](const http1_request& /*request*/, http1_responder answer) {
+                         std::move(answer).Reply(
+                             ready() ? http_status::kOk : http_status::kServiceUnavailable, {}, "");
+                       }},
+                  error);
     peers_ =
         std::make_unique<peer_exchange>(peer_exchange::options{.loop = loop_,
                                                                .timers = timers_,
@@ -104,12 +104,12 @@
          .timers = timers_,
          .address = settings.metrics_listen,
          .on_request =
-             [this](const http1_request& /*request*/,
-                    const std::shared_ptr<http1_responder>& answer) {
+             [this](const http1_request& /*request*/, http1_responder answer) {
                gateway_.metrics().Set("gateway_requests_in_progress", {},
                                       static_cast<double>(gateway_.in_progress()));
-               answer->Reply(http_status::kOk, {{"Content-Type", "text/plain; version=0.0.4"}},
-                             gateway_.metrics().Render());
+               std::move(answer).Reply(http_status::kOk,
+                                       {{"Content-Type", "text/plain; version=0.0.4"}},
+                                       gateway_.metrics().Render());
              }},
         error);
     return metrics_ != nullptr;
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -39,10 +39,8 @@
       {.loop = settings_.loop,
        .timers = settings_.timers,
        .address = settings_.listen,
-       .on_request =
-           [this](const http1_request& request, const std::shared_ptr<http1_responder>& answer) {
-             Answer(request, *answer);
-           }},
+       .on_request = [this](const http1_request& request,
+                            http1_responder answer) { Answer(request, std::move(answer)); }},
       error);
   if (!server_) {
     return false;
@@ -56,10 +54,10 @@
   return true;
 }
 
-void peer_exchange::Answer(const http1_request& request, http1_responder& answer) {
+void peer_exchange::Answer(const http1_request& request, http1_responder answer) {
   const auto scope = ScopeOf(request.head.target);
   if (!scope) {
-    answer.Reply(http_status::kNotFound, {}, "");
+    std::move(answer).Reply(http_status::kNotFound, {}, "");
     return;
   }
   const instant now = timer_service::now();
@@ -83,8 +81,8 @@
     snapshot.limits = std::move(fleet.limits);
     snapshot.fleet = std::move(fleet.fleet);
   }
-  answer.Reply(http_status::kOk, {{"Content-Type", "application/octet-stream"}},
-               EncodeSnapshot(snapshot));
+  std::move(answer).Reply(http_status::kOk, {{"Content-Type", "application/octet-stream"}},
+                          EncodeSnapshot(snapshot));
 }
 
 std::uint32_t peer_exchange::CountGateways(instant now) const {
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -42,7 +42,7 @@
  private:
   void QueryPeers();
   void QueryPeer(const std::string& address);
-  void Answer(const http1_request& request, http1_responder& answer);
+  void Answer(const http1_request& request, http1_responder answer);
   [[nodiscard]] std::uint32_t CountGateways(instant now) const;
 
   options settings_;
--- a/src/transport/http1_server.cc
+++ b/src/transport/http1_server.cc
@@ -63,7 +63,7 @@
   edge_limits limits;
   listener_handle listener;
   timer_subscription sweep;
-  std::set<std::shared_ptr<connection>> connections;
+  std::set<std::shared_ptr<http1_server_connection>> connections;
   std::size_t in_progress = 0;
   bool close_after_answers = false;
   bool stopped_accepting = false;
@@ -74,10 +74,10 @@
 };
 
 /// A caller's connection. Destroyed only between loop iterations.
-class http1_server::connection : public tcp_listener,
-                                 public std::enable_shared_from_this<connection> {
+class http1_server_connection : public tcp_listener,
+                                public std::enable_shared_from_this<http1_server_connection> {
  public:
-  connection(std::shared_ptr<state> owner, int socket)
+  http1_server_connection(std::shared_ptr<http1_server::state> owner, int socket)
       : owner_(std::move(owner)),
         reader_({.kind = http1_reader::message_kind::kRequest,
                  .max_head_bytes = owner_->limits.max_head_bytes,
@@ -140,9 +140,17 @@
     }
   }
 
-  void SetOnCallerGone(std::function<void()> action) { on_caller_gone_ = std::move(action); }
-  void SetOnDrained(std::function<void()> action) { on_drained_ = std::move(action); }
-  [[nodiscard]] std::size_t unsent_bytes() const { return stream_.queued_bytes(); }
+  void SetOnCallerGone(std::function<void()> action) {
+    if (!retired_) {
+      on_caller_gone_ = std::move(action);
+    }
+  }
+  void SetOnDrained(std::function<void()> action) {
+    if (!retired_) {
+      on_drained_ = std::move(action);
+    }
+  }
+  [[nodiscard]] std::size_t unsent_bytes() const { return retired_ ? 0 : stream_.queued_bytes(); }
 
   void BeginAnswer(int status, const http_headers& headers) {
     std::string text = StatusLine(status);
@@ -276,7 +284,7 @@
     owner_->settings.loop.Post([self] {});
   }
 
-  std::shared_ptr<state> owner_;
+  std::shared_ptr<http1_server::state> owner_;
   http1_reader reader_;
   tcp_stream stream_;
   std::optional<http1_head> head_;
@@ -291,65 +299,66 @@
   bool retired_ = false;
 };
 
-class http1_server::answer : public http1_responder {
- public:
-  explicit answer(std::shared_ptr<connection> to) : connection_(std::move(to)) {}
-  /// A discarded answer must not leave its caller waiting.
-  ~answer() override {
-    if (connection_) {
-      Abort();
-    }
-  }
-  answer(const answer&) = delete;
-  answer& operator=(const answer&) = delete;
+http1_answer& http1_answer::operator=(http1_answer&& other) noexcept {
+  std::swap(connection_, other.connection_);
+  return *this;
+}
 
-  void Begin(int status, const http_headers& headers) override {
-    if (connection_) {
-      connection_->BeginAnswer(status, headers);
-    }
+http1_answer::~http1_answer() {
+  if (connection_) {
+    connection_->AbortAnswer();
   }
-  void Send(std::string_view bytes) override {
-    if (connection_ && !bytes.empty()) {
-      connection_->SendChunk(bytes);
-    }
-  }
-  void End() override {
-    if (const auto to = std::exchange(connection_, nullptr)) {
-      to->EndChunks();
-    }
+}
+
+void http1_answer::Abort() && {
+  if (const auto to = Take()) {
+    to->AbortAnswer();
   }
-  void Abort() override {
-    if (const auto to = std::exchange(connection_, nullptr)) {
-      to->AbortAnswer();
-    }
+}
+
+void http1_answer::OnCallerDisconnected(std::function<void()> action) {
+  if (connection_) {
+    connection_->SetOnCallerGone(std::move(action));
   }
-  void Reply(int status, const http_headers& headers, std::string_view body) override {
-    if (const auto to = std::exchange(connection_, nullptr)) {
-      to->SendReply(status, headers, body);
-    }
+}
+
+void http1_responder::Reply(int status, const http_headers& headers, std::string_view body) && {
+  if (const auto to = Take()) {
+    to->SendReply(status, headers, body);
   }
-  void OnCallerDisconnected(std::function<void()> action) override {
-    if (connection_) {
-      connection_->SetOnCallerGone([this, action = std::move(action)] {
-        connection_ = nullptr;
-        action();
-      });
-    }
+}
+
+http1_stream http1_responder::Begin(int status, const http_headers& headers) && {
+  auto to = Take();
+  if (to) {
+    to->BeginAnswer(status, headers);
   }
-  [[nodiscard]] std::size_t unsent_bytes() const override {
-    return connection_ ? connection_->unsent_bytes() : 0;
+  return http1_stream(std::move(to));
+}
+
+void http1_stream::Send(std::string_view bytes) {
+  if (connection() != nullptr && !bytes.empty()) {
+    connection()->SendChunk(bytes);
   }
-  void OnDrained(std::function<void()> action) override {
-    if (connection_) {
-      connection_->SetOnDrained(std::move(action));
-    }
+}
+
+void http1_stream::End() && {
+  if (const auto to = Take()) {
+    to->EndChunks();
   }
+}
 
- private:
-  std::shared_ptr<connection> connection_;
-};
+std::size_t http1_stream::unsent_bytes() const {
+  return connection() != nullptr ? connection()->unsent_bytes() : 0;
+}
+
+void http1_stream::OnDrained(std::function<void()> action) {
+  if (connection() != nullptr) {
+    connection()->SetOnDrained(std::move(action));
+  }
+}
 
-void http1_server::connection::Take(const http1_end& /*event*/) {
+void http1_server_connection::Take(const http1_end& /*event*/) {
   http1_request request{
       .head = std::move(*head_), .body = std::move(body_), .received = timer_service::now()};
   head_.reset();
@@ -358,17 +367,19 @@
   ++owner_->in_progress;
   head_request_ = request.head.method == "HEAD";
   close_ = !request.head.keep_alive;
-  owner_->settings.on_request(std::move(request), std::make_shared<answer>(shared_from_this()));
+  owner_->settings.on_request(std::move(request), http1_responder(shared_from_this()));
 }
 
 void http1_server::state::OnAccept(evconnlistener* /*unused*/, evutil_socket_t socket,
                                    sockaddr* /*unused*/, int /*unused*/, void* context) {
   auto* self = static_cast<state*>(context);
-  self->connections.insert(std::make_shared<connection>(self->shared_from_this(), socket));
+  self->connections.insert(
+      std::make_shared<http1_server_connection>(self->shared_from_this(), socket));
 }
 
 void http1_server::state::Sweep(instant now) {
-  const std::vector<std::shared_ptr<connection>> all(connections.begin(), connections.end());
+  const std::vector<std::shared_ptr<http1_server_connection>> all(connections.begin(),
+                                                                  connections.end());
   for (const auto& each : all) {
     each->CheckTimeout(now);
   }
--- a/src/transport/http1_server.h
+++ b/src/transport/http1_server.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "jacinthspool/impl/time.h"
 #include "jacinthspool/routing/edge_limits.h"
@@ -22,33 +23,71 @@
   instant received{};
 };
 
-/// \brief Sends the answer to one request: either Reply, or Begin, Send and then End or Cut.
+class http1_server_connection;
+
+/// \brief What a request's answer has in each of its states. Discarding it closes the connection,
+/// so that the caller does not wait.
 ///
 /// Nothing is sent after the caller has disconnected.
-class http1_responder {
+class http1_answer {
  public:
-  virtual ~http1_responder() = default;
-  /// \brief Sends the head of a streamed answer of unknown length.
-  virtual void Begin(int status, const http_headers& headers) = 0;
-  virtual void Send(std::string_view bytes) = 0;
-  virtual void End() = 0;
-  /// \brief Closes the connection without the last chunk, so that the caller detects truncation.
-  virtual void Abort() = 0;
-  /// \brief Sends a complete answer.
-  virtual void Reply(int status, const http_headers& headers, std::string_view body) = 0;
+  http1_answer(http1_answer&& other) noexcept = default;
+  http1_answer& operator=(http1_answer&& other) noexcept;
+
+  /// \brief Closes the connection without a complete answer, so that the caller detects it.
+  void Abort() &&;
   /// \brief Calls `action` once if the caller disconnects before the answer has ended.
-  virtual void OnCallerDisconnected(std::function<void()> action) = 0;
-  /// \returns Bytes of a streamed answer that the kernel has not accepted yet.
-  [[nodiscard]] virtual std::size_t unsent_bytes() const = 0;
+  void OnCallerDisconnected(std::function<void()> action);
+
+ protected:
+  explicit http1_answer(std::shared_ptr<http1_server_connection> to) : connection_(std::move(to)) {}
+  ~http1_answer();
+
+  /// \returns The connection; the answer has ended for this object.
+  [[nodiscard]] std::shared_ptr<http1_server_connection> Take() {
+    return std::exchange(connection_, nullptr);
+  }
+  [[nodiscard]] http1_server_connection* connection() const { return connection_.get(); }
+
+ private:
+  std::shared_ptr<http1_server_connection> connection_;
+};
+
+/// \brief A streamed answer whose head has been sent. Nothing but its body can follow.
+class http1_stream : public http1_answer {
+ public:
+  void Send(std::string_view bytes);
+  void End() &&;
+  /// \returns Bytes that the kernel has not accepted yet.
+  [[nodiscard]] std::size_t unsent_bytes() const;
   /// \brief Calls `action` each time a backlog of unsent bytes has been written to the socket.
-  virtual void OnDrained(std::function<void()> action) = 0;
+  void OnDrained(std::function<void()> action);
+
+ private:
+  friend class http1_responder;
+  explicit http1_stream(std::shared_ptr<http1_server_connection> to)
+      : http1_answer(std::move(to)) {}
+};
+
+/// \brief An answer of which nothing has been sent. It is consumed by the first step of the answer.
+class http1_responder : public http1_answer {
+ public:
+  /// \brief Sends a complete answer.
+  void Reply(int status, const http_headers& headers, std::string_view body) &&;
+  /// \brief Sends the head of a streamed answer of unknown length.
+  [[nodiscard]] http1_stream Begin(int status, const http_headers& headers) &&;
+
+ private:
+  friend class http1_server_connection;
+  explicit http1_responder(std::shared_ptr<http1_server_connection> to)
+      : http1_answer(std::move(to)) {}
 };
 
 /// \brief Strict HTTP/1.1 server; reads each request completely before handling it, and handles
 /// one request at a time on a connection.
 class http1_server {
  public:
-  using handler = std::function<void(http1_request, std::shared_ptr<http1_responder>)>;
+  using handler = std::function<void(http1_request, http1_responder)>;
   struct options {
     event_loop& loop;
     timer_service& timers;
@@ -78,9 +117,8 @@
   [[nodiscard]] std::uint16_t port() const;
 
  private:
+  friend class http1_server_connection;
   struct state;
-  class connection;
-  class answer;
   explicit http1_server(std::shared_ptr<state> initial);
   std::shared_ptr<state> state_;
 };
--- a/tests/gateway/backend_notices_test.cc
+++ b/tests/gateway/backend_notices_test.cc
@@ -6,7 +6,7 @@
 namespace {
 
 /// Sends a genuine answer with the given status and additional headers.
-void AnswerWith(const http1_request& request, http1_responder& answer, int status,
+void AnswerWith(const http1_request& request, any_answer& answer, int status,
                 const http_headers& added) {
   http_headers headers = scripted_backend::Genuine(request);
   headers.insert(headers.end(), added.begin(), added.end());
@@ -25,7 +25,7 @@
     second = &AddBackend("plain");
     for (scripted_backend* each : {first, second}) {
       each->script = [this, each, status, notice](const http1_request& request,
-                                                  http1_responder& answer) {
+                                                  any_answer& answer) {
         if (notifying == nullptr) {
           notifying = each;
           AnswerWith(request, answer, status, notice);
@@ -108,12 +108,12 @@
   std::string leaving;
   std::vector<std::string> decoded;
   platform.AddBackend("model", engine_stage::kPrefill).script = [](const http1_request& request,
-                                                                   http1_responder& answer) {
+                                                                   any_answer& answer) {
     answer.Reply(200, scripted_backend::Genuine(request), R"({"handle":"kv","tokens":9})");
   };
   for (int i = 0; i < 2; ++i) {
     scripted_backend& engine = platform.AddBackend("model", engine_stage::kDecode);
-    engine.script = [&](const http1_request& request, http1_responder& answer) {
+    engine.script = [&](const http1_request& request, any_answer& answer) {
       if (request.head.target == "/v1/hold-take") {
         const bool leaves = holds++ == 0;
         leaving = leaves ? engine.id : leaving;
@@ -176,7 +176,7 @@
   fake_platform platform;
   platform.Configure();
   const auto reject = [](const char* retry_after_s) {
-    return [retry_after_s](const http1_request& request, http1_responder& answer) {
+    return [retry_after_s](const http1_request& request, any_answer& answer) {
       AnswerWith(request, answer, 503, {{"X-Not-Run", "1"}, {"Retry-After", retry_after_s}});
     };
   };
--- a/tests/gateway/fake_platform.h
+++ b/tests/gateway/fake_platform.h
@@ -10,6 +10,7 @@
 #include "platform/replica_dialect.h"
 #include "src/gateway/gateway.h"
 #include "src/transport/http1_server.h"
+#include "tests/transport/any_answer.h"
 #include "tests/transport/loop_until.h"
 #include "tests/transport/raw_socket.h"
 
@@ -19,9 +20,9 @@
 struct scripted_backend {
   std::string id;
   std::vector<http1_request> requests;
-  std::vector<std::shared_ptr<http1_responder>> answers;
+  std::vector<std::shared_ptr<any_answer>> answers;
   /// Answers at once when set; otherwise the answer stays pending in `answers`.
-  std::function<void(const http1_request&, http1_responder&)> script = {};
+  std::function<void(const http1_request&, any_answer&)> script = {};
   int callers_gone = 0;
   std::string error;
   std::unique_ptr<http1_server> server;
@@ -33,9 +34,9 @@
              .timers = timers,
              .address = "127.0.0.1:0",
              .on_request =
-                 [this](http1_request request, std::shared_ptr<http1_responder> answer) {
+                 [this](http1_request request, http1_responder answer) {
                    requests.push_back(std::move(request));
-                   answers.push_back(std::move(answer));
+                   answers.push_back(std::make_shared<any_answer>(std::move(answer)));
                    answers.back()->OnCallerDisconnected([this] { ++callers_gone; });
                    if (script) {
                      script(requests.back(), *answers.back());
@@ -52,10 +53,10 @@
     return {{"X-Request-Id", std::string(request.head.Find("X-Request-Id").value_or(""))},
             {"X-Server-Stamp", "stamp"}};
   }
-  static void Serve(const http1_request& request, http1_responder& answer) {
+  static void Serve(const http1_request& request, any_answer& answer) {
     answer.Reply(200, Genuine(request), "answer");
   }
-  static void Reject(const http1_request& request, http1_responder& answer) {
+  static void Reject(const http1_request& request, any_answer& answer) {
     http_headers headers = Genuine(request);
     headers.emplace_back("X-Not-Run", "1");
     answer.Reply(503, headers, "");
@@ -72,15 +73,15 @@
   gateway router{
       {.loop = loop, .timers = timers, .client = client, .dialect = dialect, .data_centre = "dc"}};
   std::string error;
-  std::unique_ptr<http1_server> edge = http1_server::Listen(
-      {.loop = loop,
-       .timers = timers,
-       .address = "127.0.0.1:0",
-       .on_request =
-           [this](http1_request request, std::shared_ptr<http1_responder> answer) {
-             router.HandleRequest(std::move(request), std::move(answer));
-           }},
-      error);
+  std::unique_ptr<http1_server> edge =
+      http1_server::Listen({.loop = loop,
+                            .timers = timers,
+                            .address = "127.0.0.1:0",
+                            .on_request =
+                                [this](http1_request request, http1_responder answer) {
+                                  router.HandleRequest(std::move(request), std::move(answer));
+                                }},
+                           error);
   std::vector<std::unique_ptr<scripted_backend>> backends;
   std::uint64_t revision = 0;
 
--- a/tests/gateway/forwarding_test.cc
+++ b/tests/gateway/forwarding_test.cc
@@ -54,7 +54,7 @@
   const auto sent = [&] { return first.requests.size() + second.requests.size(); };
 
   SUBCASE("is retried at the next server when the first states that it has not run") {
-    first.script = second.script = [&](const http1_request& request, http1_responder& answer) {
+    first.script = second.script = [&](const http1_request& request, any_answer& answer) {
       (sent() == 1 ? scripted_backend::Reject : scripted_backend::Serve)(request, answer);
     };
     caller.Send("/once/");
@@ -68,7 +68,7 @@
     CHECK(caller.received.starts_with("HTTP/1.1 503"));
   }
   SUBCASE("is not retried when its answer is lost, and its outcome is reported as unknown") {
-    first.script = second.script = [](const http1_request&, http1_responder& answer) {
+    first.script = second.script = [](const http1_request&, any_answer& answer) {
       answer.Begin(200, {});
       answer.Abort();
     };
@@ -82,14 +82,14 @@
     CHECK(sent() == 1);
   }
   SUBCASE("gets no success without the header of a genuine answer") {
-    first.script = second.script = [](const http1_request& request, http1_responder& answer) {
+    first.script = second.script = [](const http1_request& request, any_answer& answer) {
       answer.Reply(200, {{"X-Request-Id", std::string(*request.head.Find("X-Request-Id"))}}, "x");
     };
     caller.Send("/once/");
     CHECK(caller.Receives("HTTP/1.1 502"));
   }
   SUBCASE("gets no rejection from a server that did not state 'not run'") {
-    first.script = second.script = [](const http1_request& request, http1_responder& answer) {
+    first.script = second.script = [](const http1_request& request, any_answer& answer) {
       answer.Reply(503, scripted_backend::Genuine(request), "");
     };
     caller.Send("/once/");
@@ -106,7 +106,7 @@
   fake_caller caller(platform);
   const auto sent = [&] { return first.requests.size() + second.requests.size(); };
   bool fails = false;
-  first.script = second.script = [&](const http1_request& request, http1_responder& answer) {
+  first.script = second.script = [&](const http1_request& request, any_answer& answer) {
     if (sent() > 1) {
       scripted_backend::Serve(request, answer);
     } else if (fails) {
--- a/tests/gateway/limited_fleet.h
+++ b/tests/gateway/limited_fleet.h
@@ -52,15 +52,15 @@
                   .dialect = fleet.dialect,
                   .data_centre = "dc",
                   .name = name}),
-          edge(http1_server::Listen(
-              {.loop = fleet.loop,
-               .timers = fleet.timers,
-               .address = "127.0.0.1:0",
-               .on_request =
-                   [this](http1_request request, std::shared_ptr<http1_responder> answer) {
-                     router.HandleRequest(std::move(request), std::move(answer));
-                   }},
-              error)),
+          edge(http1_server::Listen({.loop = fleet.loop,
+                                     .timers = fleet.timers,
+                                     .address = "127.0.0.1:0",
+                                     .on_request =
+                                         [this](http1_request request, http1_responder answer) {
+                                           router.HandleRequest(std::move(request),
+                                                                std::move(answer));
+                                         }},
+                                    error)),
           peers(
               std::make_unique<peer_exchange>(peer_exchange::options{.loop = fleet.loop,
                                                                      .timers = fleet.timers,
@@ -88,7 +88,7 @@
   std::size_t arrivals = 0;
 
   explicit limited_fleet(int gateways) {
-    server.script = [this](const http1_request& request, http1_responder& answer) {
+    server.script = [this](const http1_request& request, any_answer& answer) {
       const std::string_view id = request.head.Find("X-Request-Id").value_or("");
       const std::string from(id.substr(0, id.find('.')));
       ++arrivals;
--- a/tests/gateway/server_limit_test.cc
+++ b/tests/gateway/server_limit_test.cc
@@ -61,7 +61,7 @@
   platform.Configure();
   std::size_t calls = 0;
   scripted_backend& engine = platform.AddBackend("model", engine_stage::kDecode);
-  engine.script = [&](const http1_request& request, http1_responder& answer) {
+  engine.script = [&](const http1_request& request, any_answer& answer) {
     ++calls;
     http_headers headers = scripted_backend::Genuine(request);
     headers.emplace_back("Server-Limit", "5");
--- a/tests/gateway/silent_server_test.cc
+++ b/tests/gateway/silent_server_test.cc
@@ -25,7 +25,7 @@
 class pausing_answer {
  public:
   pausing_answer(timer_service& timers, const http1_request& request,
-                 std::shared_ptr<http1_responder> answer, bool pauses)
+                 std::shared_ptr<any_answer> answer, bool pauses)
       : timers_(timers),
         answer_(std::move(answer)),
         headers_(scripted_backend::Genuine(request)),
@@ -101,7 +101,7 @@
   }
 
   timer_service& timers_;
-  std::shared_ptr<http1_responder> answer_;
+  std::shared_ptr<any_answer> answer_;
   http_headers headers_;
   stage where_;
   milliseconds pause_;
@@ -131,14 +131,14 @@
       engines.push_back(&AddBackend("model", engine_stage::kDecode));
       plain.push_back(&AddBackend("plain"));
       for (scripted_backend* server : {engines.back(), plain.back()}) {
-        server->script = [this, server](const http1_request& request, http1_responder& answer) {
+        server->script = [this, server](const http1_request& request, any_answer& answer) {
           Handle(*server, request, answer);
         };
       }
     }
   }
 
-  void Handle(scripted_backend& server, const http1_request& request, http1_responder& answer) {
+  void Handle(scripted_backend& server, const http1_request& request, any_answer& answer) {
     if (request.head.target == "/v1/hold-take") {
       ++reservations;
       slow_replies.push_back(
@@ -333,7 +333,7 @@
   int runs = 0;
   for (int i = 0; i < 2; ++i) {
     scripted_backend& server = platform.AddBackend("plain");
-    server.script = [&](const http1_request& request, http1_responder& answer) {
+    server.script = [&](const http1_request& request, any_answer& answer) {
       ++runs;
       answer.Begin(200, scripted_backend::Genuine(request));
       pace.push_back(platform.timers.Every(milliseconds(100), [&](instant) {
--- a/tests/gateway/streaming_test.cc
+++ b/tests/gateway/streaming_test.cc
@@ -13,20 +13,20 @@
 struct fake_engines : fake_platform {
   std::vector<std::string> calls;  ///< Kinds of the requests to the engines, in order.
   bool denies = false;             ///< Decode engines reject reservations.
-  std::function<void(const http1_request&, http1_responder&)> decode;
+  std::function<void(const http1_request&, any_answer&)> decode;
   scripted_backend* prefill = nullptr;
 
   fake_engines() {
     Configure();
     prefill = &AddBackend("model", engine_stage::kPrefill);
-    prefill->script = [this](const http1_request& request, http1_responder& answer) {
+    prefill->script = [this](const http1_request& request, any_answer& answer) {
       calls.push_back("prefill");
       CHECK(request.head.Find("X-Stage") == "prefill");
       answer.Reply(200, scripted_backend::Genuine(request), R"({"handle":"kv1","tokens":3000})");
     };
     for (int i = 0; i < 2; ++i) {
       AddBackend("model", engine_stage::kDecode).script = [this](const http1_request& request,
-                                                                 http1_responder& answer) {
+                                                                 any_answer& answer) {
         if (request.head.target == "/v1/hold-take") {
           calls.push_back("hold");
           answer.Reply(denies ? 503 : 200, {}, denies ? "{}" : R"({"hold":"room1"})");
@@ -45,7 +45,7 @@
   }
 };
 
-void ServeEvents(const http1_request& request, http1_responder& answer, int first, int last) {
+void ServeEvents(const http1_request& request, any_answer& answer, int first, int last) {
   answer.Begin(200, scripted_backend::Genuine(request));
   for (int id = first; id <= last; ++id) {
     answer.Send(scripted_backend::Event(id));
@@ -55,7 +55,7 @@
 TEST_CASE("a stream gets a reservation first, then its prompt is prefilled, then it decodes") {
   fake_engines engines;
   std::string source;
-  engines.decode = [&](const http1_request& request, http1_responder& answer) {
+  engines.decode = [&](const http1_request& request, any_answer& answer) {
     source = std::string(request.head.Find("X-Kv-Source").value_or(""));
     CHECK(request.head.Find("X-Kv-Hold") == "room1");
     ServeEvents(request, answer, 1, 3);
@@ -92,7 +92,7 @@
   std::vector<timer_subscription> answers;
   for (int i = 0; i < kEngines; ++i) {
     scripted_backend& engine = engines.AddBackend("model", engine_stage::kDecode);
-    engine.script = [&](const http1_request&, http1_responder&) {
+    engine.script = [&](const http1_request&, any_answer&) {
       answers.push_back(engines.timers.After(
           kAnswerTime,
           [answer = engine.answers.back()](instant) { answer->Reply(503, {}, "{}"); }));
@@ -108,11 +108,11 @@
 
 TEST_CASE("prefill engines that reject everything do not exceed the retry budget") {
   fake_engines engines;
-  engines.prefill->script = [&](const http1_request& request, http1_responder& answer) {
+  engines.prefill->script = [&](const http1_request& request, any_answer& answer) {
     engines.calls.emplace_back("prefill");
     scripted_backend::Reject(request, answer);
   };
-  engines.decode = [](const http1_request& request, http1_responder& answer) {
+  engines.decode = [](const http1_request& request, any_answer& answer) {
     ServeEvents(request, answer, 1, 2);
     answer.End();
   };
@@ -131,7 +131,7 @@
 TEST_CASE("a truncated stream") {
   fake_engines engines;
   std::vector<std::string> resumed;
-  engines.decode = [&](const http1_request& request, http1_responder& answer) {
+  engines.decode = [&](const http1_request& request, any_answer& answer) {
     resumed.emplace_back(request.head.Find("Last-Event-Id").value_or("none"));
     if (resumed.size() == 1) {
       ServeEvents(request, answer, 1, 2);
@@ -170,7 +170,7 @@
   std::vector<timer_subscription> drips;
   std::string drip;
   int runs = 0;
-  engines.decode = [&](const http1_request& request, http1_responder& answer) {
+  engines.decode = [&](const http1_request& request, any_answer& answer) {
     if (++runs > 1) {
       CHECK(request.head.Find("Last-Event-Id") == "2");
       ServeEvents(request, answer, 3, 4);
@@ -194,7 +194,7 @@
   fake_engines engines;
   std::vector<timer_subscription> pace;
   int sent = 0;
-  engines.decode = [&](const http1_request& request, http1_responder& answer) {
+  engines.decode = [&](const http1_request& request, any_answer& answer) {
     answer.Begin(200, scripted_backend::Genuine(request));
     pace.push_back(engines.timers.Every(milliseconds(500), [&](instant) {
       answer.Send(scripted_backend::Event(++sent));
@@ -214,7 +214,7 @@
 TEST_CASE("a truncated plain answer on a streaming route is never continued by another answer") {
   fake_engines engines;
   const std::string half(200U << 10U, 'x');
-  engines.decode = [&](const http1_request& request, http1_responder& answer) {
+  engines.decode = [&](const http1_request& request, any_answer& answer) {
     if (engines.Count("decode") > 1) {
       ServeEvents(request, answer, 1, 2);
       answer.End();
@@ -234,7 +234,7 @@
 
 TEST_CASE("a caller that disconnects releases its reservation") {
   fake_engines engines;
-  engines.prefill->script = [&](const http1_request&, http1_responder&) {
+  engines.prefill->script = [&](const http1_request&, any_answer&) {
     engines.calls.emplace_back("prefill");
   };
   fake_caller caller(engines);
@@ -245,5 +245,58 @@
   CHECK(engines.prefill->callers_gone == 1);
 }
 
+TEST_CASE("a whole reply in place of the rest of a stream does not reach the caller") {
+  struct whole_reply {
+    int status;
+    std::string body;
+  };
+  const whole_reply replies[] = {{404, "no such thing"},
+                                 {409, "a conflict"},
+                                 {204, ""},
+                                 {201, "made"},
+                                 {400, "not this one"},
+                                 {500, "failed"},
+                                 {302, "elsewhere"},
+                                 {404, std::string(200000, 'x')},
+                                 {201, std::string(200000, 'x')}};
+  for (const whole_reply& reply : replies) {
+    CAPTURE(reply.status);
+    CAPTURE(reply.body.size());
+    fake_engines engines;
+    engines.decode = [&](const http1_request& request, any_answer& answer) {
+      if (engines.Count("decode") == 1) {
+        ServeEvents(request, answer, 1, 2);
+        answer.Abort();
+      } else {
+        CHECK(request.head.Find("Last-Event-Id") == "2");
+        answer.Reply(reply.status, scripted_backend::Genuine(request), reply.body);
+      }
+    };
+    fake_caller caller(engines);
+    caller.Send("/stream/", kSizes);
+    CHECK(caller.Wait([&] { return !caller.open; }));
+    CHECK(engines.Count("decode") == 2);
+    // The stream looks cut: one head, the two events, no end and nothing of the other reply.
+    const std::size_t body = caller.received.find("\r\n\r\n");
+    REQUIRE(body != std::string::npos);
+    CHECK(caller.received.starts_with("HTTP/1.1 200"));
+    std::string events;
+    for (int id = 1; id <= 2; ++id) {
+      events += scripted_backend::Event(id);
+    }
+    std::string rest = caller.received.substr(body + 4);
+    std::string bytes;
+    while (!rest.empty()) {
+      const std::size_t size = std::stoul(rest, nullptr, 16);
+      const std::size_t begin = rest.find("\r\n") + 2;
+      CHECK(size > 0);
+      REQUIRE(rest.size() >= begin + size + 2);
+      bytes += rest.substr(begin, size);
+      rest.erase(0, begin + size + 2);
+    }
+    CHECK(bytes == events);
+  }
+}
+
 }  // namespace
 }  // namespace jacinthspool
--- a/tests/soak/server_standin.cc
+++ b/tests/soak/server_standin.cc
@@ -49,7 +49,7 @@
   return headers;
 }
 
-void server_standin::Reject(const http1_request& request, http1_responder& answer, int status) {
+void server_standin::Reject(const http1_request& request, any_answer& answer, int status) {
   http_headers headers = ResponseHeaders(request);
   headers.emplace_back("X-Not-Run", "1");
   answer.Reply(status, headers, "");
@@ -80,8 +80,9 @@
            .timers = settings.timers,
            .address = "127.0.0.1:0",
            .on_request =
-               [this](const http1_request& request,
-                      const std::shared_ptr<http1_responder>& answer) { Handle(request, answer); }},
+               [this](const http1_request& request, http1_responder answer) {
+                 Handle(request, std::make_shared<any_answer>(std::move(answer)));
+               }},
           error_)) {}
 
 std::string server_standin::address() const {
@@ -89,7 +90,7 @@
 }
 
 void server_standin::Handle(const http1_request& request,
-                            const std::shared_ptr<http1_responder>& answer) {
+                            const std::shared_ptr<any_answer>& answer) {
   RemoveEndedRuns();
   CheckLimit(request);
   const std::string& target = request.head.target;
@@ -144,7 +145,7 @@
                      [&](const run& each) { return each.request == request; });
 }
 
-void server_standin::Reserve(const http1_request& request, http1_responder& answer) {
+void server_standin::Reserve(const http1_request& request, any_answer& answer) {
   const auto body = nlohmann::json::parse(request.body, nullptr, false);
   const auto tokens = body.value("tokens", std::uint64_t{0});
   if (behaviour_ == behaviour::kFull || UsedTokens() + tokens > kMemoryTokens) {
@@ -160,7 +161,7 @@
   answer.Reply(http_status::kOk, {}, nlohmann::json{{"hold", name}}.dump());
 }
 
-void server_standin::Prefill(const http1_request& request, http1_responder& answer) {
+void server_standin::Prefill(const http1_request& request, any_answer& answer) {
   const std::string id = IdOf(request);
   if (behaviour_ != behaviour::kHealthy) {
     ++settings_.record.requests[id].rejected_prefills;
@@ -176,8 +177,7 @@
                nlohmann::json{{"handle", name}, {"tokens", 1}, {"version", 1}}.dump());
 }
 
-void server_standin::Run(const http1_request& request,
-                         const std::shared_ptr<http1_responder>& answer) {
+void server_standin::Run(const http1_request& request, const std::shared_ptr<any_answer>& answer) {
   const std::string id = IdOf(request);
   last_arrival_ = timer_service::now();
   run_record::entry& seen = settings_.record.requests[id];
--- a/tests/soak/server_standin.h
+++ b/tests/soak/server_standin.h
@@ -14,6 +14,7 @@
 
 #include "src/transport/http1_server.h"
 #include "tests/limit_rule.h"
+#include "tests/transport/any_answer.h"
 
 namespace jacinthspool::testing {
 
@@ -82,7 +83,7 @@
   struct run {
     std::string request;
     http_headers headers = {};
-    std::shared_ptr<http1_responder> answer;
+    std::shared_ptr<any_answer> answer;
     int next_event = 1;
     std::uint64_t tokens = 0;
     timer_subscription timer = {};
@@ -96,11 +97,11 @@
   void CheckLimit(const http1_request& request);
   /// \returns Headers of an answer that is sent now; they state the limit.
   http_headers ResponseHeaders(const http1_request& request);
-  void Reject(const http1_request& request, http1_responder& answer, int status);
-  void Handle(const http1_request& request, const std::shared_ptr<http1_responder>& answer);
-  void Reserve(const http1_request& request, http1_responder& answer);
-  void Prefill(const http1_request& request, http1_responder& answer);
-  void Run(const http1_request& request, const std::shared_ptr<http1_responder>& answer);
+  void Reject(const http1_request& request, any_answer& answer, int status);
+  void Handle(const http1_request& request, const std::shared_ptr<any_answer>& answer);
+  void Reserve(const http1_request& request, any_answer& answer);
+  void Prefill(const http1_request& request, any_answer& answer);
+  void Run(const http1_request& request, const std::shared_ptr<any_answer>& answer);
   void SendEvent(run& streaming);
   void RemoveEndedRuns();
   [[nodiscard]] std::uint64_t UsedTokens() const;
--- a/tests/soak/store_standin.cc
+++ b/tests/soak/store_standin.cc
@@ -89,8 +89,9 @@
            .timers = timers,
            .address = "127.0.0.1:0",
            .on_request =
-               [this](const http1_request& request,
-                      const std::shared_ptr<http1_responder>& answer) { Handle(request, answer); }},
+               [this](const http1_request& request, http1_responder answer) {
+                 Handle(request, std::make_shared<any_answer>(std::move(answer)));
+               }},
           error_)) {}
 
 std::string store_standin::address() const {
@@ -171,12 +172,12 @@
   }
 }
 
-void store_standin::Answer(http1_responder& answer, int status, const std::string& body) const {
+void store_standin::Answer(any_answer& answer, int status, const std::string& body) const {
   answer.Reply(status, {{"Store-Era", reported_era_.value_or(std::to_string(era_))}}, body);
 }
 
 void store_standin::Handle(const http1_request& request,
-                           const std::shared_ptr<http1_responder>& answer) {
+                           const std::shared_ptr<any_answer>& answer) {
   ++calls_;
   if (behaviour_ == behaviour::kBusy) {
     Answer(*answer, http_status::kServiceUnavailable, "");
@@ -199,7 +200,7 @@
 }
 
 void store_standin::Range(const std::string& prefix, const std::string& after,
-                          http1_responder& answer) const {
+                          any_answer& answer) const {
   std::vector<std::string> items;
   bool more = false;
   for (const auto& [key, state] : content_.items) {
@@ -246,7 +247,7 @@
     const auto found = std::find_if(watches_.begin(), watches_.end(),
                                     [&](const auto& each) { return each.answer.get() == answer; });
     if (found != watches_.end()) {
-      const std::shared_ptr<http1_responder> open_answer = found->answer;
+      const std::shared_ptr<any_answer> open_answer = found->answer;
       watches_.erase(found);
       Answer(*open_answer, http_status::kOk,
              json{{"events", json::array()}, {"storeRevision", content_.revision}}.dump());
@@ -264,7 +265,7 @@
       ++each;
       continue;
     }
-    const std::shared_ptr<http1_responder> open_answer = each->answer;
+    const std::shared_ptr<any_answer> open_answer = each->answer;
     each = watches_.erase(each);
     Answer(*open_answer, http_status::kOk, changes);
   }
--- a/tests/soak/store_standin.h
+++ b/tests/soak/store_standin.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "src/transport/http1_server.h"
+#include "tests/transport/any_answer.h"
 
 namespace jacinthspool::testing {
 
@@ -66,7 +67,7 @@
   struct waiting_watch {
     std::string prefix;
     std::uint64_t after = 0;
-    std::shared_ptr<http1_responder> answer;
+    std::shared_ptr<any_answer> answer;
     timer_subscription timeout = {};
   };
 
@@ -77,9 +78,9 @@
     std::uint64_t revision = 1;
   };
 
-  void Answer(http1_responder& answer, int status, const std::string& body) const;
-  void Handle(const http1_request& request, const std::shared_ptr<http1_responder>& answer);
-  void Range(const std::string& prefix, const std::string& after, http1_responder& answer) const;
+  void Answer(any_answer& answer, int status, const std::string& body) const;
+  void Handle(const http1_request& request, const std::shared_ptr<any_answer>& answer);
+  void Range(const std::string& prefix, const std::string& after, any_answer& answer) const;
   void Watch(waiting_watch watch, milliseconds wait);
   [[nodiscard]] std::string ChangesAfter(const waiting_watch& watch) const;
   void NotifyWatches();
@@ -96,7 +97,7 @@
   std::optional<std::string> reported_era_;
   std::uint64_t oldest_known_ = 1;  ///< Changes after this revision are in the history.
   std::list<waiting_watch> watches_;
-  std::list<std::shared_ptr<http1_responder>> unanswered_;
+  std::list<std::shared_ptr<any_answer>> unanswered_;
   behaviour behaviour_ = behaviour::kServing;
   std::uint64_t calls_ = 0;
   std::size_t page_size_ = std::numeric_limits<std::size_t>::max();
--- a/tests/transport/http1_test.cc
+++ b/tests/transport/http1_test.cc
@@ -8,6 +8,7 @@
 
 #include "src/transport/http1_client.h"
 #include "src/transport/http1_server.h"
+#include "tests/transport/any_answer.h"
 #include "tests/transport/loop_until.h"
 #include "tests/transport/raw_socket.h"
 
@@ -19,16 +20,16 @@
   event_loop loop;
   timer_service timers{loop};
   std::vector<http1_request> requests;
-  std::vector<std::shared_ptr<http1_responder>> answers;
+  std::vector<std::shared_ptr<any_answer>> answers;
   std::string error;
   std::unique_ptr<http1_server> server = http1_server::Listen(
       {.loop = loop,
        .timers = timers,
        .address = "127.0.0.1:0",
        .on_request =
-           [this](http1_request request, std::shared_ptr<http1_responder> answer) {
+           [this](http1_request request, http1_responder answer) {
              requests.push_back(std::move(request));
-             answers.push_back(std::move(answer));
+             answers.push_back(std::make_shared<any_answer>(std::move(answer)));
            }},
       error);
   raw_socket caller = raw_socket::Connect(server->port());
