--- a/tests/platform/store_records_test.cc
+++ b/tests/platform/store_records_test.cc
@@ -173,7 +173,7 @@
       R"({"service":"s1","address":"10.0.0.1:80","zone":"z","slots":64,"state":"ready","born":5})";
   const auto decode = [](const std::string& value, const std::string& key = "servers/i-1") {
     std::string error;
-    const auto record = DecodeBackend({.key = key, .value = value, .published = 12}, error);
+    auto record = DecodeBackend({.key = key, .value = value, .published = 12}, error);
     CHECK(record.has_value() == error.empty());
     return record;
   };
--- a/tests/soak/store_standin.cc
+++ b/tests/soak/store_standin.cc
@@ -35,7 +35,8 @@
 }
 
 /// \returns The reply with that list of JSON texts.
-std::string ReplyWith(const std::string& list, const std::vector<std::string>& texts, json others) {
+std::string ReplyWith(const std::string& list, const std::vector<std::string>& texts,
+                      const json& others) {
   std::string reply = others.dump();
   reply.back() = ',';
   reply += '"' + list + "\":[";
