--- a/src/gateway/snapshot.h
+++ b/src/gateway/snapshot.h
@@ -47,6 +47,8 @@
   std::vector<gateway_report> fleet = {};  ///< Of the gateways that the sender knows.
   /// Servers that the sender has seen depart; others that its list lacks may have lapsed.
   std::vector<departed_backend> departed = {};
+  /// Why part of a decoded snapshot cannot be used and was left out; empty: nothing was.
+  std::string_view fault = {};
 };
 
 [[nodiscard]] std::string EncodeSnapshot(const gateway_snapshot& value);
