--- a/tests/gateway/snapshot_test.cc
+++ b/tests/gateway/snapshot_test.cc
@@ -162,15 +162,18 @@
   }
 }
 
+constexpr const char* kAddress = "10.0.0.1:80";
+
 TEST_CASE("a gateway without the publisher drops a server whose removal a peer has seen") {
   fake_platform sees;
   fake_platform cut_off;
   for (fake_platform* each : {&sees, &cut_off}) {
     each->Configure();
     each->router.OnPublisherRegained();
-    each->router.OnBackends({{.id = "goes", .service = "plain", .published = 1},
-                             {.id = "stays", .service = "plain", .published = 2}},
-                            2);
+    each->router.OnBackends(
+        {{.id = "goes", .service = "plain", .address = kAddress, .published = 1},
+         {.id = "stays", .service = "plain", .address = kAddress, .published = 2}},
+        2);
   }
   // The grace period after the publisher's return ends.
   REQUIRE(RunUntil(sees.loop, [&, start = timer_service::now()] {
@@ -191,13 +194,15 @@
     CHECK(listed()[0].id == "stays");
 
     SUBCASE("and takes it back when it is published again") {
-      sees.router.OnBackendPut({.id = "goes", .service = "plain", .published = 6});
+      sees.router.OnBackendPut(
+          {.id = "goes", .service = "plain", .address = kAddress, .published = 6});
       ask(sees);
       CHECK(listed().size() == 2);
     }
   }
   SUBCASE("one that said that it leaves") {
-    sees.router.OnBackendPut({.id = "goes", .service = "plain", .leaving = true, .published = 4});
+    sees.router.OnBackendPut(
+        {.id = "goes", .service = "plain", .address = kAddress, .leaving = true, .published = 4});
     sees.router.OnBackendRemoved("goes", 5);
     ask(sees);
     CHECK(listed().size() == 1);
@@ -205,7 +210,8 @@
   SUBCASE("although another peer's list came first") {
     fake_platform lapsed;
     lapsed.Configure();
-    lapsed.router.OnBackends({{.id = "stays", .service = "plain", .published = 2}}, 5);
+    lapsed.router.OnBackends(
+        {{.id = "stays", .service = "plain", .address = kAddress, .published = 2}}, 5);
     ask(lapsed);
     CHECK(listed().size() == 2);
     sees.router.OnBackendRemoved("goes", 5);
@@ -215,7 +221,8 @@
   SUBCASE("but keeps one whose entry lapsed while that peer was without the publisher, too") {
     sees.router.OnPublisherLost("cut off");
     sees.router.OnPublisherRegained();
-    sees.router.OnBackends({{.id = "stays", .service = "plain", .published = 2}}, 5);
+    sees.router.OnBackends(
+        {{.id = "stays", .service = "plain", .address = kAddress, .published = 2}}, 5);
     ask(sees);
     CHECK(listed().size() == 2);
   }
