--- /dev/null
+++ b/src/routing/crash_quarantine.cc
@@ -0,0 +1,349 @@
+#include "jacinthspool/routing/crash_quarantine.h"
+
+#include <algorithm>
+#include <iterator>
+#include <limits>
+
+#include "jacinthspool/impl/rendezvous.h"
+
+namespace jacinthspool {
+namespace {
+
+/// Rounds in which a reporting gateway sends on what others know of the parts: one for their
+/// replies, one for those that were lost.
+constexpr std::uint32_t kMaxEchoes = 2;
+/// The trial interval is doubled at most this often.
+constexpr std::size_t kMaxDoublings = 12;
+/// Fraction of its turn in which a gateway starts a trial, since clocks differ.
+constexpr int kTrialTurnDivisor = 2;
+/// Servers that end under a request, after which it is not repeated unless its parts are sound.
+constexpr std::size_t kMaxSuspicionsForRepeat = 1;
+
+}  // namespace
+
+crash_quarantine::crash_quarantine(options settings)
+    : settings_(std::move(settings)), sound_(settings_.sound), last_contact_(settings_.started) {}
+
+void crash_quarantine::OnServerEnd(const backend_incarnation& server, end_sign sign,
+                                   std::span<const prompt_part> unanswered, instant now) {
+  const crash_report* last = FindLast(server);
+  const auto since = last != nullptr ? now - last->ended : microseconds(0);
+  std::uint32_t episode = last != nullptr ? last->episode : 0;
+  if (sign >= end_sign::kDeregistered) {
+    if (last == nullptr || since > settings_.latest_confirmation) {
+      return;
+    }
+  } else {
+    episode += since > settings_.latest_refutation ? 1 : 0;
+    const auto cut = last_cut_.find(server);
+    if (cut != last_cut_.end() && now - cut->second <= settings_.together) {
+      sign = end_sign::kCutTogether;
+    }
+    last_cut_[server] = now;
+  }
+  const crash_key key(server, episode);
+  crash_report seen{.server = server,
+                    .episode = episode,
+                    .sign = sign,
+                    .ended = now,
+                    .gateways = {settings_.gateway}};
+  for (const prompt_part part : unanswered) {
+    seen.parts[part];
+  }
+  AddStandings(seen);
+  if (!unanswered.empty()) {
+    echoes_.try_emplace(key, kMaxEchoes);
+  }
+  const auto [known, added] = reports_.try_emplace(
+      key, crash_report{.server = server, .episode = episode, .sign = sign, .ended = now});
+  const bool changed = Merge(known->second, seen) || added;
+  if (changed) {
+    stale_ = true;
+    news_ = news_ || echoes_.contains(key);
+    LimitReports();
+  }
+}
+
+crash_report* crash_quarantine::FindLast(const backend_incarnation& server) {
+  const auto next = reports_.upper_bound({server, std::numeric_limits<std::uint32_t>::max()});
+  if (next == reports_.begin() || std::prev(next)->second.server != server) {
+    return nullptr;
+  }
+  return &std::prev(next)->second;
+}
+
+void crash_quarantine::OnHeard(const backend_incarnation& server, instant now) {
+  crash_report* report = FindLast(server);
+  if (report == nullptr || report->refuted) {
+    return;
+  }
+  const microseconds since = now - report->ended;
+  if (since >= settings_.earliest_refutation && since <= settings_.latest_refutation) {
+    news_ = news_ || echoes_.contains({server, report->episode}) || Supports(*report);
+    report->refuted = true;
+    stale_ = true;
+  }
+}
+
+void crash_quarantine::OnAnswer(std::span<const prompt_part> parts, instant now) {
+  for (const prompt_part part : parts) {
+    sound_.Add(part, now);
+    bool changed = false;
+    for (auto& [server, report] : reports_) {
+      const auto suspect = report.parts.find(part);
+      if (suspect != report.parts.end() && report.ended < now) {
+        changed = !std::exchange(suspect->second.vouched_since, true) || changed;
+      }
+    }
+    if (changed) {
+      stale_ = true;
+      news_ = news_ || held_.contains(part);
+    }
+  }
+}
+
+void crash_quarantine::OnPeer(std::span<const crash_report> reports,
+                              std::span<const part_trial> trials, instant now) {
+  for (const crash_report& heard : reports) {
+    if (now - heard.ended <= settings_.held_retention) {
+      Apply(heard);
+    }
+  }
+  for (const part_trial& heard : trials) {
+    const auto [known, added] =
+        trials_.try_emplace(trial_key(heard.part, heard.gateway, heard.number), heard);
+    known->second.sent = std::min(known->second.sent, heard.sent);
+  }
+  while (trials_.size() > settings_.max_trial_records) {
+    trials_.erase(std::min_element(
+        trials_.begin(), trials_.end(),
+        [](const auto& a, const auto& b) { return a.second.sent < b.second.sent; }));
+  }
+}
+
+void crash_quarantine::OnContact(instant now) {
+  last_contact_ = now;
+  had_contact_ = true;
+}
+
+void crash_quarantine::Apply(const crash_report& heard) {
+  const crash_key key(heard.server, heard.episode);
+  const auto [known, added] = reports_.try_emplace(key, crash_report{.server = heard.server,
+                                                                     .episode = heard.episode,
+                                                                     .sign = heard.sign,
+                                                                     .ended = heard.ended});
+  const bool merged = Merge(known->second, heard) || added;
+  const bool changed = AddStandings(known->second) || merged;
+  if (!changed) {
+    return;
+  }
+  stale_ = true;
+  const auto echoes = echoes_.find(key);
+  if (echoes != echoes_.end() && echoes->second > 0) {
+    --echoes->second;
+    news_ = true;
+  }
+  LimitReports();
+}
+
+bool crash_quarantine::AddStandings(crash_report& report) const {
+  bool changed = false;
+  for (auto& [part, standing] : report.parts) {
+    if (const auto seen = sound_.Find(part)) {
+      bool& known = *seen > report.ended ? standing.vouched_since : standing.known_good;
+      changed = !std::exchange(known, true) || changed;
+    }
+  }
+  return changed;
+}
+
+bool crash_quarantine::Supports(const crash_report& report) const {
+  return !report.refuted &&
+         std::any_of(report.parts.begin(), report.parts.end(), [&](const auto& each) {
+           return !each.second.vouched_since && held_.contains(each.first);
+         });
+}
+
+void crash_quarantine::LimitReports() {
+  while (reports_.size() > settings_.max_reports) {
+    const auto least = std::min_element(
+        reports_.begin(), reports_.end(), [&](const auto& left, const auto& right) {
+          return std::pair(Supports(left.second), left.second.ended) <
+                 std::pair(Supports(right.second), right.second.ended);
+        });
+    reports_.erase(least);
+  }
+}
+
+bool crash_quarantine::Settling(instant now) const {
+  return settings_.has_peers && !had_contact_ && now - settings_.started <= settings_.settle;
+}
+
+bool crash_quarantine::cut_off(instant now) const {
+  return settings_.has_peers &&
+         now - last_contact_ > (had_contact_ ? settings_.contact_timeout : settings_.settle);
+}
+
+const std::map<prompt_part, crashing_part>& crash_quarantine::Held(instant now) const {
+  const bool alone = cut_off(now);
+  if (stale_ || now >= recheck_at_ || alone != held_while_cut_off_) {
+    crash_rules rules = settings_.rules;
+    if (alone) {
+      // The crashes that only other gateways have seen are missing.
+      rules.outages = 1;
+    }
+    held_.clear();
+    for (crashing_part& found : FindCrashingParts(reports_, rules, now)) {
+      held_[found.part] = std::move(found);
+    }
+    recheck_at_ = instant::max();
+    for (const auto& [key, report] : reports_) {
+      const instant counts_from = report.ended + rules.refutation_time;
+      if (counts_from > now && !Counts(report, rules, now) && Counts(report, rules, counts_from)) {
+        recheck_at_ = std::min(recheck_at_, counts_from);
+      }
+    }
+    held_while_cut_off_ = alone;
+    stale_ = false;
+  }
+  return held_;
+}
+
+std::uint32_t crash_quarantine::TrialCount(prompt_part part) const {
+  return static_cast<std::uint32_t>(std::count_if(
+      trials_.begin(), trials_.end(), [&](const auto& each) { return each.second.part == part; }));
+}
+
+instant crash_quarantine::LastEvidence(const crashing_part& held) const {
+  instant last = held.last_crash;
+  for (const auto& [key, trial] : trials_) {
+    if (trial.part == held.part) {
+      last = std::max(last, trial.sent);
+    }
+  }
+  return last;
+}
+
+prompt_verdict crash_quarantine::Check(std::span<const prompt_part> parts, instant now) const {
+  const auto& held = Held(now);
+  std::vector<const crashing_part*> found;
+  if (!held.empty()) {
+    for (const prompt_part part : parts) {
+      const auto each = held.find(part);
+      if (each != held.end()) {
+        found.push_back(&each->second);
+      }
+    }
+  }
+  if (!found.empty()) {
+    prompt_verdict verdict = CheckTrial(*found.front(), now);
+    // A request with several held parts shows nothing of either.
+    if (found.size() > 1 && std::holds_alternative<prompt_trial>(verdict)) {
+      verdict = prompt_held{.evidence = *found.front(),
+                            .age = now - found.front()->last_crash,
+                            .trials = TrialCount(found.front()->part),
+                            .retry_after = settings_.trial_turn};
+    }
+    return verdict;
+  }
+  if (Settling(now) && std::any_of(parts.begin(), parts.end(),
+                                   [&](prompt_part part) { return !sound_.Find(part); })) {
+    return prompt_unknown{.retry_after = settings_.started + settings_.settle - now};
+  }
+  return prompt_admitted{};
+}
+
+prompt_verdict crash_quarantine::CheckTrial(const crashing_part& held, instant now) const {
+  const std::uint32_t trials = TrialCount(held.part);
+  prompt_held refusal{.evidence = held,
+                      .age = now - held.last_crash,
+                      .trials = trials,
+                      .retry_after = held.last_crash + settings_.held_retention - now};
+  if (trials >= settings_.max_trials) {
+    return refusal;
+  }
+  const std::size_t beyond =
+      held.servers - std::min(held.servers, settings_.rules.outages) + trials;
+  const microseconds first =
+      held.alike.size() > 1 ? settings_.alike_trial_interval : settings_.trial_interval;
+  const instant due = LastEvidence(held) + first * (1 << std::min(beyond, kMaxDoublings));
+  if (now < due) {
+    refusal.retry_after = due - now;
+    return refusal;
+  }
+  if (held.alike.size() > 1) {
+    return prompt_trial{.evidence = held};
+  }
+  const std::vector<std::string> gateways(held.gateways.begin(), held.gateways.end());
+  const auto turn = static_cast<std::size_t>((now - due) / settings_.trial_turn);
+  const microseconds into_turn = (now - due) % settings_.trial_turn;
+  const std::string& next =
+      gateways[RendezvousOrder(held.part, gateways)[(trials + turn) % gateways.size()]];
+  if (next == settings_.gateway && into_turn < settings_.trial_turn / kTrialTurnDivisor &&
+      !Settling(now)) {
+    return prompt_trial{.evidence = held};
+  }
+  refusal.retry_after = settings_.trial_turn - into_turn;
+  return refusal;
+}
+
+void crash_quarantine::OnTrial(prompt_part part, instant now) {
+  const auto own = static_cast<std::uint32_t>(
+      std::count_if(trials_.begin(), trials_.end(), [&](const auto& each) {
+        return each.second.part == part && each.second.gateway == settings_.gateway;
+      }));
+  trials_[trial_key(part, settings_.gateway, own)] = {
+      .part = part, .gateway = settings_.gateway, .number = own, .sent = now};
+  news_ = true;
+}
+
+std::size_t crash_quarantine::Suspicions(prompt_part part) const {
+  return static_cast<std::size_t>(
+      std::count_if(reports_.begin(), reports_.end(), [&](const auto& each) {
+        const auto suspect = each.second.parts.find(part);
+        return !each.second.refuted && suspect != each.second.parts.end() &&
+               !suspect->second.vouched_since;
+      }));
+}
+
+bool crash_quarantine::MayRepeat(std::span<const prompt_part> parts, instant now) const {
+  const auto& held = Held(now);
+  return std::all_of(parts.begin(), parts.end(), [&](prompt_part part) {
+    return !held.contains(part) &&
+           (sound_.Find(part) || Suspicions(part) <= kMaxSuspicionsForRepeat);
+  });
+}
+
+bool crash_quarantine::MustCancel(std::span<const prompt_part> parts, instant now) const {
+  const auto& held = Held(now);
+  return !held.empty() && std::any_of(parts.begin(), parts.end(), [&](prompt_part part) {
+    const auto each = held.find(part);
+    return each != held.end() && each->second.alike.size() == 1;
+  });
+}
+
+std::vector<part_trial> crash_quarantine::Trials() const {
+  std::vector<part_trial> all;
+  for (const auto& [key, trial] : trials_) {
+    all.push_back(trial);
+  }
+  return all;
+}
+
+void crash_quarantine::Expire(instant now) {
+  static_cast<void>(Held(now));
+  stale_ = std::erase_if(reports_,
+                         [&](const auto& each) {
+                           const microseconds age = now - each.second.ended;
+                           return age > settings_.held_retention ||
+                                  (age > settings_.retention && !Supports(each.second));
+                         }) > 0 ||
+           stale_;
+  std::erase_if(echoes_, [&](const auto& each) { return !reports_.contains(each.first); });
+  std::erase_if(last_cut_,
+                [&](const auto& each) { return now - each.second > settings_.retention; });
+  std::erase_if(
+      trials_, [&](const auto& each) { return now - each.second.sent > settings_.held_retention; });
+}
+
+}  // namespace jacinthspool
