--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -112,28 +112,33 @@
   return context_.routes.configuration() != nullptr && list_known_;
 }
 
-void gateway::HandleRequest(http1_request request, std::shared_ptr<http1_responder> answer) {
+void gateway::HandleRequest(http1_request request, http1_responder answer) {
   auto decoded = context_.dialect.DecodeRequest(request.head);
   if (!decoded) {
-    Reject(*answer, http_status::kBadRequest, "", "a header has no valid value");
+    Reject(std::move(answer), http_status::kBadRequest, "", "a header has no valid value");
     return;
   }
+  if (decoded->parts_unreadable) {
+    context_.metrics.Count("gateway_unreadable_prompt_parts");
+  }
   if (!can_route()) {
-    Reject(*answer, http_status::kServiceUnavailable, decoded->id, "no configuration or list yet");
+    Reject(std::move(answer), http_status::kServiceUnavailable, decoded->id,
+           "no configuration or list yet");
     return;
   }
   if (rejecting_) {
-    Reject(*answer, http_status::kServiceUnavailable, decoded->id, "stopping");
+    Reject(std::move(answer), http_status::kServiceUnavailable, decoded->id, "stopping");
     return;
   }
   const auto route = context_.routes.Find(decoded->host, decoded->target);
   if (!route) {
-    Reject(*answer, http_status::kNotFound, decoded->id, "no route");
+    Reject(std::move(answer), http_status::kNotFound, decoded->id, "no route");
     return;
   }
   const std::string* service = ServiceOf(*route, HashKey(decoded->id));
   if (service == nullptr) {
-    Reject(*answer, http_status::kServiceUnavailable, decoded->id, "route without a service");
+    Reject(std::move(answer), http_status::kServiceUnavailable, decoded->id,
+           "route without a service");
     return;
   }
   decoded->body = std::move(request.body);
@@ -151,7 +156,7 @@
   exchange->Start();
 }
 
-void gateway::Reject(http1_responder& answer, int status, std::string_view id,
+void gateway::Reject(http1_responder answer, int status, std::string_view id,
                      std::string_view why) {
   Log(log_level::kWarning, "request_rejected",
       {{"request", id},
@@ -160,11 +165,11 @@
        {"configuration",
         context_.routes.configuration() ? context_.routes.configuration()->version : 0}});
   context_.metrics.Count("gateway_rejected", {{"status", std::to_string(status)}});
-  answer.Reply(status,
-               status == http_status::kServiceUnavailable
-                   ? context_.dialect.RejectionHeaders(kStartRetryAfter)
-                   : http_headers{},
-               std::string(why) + "\n");
+  std::move(answer).Reply(status,
+                          status == http_status::kServiceUnavailable
+                              ? context_.dialect.RejectionHeaders(kStartRetryAfter)
+                              : http_headers{},
+                          std::string(why) + "\n");
 }
 
 void gateway::OnConfiguration(std::shared_ptr<const forward_configuration> next) {
@@ -201,11 +206,16 @@
        {"revision", record.published.revision}});
   const std::string id = record.id;
   context_.backends.Put(std::move(record));
-  context_.selector.Update(context_.backends.backends().at(id));
+  const auto& listed = context_.backends.backends();
+  if (const auto known = listed.find(id); known != listed.end()) {
+    context_.selector.Update(known->second);
+  }
 }
 
 void gateway::OnBackendRemoved(const std::string& id, store_position at) {
-  Log(log_level::kInfo, "backend_removed", {{"backend", id}, {"revision", at.revision}});
+  if (context_.backends.backends().contains(id)) {
+    Log(log_level::kInfo, "backend_removed", {{"backend", id}, {"revision", at.revision}});
+  }
   context_.backends.Remove(id, at, timer_service::now());
   UpdateSelector();
 }
@@ -231,6 +241,19 @@
           {{"backend", record.id}, {"list_revision", other.list_position.revision}});
     }
   }
+  bool departed = false;
+  for (const departed_backend& each : other.departed) {
+    if (context_.backends.Depart(each, timer_service::now())) {
+      Log(log_level::kInfo, "peer_says_departed",
+          {{"backend", each.id},
+           {"revision", each.at.revision},
+           {"list_revision", other.list_position.revision}});
+      departed = true;
+    }
+  }
+  if (departed) {
+    UpdateSelector();
+  }
   const bool newer = other.list_position > context_.backends.position();
   if (other.list_position != store_position() && !other.backends.empty() &&
       (!list_known_ || (publisher_lost_ && newer))) {
@@ -242,7 +265,8 @@
   const auto& configuration = context_.routes.configuration();
   const bool wants_list = !list_known_ || publisher_lost_;
   return {.configuration_after = configuration ? configuration->version : 0,
-          .list_after = wants_list ? std::optional(context_.backends.position()) : std::nullopt};
+          .list_after = wants_list ? std::optional(context_.backends.position()) : std::nullopt,
+          .departed_after = wants_list ? std::optional(context_.backends.lost_at()) : std::nullopt};
 }
 
 gateway_snapshot gateway::Snapshot(const snapshot_scope& scope) const {
@@ -265,6 +289,9 @@
       }
     }
   }
+  if (scope.departed_after) {
+    own.departed = context_.backends.DepartedAfter(*scope.departed_after);
+  }
   for (const auto& [id, record] : context_.backends.backends()) {
     if (includes_list || record.leaving) {
       own.backends.push_back(record);
--- a/tests/gateway/silent_prefill_test.cc
+++ b/tests/gateway/silent_prefill_test.cc
@@ -19,12 +19,12 @@
   bool denies = false;  ///< Decode engines reject reservations.
   int prefills = 0;
   int decodes = 0;
-  std::function<void(const http1_request&, http1_responder&)> decode =
-      [](const http1_request& request, http1_responder& answer) {
-        answer.Begin(200, scripted_backend::Genuine(request));
-        answer.Send(scripted_backend::Event(1));
-        answer.End();
-      };
+  std::function<void(const http1_request&, any_answer&)> decode = [](const http1_request& request,
+                                                                     any_answer& answer) {
+    answer.Begin(200, scripted_backend::Genuine(request));
+    answer.Send(scripted_backend::Event(1));
+    answer.End();
+  };
 
   staged_engines() {
     Configure(seconds(20));
@@ -32,7 +32,7 @@
     for (int i = 0; i < 2; ++i) {
       decoders.push_back(&AddBackend("model", engine_stage::kDecode));
       decoders.back()->script = [this, engine = decoders.back()](const http1_request& request,
-                                                                 http1_responder& answer) {
+                                                                 any_answer& answer) {
         if (request.head.target == "/v1/hold-take") {
           first = first == nullptr ? engine : first;
           answer.Reply(denies ? 503 : 200, {}, denies ? "{}" : R"({"hold":"room1"})");
@@ -60,7 +60,7 @@
 
 TEST_CASE("a prefill whose reply ends while a reservation is sought anew is used") {
   staged_engines engines;
-  engines.prefiller->script = [&](const http1_request& request, http1_responder& answer) {
+  engines.prefiller->script = [&](const http1_request& request, any_answer& answer) {
     answer.Begin(200, scripted_backend::Genuine(request));
     answer.Send(R"({"handle":"kv1","tokens":3000})");
     engines.denies = true;
@@ -78,7 +78,7 @@
 
 TEST_CASE("a silent prefill is waited for while no reservation can be had") {
   staged_engines engines;
-  engines.prefiller->script = [&](const http1_request& request, http1_responder&) {
+  engines.prefiller->script = [&](const http1_request& request, any_answer&) {
     ++engines.prefills;
     engines.denies = true;
     engines.Publish(*engines.first, "model", engine_stage::kDecode, true);
@@ -103,7 +103,7 @@
     route.latency_objective = milliseconds(1400);
   }
   engines.router.OnConfiguration(next);
-  engines.prefiller->script = [&](const http1_request& request, http1_responder& answer) {
+  engines.prefiller->script = [&](const http1_request& request, any_answer& answer) {
     if (++engines.prefills == 1) {
       answer.Reply(200, scripted_backend::Genuine(request), R"({"handle":"kv1","tokens":3000})");
       return;
@@ -115,7 +115,7 @@
     });
   };
   engines.decode = [&, answered = engines.decode](const http1_request& request,
-                                                  http1_responder& answer) {
+                                                  any_answer& answer) {
     if (engines.decodes > 1) {
       answered(request, answer);
     }
--- a/tests/gateway/snapshot_test.cc
+++ b/tests/gateway/snapshot_test.cc
@@ -67,6 +67,51 @@
   }
 }
 
+TEST_CASE("what a peer passes on is checked before it is used") {
+  const backend_record sound{.id = "i-1", .service = "s", .address = "10.0.0.1:80"};
+  gateway_snapshot sent;
+  sent.list_position = {1, 7};
+
+  SUBCASE("a record that names no server to use is left out, the others stand") {
+    for (const char* address : {"", "10.0.0.1:0", "10.0.0.1:70000", "nowhere:80", "10.0.0.1"}) {
+      CAPTURE(address);
+      sent.backends = {sound, {.id = "i-2", .service = "s", .address = address}, sound};
+      const auto decoded = DecodeSnapshot(EncodeSnapshot(sent));
+      REQUIRE(decoded);
+      CHECK(decoded->backends.size() == 2);
+      CHECK_FALSE(decoded->fault.empty());
+    }
+    sent.backends = {sound, {.id = "a\r\nb", .service = "s", .address = "10.0.0.1:80"}};
+    CHECK(DecodeSnapshot(EncodeSnapshot(sent))->backends.size() == 1);
+    sent.backends = {sound, sound};
+    sent.backends[1].stage = static_cast<engine_stage>(9);
+    CHECK(DecodeSnapshot(EncodeSnapshot(sent))->backends.size() == 1);
+  }
+  SUBCASE("a configuration out of range is left out, the list stands") {
+    forward_configuration odd;
+    SUBCASE("life of a KV handle") {
+      odd.services["s"] = {
+          .name = "s",
+          .engine = engine_profile{.kv_handle_life = microseconds::max(), .longest_hold = {}}};
+    }
+    SUBCASE("negative hold") {
+      odd.services["s"] = {
+          .name = "s",
+          .engine = engine_profile{.kv_handle_life = {}, .longest_hold = microseconds(-1)}};
+    }
+    SUBCASE("kind") { odd.routes = {{.kind = static_cast<request_kind>(9)}}; }
+    SUBCASE("limits") { odd.limits.max_head_bytes = std::size_t{1} << 40U; }
+    odd.version = 3;
+    sent.configuration = std::make_shared<forward_configuration>(odd);
+    sent.backends = {sound};
+    const auto decoded = DecodeSnapshot(EncodeSnapshot(sent));
+    REQUIRE(decoded);
+    CHECK(decoded->configuration == nullptr);
+    CHECK(decoded->backends.size() == 1);
+    CHECK_FALSE(decoded->fault.empty());
+  }
+}
+
 TEST_CASE("a gateway that starts while the publisher is unavailable applies a peer's snapshot") {
   fake_platform knows;
   knows.Configure();
@@ -117,6 +162,72 @@
   }
 }
 
+constexpr const char* kAddress = "10.0.0.1:80";
+
+TEST_CASE("a gateway without the publisher drops a server whose removal a peer has seen") {
+  fake_platform sees;
+  fake_platform cut_off;
+  for (fake_platform* each : {&sees, &cut_off}) {
+    each->Configure();
+    each->router.OnPublisherRegained();
+    each->router.OnBackends(
+        {{.id = "goes", .service = "plain", .address = kAddress, .published = 1},
+         {.id = "stays", .service = "plain", .address = kAddress, .published = 2}},
+        2);
+  }
+  // The grace period after the publisher's return ends.
+  REQUIRE(RunUntil(sees.loop, [&, start = timer_service::now()] {
+    return timer_service::now() - start > seconds(2);
+  }));
+  cut_off.router.OnPublisherLost("cut off");
+  const auto ask = [&](fake_platform& peer) {
+    const auto scope = ScopeOf(SnapshotTarget(cut_off.router.WantedScope()));
+    REQUIRE(scope);
+    cut_off.router.ApplySnapshot(*DecodeSnapshot(EncodeSnapshot(peer.router.Snapshot(*scope))));
+  };
+  const auto listed = [&] { return cut_off.router.Snapshot().backends; };
+
+  SUBCASE("one that left without a word") {
+    sees.router.OnBackendRemoved("goes", 5);
+    ask(sees);
+    REQUIRE(listed().size() == 1);
+    CHECK(listed()[0].id == "stays");
+
+    SUBCASE("and takes it back when it is published again") {
+      sees.router.OnBackendPut(
+          {.id = "goes", .service = "plain", .address = kAddress, .published = 6});
+      ask(sees);
+      CHECK(listed().size() == 2);
+    }
+  }
+  SUBCASE("one that said that it leaves") {
+    sees.router.OnBackendPut(
+        {.id = "goes", .service = "plain", .address = kAddress, .leaving = true, .published = 4});
+    sees.router.OnBackendRemoved("goes", 5);
+    ask(sees);
+    CHECK(listed().size() == 1);
+  }
+  SUBCASE("although another peer's list came first") {
+    fake_platform lapsed;
+    lapsed.Configure();
+    lapsed.router.OnBackends(
+        {{.id = "stays", .service = "plain", .address = kAddress, .published = 2}}, 5);
+    ask(lapsed);
+    CHECK(listed().size() == 2);
+    sees.router.OnBackendRemoved("goes", 5);
+    ask(sees);
+    CHECK(listed().size() == 1);
+  }
+  SUBCASE("but keeps one whose entry lapsed while that peer was without the publisher, too") {
+    sees.router.OnPublisherLost("cut off");
+    sees.router.OnPublisherRegained();
+    sees.router.OnBackends(
+        {{.id = "stays", .service = "plain", .address = kAddress, .published = 2}}, 5);
+    ask(sees);
+    CHECK(listed().size() == 2);
+  }
+}
+
 TEST_CASE("a gateway that has just started defers removals for the grace period") {
   fake_platform platform;
   platform.Configure();
