Make the end of the process a deadline of its requests

What callers saw: in a planned stop, requests that came late in the grace period were taken and passed on, and their connections were closed without an answer at its end, those among them that must not run twice too.

Cause: only the event loop knew when the process ends. Requests were admitted, queued, repeated and given to servers by the deadlines of the caller and of the route, and what was in progress 0.3 s before the end of the grace period was dropped with the loop.

Why it works: planned_stop says until when requests are accepted and by when all are answered, in time to be sent; EarliestDeadline takes the earliest of the caller's, the route's and that one. A request that is not expected to end by then is refused as not run, at its arrival or while it waits, if there is another gateway; no repeat or resume is started for it, and servers are told no later deadline. What still runs then ends with 504, a begun stream with a visible cut, a request read in part with 503.

--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -55,6 +55,8 @@
 constexpr std::size_t kMaxUnsentBytes = 128U << 10U;
 /// Logged when a server answers the resumption of a stream with a reply of its own.
 constexpr std::string_view kNotTheRest = "not the rest of the stream";
+/// Logged when the planned stop of this process ends a request.
+constexpr std::string_view kStopping = "stopping";
 
 /// \returns true for a status by which a server states that the request has not run.
 bool PromisesNotRun(int status) {
@@ -376,7 +378,7 @@
 forward_exchange::~forward_exchange() = default;
 
 void forward_exchange::Start() {
-  deadline_ = DeadlineOf(*settings_.route);
+  deadline_ = EarliestDeadline(TimeLimits(*settings_.route));
   context_.budget.CountRequest(settings_.received, settings_.service);
   context_.traffic.OnRequest(settings_.service, settings_.received);
   std::get<http1_responder>(answer_).OnCallerDisconnected([this] { OnCallerDisconnected(); });
@@ -384,6 +386,13 @@
   is_retry_ = settings_.request.model && settings_.request.time_left &&
               context_.retries.IsRetry(settings_.route->name, *settings_.request.time_left,
                                        settings_.received);
+  if (context_.stop) {
+    const auto self = shared_from_this();
+    CheckStop();
+    if (ended_) {
+      return;
+    }
+  }
   if (settings_.request.model ||
       context_.shedder.Admit(settings_.service, context_.random(), settings_.received)) {
     ReserveAndSend();
@@ -392,6 +401,50 @@
   }
 }
 
+void forward_exchange::OnStopping() {
+  const auto self = shared_from_this();
+  deadline_ = EarliestDeadline(TimeLimits(*settings_.route));
+  ArmDeadline();
+  CheckStop();
+}
+
+void forward_exchange::CheckStop() {
+  if (context_.gateways <= 1) {
+    return;
+  }
+  const instant now = timer_service::now();
+  if (!EndsBeforeStop(now)) {
+    if (!attempt_ || attempt_->kind() == attempt_kind::kPrefill) {
+      EndUnanswered(http_status::kBadGateway, kStopping);
+    }
+    return;
+  }
+  stop_timer_ = context_.timers.After(
+      context_.stop->answered_by() - ExpectedDuration() - now + milliseconds(1),
+      [this](instant /*now*/) {
+        const auto self = shared_from_this();
+        CheckStop();
+      });
+}
+
+microseconds forward_exchange::ExpectedDuration() const {
+  const auto& work = settings_.request.model;
+  if (!work) {
+    return settings_.route->latency_objective;
+  }
+  const std::uint64_t tokens = context_.outputs.TokensToReserve(
+      settings_.service, work->expected_output_tokens, work->max_output_tokens);
+  const std::uint64_t sent = last_event_.value_or(0) * TokensPerEvent();
+  return kFirstEventTime +
+         std::chrono::duration_cast<microseconds>(
+             kOutputTokenTime * static_cast<std::int64_t>(tokens - std::min(tokens, sent)));
+}
+
+bool forward_exchange::EndsBeforeStop(instant now) const {
+  return context_.gateways <= 1 ||
+         jacinthspool::EndsBeforeStop(TimeLimits(*settings_.route), ExpectedDuration(), now);
+}
+
 const engine_profile* forward_exchange::Engine() const {
   return context_.routes.configuration()->FindEngine(settings_.service);
 }
@@ -413,7 +466,7 @@
       settings_.service, work.expected_output_tokens, work.max_output_tokens);
   const auto decoding = std::chrono::duration_cast<microseconds>(kOutputTokenTime *
                                                                  static_cast<std::int64_t>(output));
-  instant latest_start = deadline_ - decoding - kFirstEventTime;
+  instant latest_start = deadline_.at - decoding - kFirstEventTime;
   const milliseconds silence = settings_.route->silence_limit;
   const milliseconds objective = settings_.route->latency_objective;
   if (silence > milliseconds(0) && !AnswerBegun()) {
@@ -506,7 +559,7 @@
 }
 
 milliseconds forward_exchange::TimeLeft(instant now) const {
-  return std::chrono::duration_cast<milliseconds>(deadline_ - now);
+  return std::chrono::duration_cast<milliseconds>(deadline_.at - now);
 }
 
 double forward_exchange::Cost() const {
@@ -539,7 +592,8 @@
 
 bool forward_exchange::MayRetry() const {
   const instant now = timer_service::now();
-  return TimeLeft(now) > kMinAttemptTime && context_.budget.left(now, settings_.service) >= 1;
+  return TimeLeft(now) > kMinAttemptTime && EndsBeforeStop(now) &&
+         context_.budget.left(now, settings_.service) >= 1;
 }
 
 bool forward_exchange::PayForSend(instant now) {
@@ -620,7 +674,7 @@
                                .priority = settings_.route->priority,
                                .resumes = AnswerBegun() || settings_.request.resume_after,
                                .on_time_until = on_time_until,
-                               .latest_start = now + (deadline_ - now) / kSlotWaitDivisor},
+                               .latest_start = now + (deadline_.at - now) / kSlotWaitDivisor},
                               {.on_ready =
                                    [this] {
                                      slot_number_ = 0;
@@ -959,7 +1013,8 @@
     return;
   }
   const instant now = timer_service::now();
-  const milliseconds share = TimeLeft(now) / kRetryAfterDivisor;
+  // Another gateway may have room at once.
+  const milliseconds share = context_.stop ? kMinRetryAfter : TimeLeft(now) / kRetryAfterDivisor;
   milliseconds wait = std::clamp(share, kMinRetryAfter, kMaxRetryAfter);
   if (const auto place =
           limit_reached_ ? settings_.slots.ReserveReturn(settings_.service, now) : std::nullopt) {
@@ -992,41 +1047,52 @@
   Finish("cut", why);
 }
 
-instant forward_exchange::DeadlineOf(const forward_route& route) const {
-  microseconds allowed = route.timeout;
-  if (settings_.request.time_left) {
-    allowed = std::min<microseconds>(allowed, *settings_.request.time_left);
-  }
-  return settings_.received + allowed;
+request_time_limits forward_exchange::TimeLimits(const forward_route& route) const {
+  return {
+      .received = settings_.received,
+      .caller_waits = settings_.request.time_left,
+      .route_timeout = route.timeout,
+      .process_end = context_.stop ? std::optional(context_.stop->answered_by()) : std::nullopt};
 }
 
 milliseconds forward_exchange::CallerTimeLeft(instant now) const {
   const auto& waits = settings_.request.time_left;
-  return waits ? std::chrono::duration_cast<milliseconds>(settings_.received + *waits - now)
-               : TimeLeft(now);
+  instant until = waits ? settings_.received + *waits : deadline_.at;
+  if (context_.stop) {
+    until = std::min(until, context_.stop->answered_by());
+  }
+  return std::chrono::duration_cast<milliseconds>(until - now);
 }
 
 void forward_exchange::ArmDeadline() {
   deadline_timer_ = context_.timers.After(
-      std::max<microseconds>(deadline_ - timer_service::now(), microseconds(0)),
+      std::max<microseconds>(deadline_.at - timer_service::now(), microseconds(0)),
       [this](instant /*now*/) { OnDeadline(); });
 }
 
 void forward_exchange::OnDeadline() {
   // A newer configuration may allow more time.
   const auto route = context_.routes.Find(settings_.request.host, settings_.request.target);
-  if (route && DeadlineOf(*route) > timer_service::now()) {
-    deadline_ = DeadlineOf(*route);
-    ArmDeadline();
-    return;
+  if (route) {
+    const request_deadline newest = EarliestDeadline(TimeLimits(*route));
+    if (newest.at > timer_service::now()) {
+      deadline_ = newest;
+      ArmDeadline();
+      return;
+    }
   }
+  EndUnanswered(http_status::kGatewayTimeout,
+                deadline_.cause == deadline_cause::kProcessEnd ? kStopping : "time is up");
+}
+
+void forward_exchange::EndUnanswered(int status, std::string_view why) {
   const bool may_have_run = runs_ > 0 || (attempt_ && attempt_->kind() == attempt_kind::kServe);
   if (AnswerBegun()) {
-    Cut("time is up");
+    Cut(why);
   } else if (may_have_run) {
-    Fail(http_status::kGatewayTimeout, "time is up");
+    Fail(status, why);
   } else {
-    Reject("time is up");
+    Reject(why);
   }
 }
 
@@ -1061,6 +1127,7 @@
   const std::string last = attempt_ ? attempt_->backend().id : "";
   EndAttempt();
   deadline_timer_.Cancel();
+  stop_timer_.Cancel();
   settings_.reservations.Withdraw(queue_number_);
   settings_.slots.Withdraw(slot_number_);
   ReleaseReservation();
@@ -1079,6 +1146,7 @@
        {"took_ms", took / milliseconds(1)},
        {"comes_back", is_retry_},
        {"allowed_ms", settings_.route->timeout.count()},
+       {"bound_by", ToString(deadline_.cause)},
        {"caller_waits_ms", settings_.request.time_left.value_or(milliseconds(0)).count()},
        {"seat_ms", reservation_wait_ / milliseconds(1)},
        {"first_ms", time_to_first_event_ / milliseconds(1)},
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -10,6 +10,7 @@
 
 #include "jacinthspool/routing/event_splitter.h"
 #include "jacinthspool/routing/next_step.h"
+#include "jacinthspool/routing/request_deadline.h"
 #include "src/gateway/gateway_context.h"
 #include "src/gateway/reservation_dispatcher.h"
 #include "src/gateway/slot_dispatcher.h"
@@ -41,6 +42,9 @@
 
   void Start();
 
+  /// \brief This process has been told to stop: its end is a deadline of the request.
+  void OnStopping();
+
  private:
   class attempt;
   enum class attempt_kind { kPrefill, kServe };
@@ -112,10 +116,21 @@
   void Reject(std::string_view why);
   void Fail(int status, std::string_view why);
   void Cut(std::string_view why);
-  /// \returns The deadline of the request under that route.
-  [[nodiscard]] instant DeadlineOf(const forward_route& route) const;
-  /// \returns How long the caller will still wait, regardless of the route's timeout.
+  /// \returns The limits of the request's time under that route.
+  [[nodiscard]] request_time_limits TimeLimits(const forward_route& route) const;
+  /// \returns How long an answer can still be forwarded to the caller, regardless of the route's
+  /// timeout.
   [[nodiscard]] milliseconds CallerTimeLeft(instant now) const;
+  /// \returns The expected time from the next send to the end of the answer.
+  [[nodiscard]] microseconds ExpectedDuration() const;
+  /// \returns false when this process stops before a request sent now is expected to end, and
+  /// another gateway can serve it.
+  [[nodiscard]] bool EndsBeforeStop(instant now) const;
+  /// \brief Ends a request that waits for a backend server once it could not end before the
+  /// process does.
+  void CheckStop();
+  /// \brief Ends the request without an attempt: as not run, or as failed with that status.
+  void EndUnanswered(int status, std::string_view why);
   void ArmDeadline();
   void OnDeadline();
   void OnCallerDisconnected();
@@ -130,10 +145,11 @@
   options settings_;
   gateway_context& context_;
   std::uint64_t first_configuration_;  ///< Version in force when the request arrived.
-  instant deadline_{};
+  request_deadline deadline_{};
   std::unique_ptr<attempt> attempt_;
   timer_subscription deadline_timer_;
   timer_subscription silence_timer_;
+  timer_subscription stop_timer_;
   std::set<std::string> tried_;
   std::uint32_t sends_ = 0;     ///< Attempts to serve, rejected ones included.
   std::uint32_t prefills_ = 0;  ///< Attempts that only prefill.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -17,6 +17,8 @@
 constexpr milliseconds kShareReportPeriod = seconds(4);
 /// Retry-After while no configuration or list is known.
 constexpr milliseconds kStartRetryAfter = milliseconds(400);
+/// Retry-After late in a planned stop: the other gateways serve at once.
+constexpr milliseconds kStopRetryAfter = milliseconds(50);
 
 std::string_view ToString(engine_stage stage) {
   switch (stage) {
@@ -77,6 +79,7 @@
 }
 
 void gateway::SetGateways(std::uint32_t gateways) {
+  context_.gateways = gateways;
   context_.budget.SetEntries(gateways);
   context_.limiter.fleet().SetGateways(gateways);
   UpdateShares(context_);
@@ -112,10 +115,19 @@
   return context_.routes.configuration() != nullptr && list_known_;
 }
 
+void gateway::BeginStop(const planned_stop& stop) {
+  context_.stop = stop;
+  const std::set<std::shared_ptr<forward_exchange>> in_progress = exchanges_;
+  for (const auto& exchange : in_progress) {
+    exchange->OnStopping();
+  }
+}
+
 void gateway::HandleRequest(http1_request request, http1_responder answer) {
   auto decoded = context_.dialect.DecodeRequest(request.head);
   if (!decoded) {
-    Reject(std::move(answer), http_status::kBadRequest, "", "a header has no valid value");
+    Reject(std::move(answer), http_status::kBadRequest, "", "a header has no valid value",
+           kStartRetryAfter);
     return;
   }
   if (decoded->parts_unreadable) {
@@ -123,22 +135,23 @@
   }
   if (!can_route()) {
     Reject(std::move(answer), http_status::kServiceUnavailable, decoded->id,
-           "no configuration or list yet");
+           "no configuration or list yet", kStartRetryAfter);
     return;
   }
   if (rejecting_) {
-    Reject(std::move(answer), http_status::kServiceUnavailable, decoded->id, "stopping");
+    Reject(std::move(answer), http_status::kServiceUnavailable, decoded->id, "stopping",
+           kStopRetryAfter);
     return;
   }
   const auto route = context_.routes.Find(decoded->host, decoded->target);
   if (!route) {
-    Reject(std::move(answer), http_status::kNotFound, decoded->id, "no route");
+    Reject(std::move(answer), http_status::kNotFound, decoded->id, "no route", kStartRetryAfter);
     return;
   }
   const std::string* service = ServiceOf(*route, HashKey(decoded->id));
   if (service == nullptr) {
     Reject(std::move(answer), http_status::kServiceUnavailable, decoded->id,
-           "route without a service");
+           "route without a service", kStartRetryAfter);
     return;
   }
   decoded->body = std::move(request.body);
@@ -156,8 +169,8 @@
   exchange->Start();
 }
 
-void gateway::Reject(http1_responder answer, int status, std::string_view id,
-                     std::string_view why) {
+void gateway::Reject(http1_responder answer, int status, std::string_view id, std::string_view why,
+                     milliseconds retry_after) {
   Log(log_level::kWarning, "request_rejected",
       {{"request", id},
        {"status", status},
@@ -167,7 +180,7 @@
   context_.metrics.Count("gateway_rejected", {{"status", std::to_string(status)}});
   std::move(answer).Reply(status,
                           status == http_status::kServiceUnavailable
-                              ? context_.dialect.RejectionHeaders(kStartRetryAfter)
+                              ? context_.dialect.RejectionHeaders(retry_after)
                               : http_headers{},
                           std::string(why) + "\n");
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -40,6 +40,9 @@
   /// \brief Answers a request, at once or later.
   void HandleRequest(http1_request request, http1_responder answer);
 
+  /// \brief Applies the end of the process to all requests, those in progress included.
+  void BeginStop(const planned_stop& stop);
+
   /// \brief Rejects all further requests; those in progress continue.
   ///
   /// For the end of a planned stop: a request on a kept-alive connection may arrive so late that
@@ -84,7 +87,8 @@
 
  private:
   void UpdateSelector();
-  void Reject(http1_responder answer, int status, std::string_view id, std::string_view why);
+  void Reject(http1_responder answer, int status, std::string_view id, std::string_view why,
+              milliseconds retry_after);
 
   gateway_context context_;
   reservation_dispatcher reservations_;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -1,6 +1,8 @@
 #ifndef JACINTHSPOOL_GATEWAY_GATEWAY_CONTEXT_H_
 #define JACINTHSPOOL_GATEWAY_GATEWAY_CONTEXT_H_
 
+#include <cstdint>
+#include <optional>
 #include <random>
 
 #include "jacinthspool/routing/backend_list.h"
@@ -8,6 +10,7 @@
 #include "jacinthspool/routing/forward_retry_budget.h"
 #include "jacinthspool/routing/load_shedder.h"
 #include "jacinthspool/routing/output_length_estimate.h"
+#include "jacinthspool/routing/planned_stop.h"
 #include "jacinthspool/routing/prefill_placement.h"
 #include "jacinthspool/routing/prefill_share_estimate.h"
 #include "jacinthspool/routing/request_rate_meter.h"
@@ -43,6 +46,8 @@
   background_calls background;
   metrics_registry metrics;
   std::mt19937_64 random;
+  std::uint32_t gateways = 1;             ///< That serve the callers, this one included.
+  std::optional<planned_stop> stop = {};  ///< Set once this process has been told to stop.
 };
 
 }  // namespace jacinthspool
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -3,9 +3,11 @@
 #include <csignal>
 #include <cstdio>
 #include <fstream>
+#include <optional>
 #include <sstream>
 #include <utility>
 
+#include "jacinthspool/routing/planned_stop.h"
 #include "src/cli/exit_code.h"
 #include "src/gateway/gateway.h"
 #include "src/gateway/peer_exchange.h"
@@ -16,12 +18,7 @@
 namespace jacinthspool {
 namespace {
 
-/// After the stop signal the load balancer sends requests until two of its health checks, one per
-/// second, have failed.
-constexpr milliseconds kBalancerDelay = milliseconds(2500);
-constexpr milliseconds kStopCheckPeriod = milliseconds(100);
-/// The process ends this long before the end of its stop grace period, when it would be killed.
-constexpr milliseconds kStopMargin = milliseconds(300);
+constexpr milliseconds kStopCheckPeriod = milliseconds(50);
 
 /// Owns the components of one gateway process.
 class gateway_daemon {
@@ -93,7 +90,7 @@
   void Run() { loop_.Run(); }
 
  private:
-  [[nodiscard]] bool ready() const { return gateway_.can_route() && !stopping_; }
+  [[nodiscard]] bool ready() const { return gateway_.can_route() && !stop_; }
 
   bool StartMetrics(const gateway_settings& settings, std::string& error) {
     if (settings.metrics_listen.empty()) {
@@ -116,24 +113,35 @@
   }
 
   void Stop() {
-    if (std::exchange(stopping_, true)) {
+    if (stop_) {
       return;
     }
-    Log(log_level::kInfo, "stopping", {{"in_progress", callers_->in_progress()}});
-    callers_->CloseAfterAnswers();
     const instant begun = timer_service::now();
-    const microseconds grace = seconds(process_->gateway->stop_grace_s) - kStopMargin;
-    stop_check_ = timers_.Every(kStopCheckPeriod, [this, begun, grace](instant now) {
-      if (now - begun < kBalancerDelay) {
-        return;
-      }
-      callers_->StopAccepting();
-      gateway_.RejectNewRequests();
-      if (callers_->closed() || now - begun > grace) {
-        Log(log_level::kInfo, "stopped", {{"in_progress", callers_->in_progress()}});
-        loop_.Stop();
-      }
-    });
+    stop_.emplace(
+        planned_stop::options{.begun = begun, .grace = seconds(process_->gateway->stop_grace_s)});
+    Log(log_level::kInfo, "stopping",
+        {{"in_progress", callers_->in_progress()},
+         {"accepts_for_ms", (stop_->accepts_until() - begun) / milliseconds(1)},
+         {"answers_for_ms", (stop_->answered_by() - begun) / milliseconds(1)}});
+    callers_->CloseAfterAnswers();
+    gateway_.BeginStop(*stop_);
+    stop_check_ = timers_.Every(kStopCheckPeriod, [this](instant now) { ContinueStop(now); });
+  }
+
+  void ContinueStop(instant now) {
+    if (now < stop_->accepts_until()) {
+      return;
+    }
+    callers_->StopAccepting();
+    gateway_.RejectNewRequests();
+    if (now >= stop_->answered_by()) {
+      callers_->RejectIncomplete(http_status::kServiceUnavailable);
+    }
+    if (callers_->closed() || now >= stop_->exits_by()) {
+      Log(log_level::kInfo, "stopped",
+          {{"in_progress", callers_->in_progress()}, {"open", !callers_->closed()}});
+      loop_.Stop();
+    }
   }
 
   /// Reads the settings file again; settings that need a restart are not applied.
@@ -170,7 +178,7 @@
   std::unique_ptr<peer_exchange> peers_;
   std::unique_ptr<discovery_source> discovery_;
   timer_subscription stop_check_;
-  bool stopping_ = false;
+  std::optional<planned_stop> stop_;
 };
 
 }  // namespace
--- a/src/transport/http1_server.cc
+++ b/src/transport/http1_server.cc
@@ -143,6 +143,12 @@
     }
   }
 
+  void RejectIncomplete(int status) {
+    if (!answering_ && !closing_ && reader_.inside_message()) {
+      Reject(status);
+    }
+  }
+
   void SetOnCallerGone(std::function<void()> action) {
     if (!retired_) {
       on_caller_gone_ = std::move(action);
@@ -434,6 +440,13 @@
   state_->Sweep(timer_service::now());
 }
 
+void http1_server::RejectIncomplete(int status) {
+  const auto all = state_->connections;
+  for (const auto& each : all) {
+    each->RejectIncomplete(status);
+  }
+}
+
 bool http1_server::closed() const { return state_->connections.empty(); }
 
 std::size_t http1_server::in_progress() const { return state_->in_progress; }
--- a/src/transport/http1_server.h
+++ b/src/transport/http1_server.h
@@ -108,6 +108,10 @@
   /// once it has been idle for a short time, since a request may be in transit.
   void StopAccepting();
 
+  /// \brief Answers the requests that have been read in part, which have not run, and closes their
+  /// connections.
+  void RejectIncomplete(int status);
+
   /// \returns true when no connection is open.
   [[nodiscard]] bool closed() const;
 
