Grant a request slot only to a request that has a server left to use it

What callers saw: while the limits of all servers of a service were in force, a request that had failed at one of them was granted the next slot, which was free at that same server, and ended as "no backend server" (502, or 503 if it had not run), though another server would have had a slot soon.

Cause: the slot queue granted by service. Whether the chosen request could use the server was asked only after it had left the queue.

Why it works: a waiting request names the servers that it has tried and whether it may be sent to one on probation; one that no server with a free slot suits is passed over and keeps its place. One that has no server left which the limits bind does not wait at all.

--- a/include/jacinthspool/routing/slot_queue.h
+++ b/include/jacinthspool/routing/slot_queue.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -15,10 +16,12 @@
 /// \brief A request that waits until a limited backend server may be sent another one.
 struct slot_request {
   std::string service = {};
-  std::uint32_t priority = 0;  ///< Of its route; 0 is the highest.
-  bool resumes = false;        ///< The caller already has part of the answer.
-  instant on_time_until{};     ///< Sent by then, it still meets its latency objective.
-  instant latest_start{};      ///< Sent later, it is of no use to its caller.
+  std::uint32_t priority = 0;        ///< Of its route; 0 is the highest.
+  bool resumes = false;              ///< The caller already has part of the answer.
+  instant on_time_until{};           ///< Sent by then, it still meets its latency objective.
+  instant latest_start{};            ///< Sent later, it is of no use to its caller.
+  std::set<std::string> tried = {};  ///< Backend servers that it is not sent to.
+  bool repeatable = true;            ///< As in `placement`.
 };
 
 /// \brief Rate at which requests may be sent to the limited servers of a service.
@@ -45,8 +48,12 @@
   std::uint64_t Add(slot_request request);
   void Remove(std::uint64_t number) { requests_.erase(number); }
 
+  /// \param passed_over Numbers of requests that are not returned.
   /// \returns The request that gets the next slot of the service, or nothing.
-  [[nodiscard]] std::optional<std::uint64_t> Next(std::string_view service, instant now) const;
+  [[nodiscard]] std::optional<std::uint64_t> Next(
+      std::string_view service, instant now, const std::set<std::uint64_t>& passed_over = {}) const;
+
+  [[nodiscard]] const slot_request* Find(std::uint64_t number) const;
 
   /// \brief Removes the requests that get no slot before their `latest_start` at that pace.
   /// \param pace Nothing when this process gets no slot at all.
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -630,11 +630,14 @@
     SendNext();
     return;
   }
-  if (others_wait ||
-      (chosen == nullptr && !granted && context_.selector.LimitedCapacity(wanted, now))) {
+  if (chosen == nullptr && !granted && context_.selector.LimitedCapacity(wanted, now)) {
     WaitForSlot();
     return;
   }
+  if (others_wait) {
+    // The limits that the others wait for do not bind the servers that are left for this one.
+    chosen = context_.selector.Choose(wanted, now, context_.random());
+  }
   if (chosen == nullptr) {
     rejection_reason_ = "no backend server";
     OnServeFailed(attempt_failure::kUnsent);
@@ -674,7 +677,9 @@
                                .priority = settings_.route->priority,
                                .resumes = AnswerBegun() || settings_.request.resume_after,
                                .on_time_until = on_time_until,
-                               .latest_start = now + (deadline_.at - now) / kSlotWaitDivisor},
+                               .latest_start = now + (deadline_.at - now) / kSlotWaitDivisor,
+                               .tried = tried_,
+                               .repeatable = settings_.route->repeatable()},
                               {.on_ready =
                                    [this] {
                                      slot_number_ = 0;
--- a/src/gateway/slot_dispatcher.cc
+++ b/src/gateway/slot_dispatcher.cc
@@ -44,13 +44,21 @@
 
 void slot_dispatcher::Dispatch(const std::string& service) {
   const instant now = timer_service::now();
-  const placement wanted{.service = service,
-                         .stage = context_.selector.ServingStage(service),
-                         .repeatable = true,
-                         .limiter = &context_.limiter};
-  while (const auto number = queue_.Next(service, now)) {
-    if (context_.selector.Choose(wanted, now, context_.random()) == nullptr) {
-      break;
+  std::set<std::uint64_t> passed_over;
+  while (const auto number = queue_.Next(service, now, passed_over)) {
+    const slot_request& next = *queue_.Find(*number);
+    if (context_.selector.Choose({.service = service,
+                                  .stage = context_.selector.ServingStage(service),
+                                  .repeatable = next.repeatable,
+                                  .tried = &next.tried,
+                                  .limiter = &context_.limiter},
+                                 now, context_.random()) == nullptr) {
+      if (next.tried.empty() && next.repeatable) {
+        break;
+      }
+      // A server that this request may not use can have a slot for the ones behind it.
+      passed_over.insert(*number);
+      continue;
     }
     queue_.Remove(*number);
     if (auto found = handlers_.extract(*number)) {
--- a/tests/gateway/server_limit_test.cc
+++ b/tests/gateway/server_limit_test.cc
@@ -91,5 +91,40 @@
   CHECK(calls - before <= 25);
 }
 
+TEST_CASE("a repeat that waits for a request slot gets one at a server that it has not tried") {
+  fake_platform platform;
+  platform.Configure();
+  bool first_fails = false;
+  scripted_backend& first = platform.AddBackend("plain");
+  scripted_backend& second = platform.AddBackend("plain");
+  const auto serve = [](const http1_request& request, any_answer& answer) {
+    http_headers headers = scripted_backend::Genuine(request);
+    headers.emplace_back("Server-Limit", "4");
+    answer.Reply(200, headers, "answer");
+  };
+  second.script = serve;
+  first.script = [&](const http1_request& request, any_answer& answer) {
+    first_fails ? answer.Abort() : serve(request, answer);
+  };
+  while (first.requests.empty() || second.requests.empty()) {
+    fake_caller known(platform);
+    known.Send("/again/");
+    REQUIRE(known.Receives("answer"));
+  }
+  first_fails = true;
+  std::vector<std::unique_ptr<fake_caller>> callers;
+  for (int i = 0; i < 8; ++i) {
+    callers.push_back(std::make_unique<fake_caller>(platform));
+    callers.back()->Send("/again/");
+  }
+  const std::size_t failed_before = first.requests.size();
+  int served = 0;
+  for (const auto& each : callers) {
+    served += each->Receives("answer") ? 1 : 0;
+  }
+  CHECK(first.requests.size() > failed_before);
+  CHECK(served == 8);
+}
+
 }  // namespace
 }  // namespace jacinthspool
