Refuse in a planned stop by the expected, not the reserved, length of an answer

Cause: the length was the one that memory is reserved for, a standard error above the expected one, and a rejected caller was judged like a new one.

Why it works: output_length_estimate gives the expected length as well, and a caller that returns after a rejection is refused no more for the stop.

--- a/include/jacinthspool/routing/output_length_estimate.h
+++ b/include/jacinthspool/routing/output_length_estimate.h
@@ -35,7 +35,18 @@
   [[nodiscard]] std::uint64_t TokensToReserve(const std::string& service, std::uint64_t guessed,
                                               std::uint64_t most) const;
 
+  /// \returns The number of output tokens that is exceeded as often as not, at most `most`.
+  [[nodiscard]] std::uint64_t ExpectedTokens(const std::string& service, std::uint64_t guessed,
+                                             std::uint64_t most) const;
+
  private:
+  /// Logarithm of an answer's length, and its standard error.
+  struct estimate {
+    double middle = 0;
+    double error = 0;
+  };
+  [[nodiscard]] estimate Estimate(const std::string& service, std::uint64_t guessed) const;
+
   /// Decayed sums over pairs of logarithms: x of the expected, y of the produced tokens.
   struct sums {
     double count = 0;
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -409,7 +409,7 @@
 }
 
 void forward_exchange::CheckStop() {
-  if (context_.gateways <= 1) {
+  if (!MayBeServedElsewhere()) {
     return;
   }
   const instant now = timer_service::now();
@@ -432,7 +432,7 @@
   if (!work) {
     return settings_.route->latency_objective;
   }
-  const std::uint64_t tokens = context_.outputs.TokensToReserve(
+  const std::uint64_t tokens = context_.outputs.ExpectedTokens(
       settings_.service, work->expected_output_tokens, work->max_output_tokens);
   const std::uint64_t sent = last_event_.value_or(0) * TokensPerEvent();
   return kFirstEventTime +
@@ -440,8 +440,13 @@
              kOutputTokenTime * static_cast<std::int64_t>(tokens - std::min(tokens, sent)));
 }
 
+bool forward_exchange::MayBeServedElsewhere() const {
+  // A caller that has been rejected already may meet other gateways that stop.
+  return context_.gateways > 1 && !is_retry_;
+}
+
 bool forward_exchange::EndsBeforeStop(instant now) const {
-  return context_.gateways <= 1 ||
+  return !MayBeServedElsewhere() ||
          jacinthspool::EndsBeforeStop(TimeLimits(*settings_.route), ExpectedDuration(), now);
 }
 
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -123,6 +123,8 @@
   [[nodiscard]] milliseconds CallerTimeLeft(instant now) const;
   /// \returns The expected time from the next send to the end of the answer.
   [[nodiscard]] microseconds ExpectedDuration() const;
+  /// \returns true when another gateway can be expected to serve the request if this one does not.
+  [[nodiscard]] bool MayBeServedElsewhere() const;
   /// \returns false when this process stops before a request sent now is expected to end, and
   /// another gateway can serve it.
   [[nodiscard]] bool EndsBeforeStop(instant now) const;
--- a/src/routing/output_length_estimate.cc
+++ b/src/routing/output_length_estimate.cc
@@ -13,6 +13,10 @@
   return std::log(static_cast<double>(std::max<std::uint64_t>(tokens, 1)));
 }
 
+std::uint64_t TokensOf(double logarithm, std::uint64_t most) {
+  return std::min(most, static_cast<std::uint64_t>(std::ceil(std::exp(logarithm))));
+}
+
 }  // namespace
 
 void output_length_estimate::Learn(const std::string& service, std::uint64_t guessed,
@@ -32,12 +36,10 @@
           .yy = seen.yy * fade + y * y};
 }
 
-std::uint64_t output_length_estimate::TokensToReserve(const std::string& service,
-                                                      std::uint64_t guessed,
-                                                      std::uint64_t most) const {
+output_length_estimate::estimate output_length_estimate::Estimate(const std::string& service,
+                                                                  std::uint64_t guessed) const {
   const double x = Log(guessed);
-  double middle = x;
-  double error = kInitialError;
+  estimate made{.middle = x, .error = kInitialError};
   const auto found = services_.find(service);
   if (found != services_.end() && found->second.count > 2) {
     const sums& seen = found->second;
@@ -48,12 +50,24 @@
     const double cov = seen.xy / seen.count - mean_x * mean_y;
     const double slope = std::clamp(cov / var_x, 0.0, 1.0);
     const double weight = seen.count / (seen.count + settings_.prior_answers);
-    middle += weight * (mean_y + slope * (x - mean_x) - x);
+    made.middle += weight * (mean_y + slope * (x - mean_x) - x);
     const double left = std::sqrt(std::max(var_y - slope * cov, 0.0));
-    error += weight * (left - error);
+    made.error += weight * (left - made.error);
   }
-  const double tokens = std::exp(middle + settings_.margin * error);
-  return std::min(most, static_cast<std::uint64_t>(std::ceil(tokens)));
+  return made;
+}
+
+std::uint64_t output_length_estimate::TokensToReserve(const std::string& service,
+                                                      std::uint64_t guessed,
+                                                      std::uint64_t most) const {
+  const estimate made = Estimate(service, guessed);
+  return TokensOf(made.middle + settings_.margin * made.error, most);
+}
+
+std::uint64_t output_length_estimate::ExpectedTokens(const std::string& service,
+                                                     std::uint64_t guessed,
+                                                     std::uint64_t most) const {
+  return TokensOf(Estimate(service, guessed).middle, most);
 }
 
 }  // namespace jacinthspool
