Let crashes be explained by whole requests as well as by parts of prompts

crash_quarantine knew one kind of suspect, a part that prompts share. A request that ends the servers that run it and comes again with the same path and body has parts that sound requests share, or none at all.

crash_suspect is a part or the digest of a request: method, host, path with query, and body, 128 bits, equal in all processes. Reports, their merge, the verdicts, trials and bounds are the same for both; a request has thresholds of its own, since it has no cofactors: two outages, or three servers. While servers end for other causes two are not enough: a sound request that is repeated may have met both. Of equal evidence the request is held, which holds back the fewest, and a part with crashes of other requests keeps those of a held one. Only requests that were under way when a server ended are kept.

Nothing sends reports to other gateways yet.

--- a/include/jacinthspool/routing/crash_report.h
+++ b/include/jacinthspool/routing/crash_report.h
@@ -10,12 +10,10 @@
 #include <string_view>
 
 #include "jacinthspool/impl/time.h"
+#include "jacinthspool/routing/crash_suspect.h"
 
 namespace jacinthspool {
 
-/// \brief A part of a prompt that requests share, such as a system prompt or a document.
-using prompt_part = std::uint64_t;
-
 /// \brief One incarnation of a backend server.
 struct backend_incarnation {
   std::string backend = {};
@@ -38,18 +36,18 @@
 
 [[nodiscard]] std::string_view ToString(end_sign sign);
 
-/// \brief What the gateways know of a part that a server may have ended of.
-struct part_standing {
-  bool known_good = false;     ///< A request with it had been answered before.
+/// \brief What the gateways know of a suspect.
+struct suspect_standing {
+  bool known_good = false;     ///< A request with that part had been answered before.
   bool vouched_since = false;  ///< A request with it has been answered since the server ended.
 
-  friend bool operator==(const part_standing&, const part_standing&) = default;
+  friend bool operator==(const suspect_standing&, const suspect_standing&) = default;
 };
 
 /// \brief One backend server that seems to have ended, and what may have caused it.
 struct crash_report {
   /// Bounds of one report. Beyond them the same subset is kept by all gateways.
-  static constexpr std::size_t kMaxParts = 64;
+  static constexpr std::size_t kMaxSuspects = 64;
   static constexpr std::size_t kMaxGateways = 8;
 
   backend_incarnation server = {};
@@ -60,7 +58,7 @@
   bool refuted = false;                 ///< The server has answered since.
   std::set<std::string> gateways = {};  ///< That have seen a sign.
   /// Of the requests that it was working on and had not begun to answer.
-  std::map<prompt_part, part_standing> parts = {};
+  std::map<crash_suspect, suspect_standing> suspects = {};
 
   /// \returns true when more than one observation shows that the server has ended.
   [[nodiscard]] bool confirmed() const {
--- a/include/jacinthspool/routing/sound_parts.h
+++ b/include/jacinthspool/routing/sound_parts.h
@@ -7,7 +7,7 @@
 #include <unordered_map>
 
 #include "jacinthspool/impl/time.h"
-#include "jacinthspool/routing/crash_report.h"
+#include "jacinthspool/routing/crash_suspect.h"
 
 namespace jacinthspool {
 
--- a/src/routing/crash_quarantine.cc
+++ b/src/routing/crash_quarantine.cc
@@ -9,14 +9,14 @@
 namespace jacinthspool {
 namespace {
 
-/// Rounds in which a reporting gateway sends on what others know of the parts: one for their
+/// Rounds in which a reporting gateway sends on what others know of the suspects: one for their
 /// replies, one for those that were lost.
 constexpr std::uint32_t kMaxEchoes = 2;
 /// The trial interval is doubled at most this often.
 constexpr std::size_t kMaxDoublings = 12;
 /// Fraction of its turn in which a gateway starts a trial, since clocks differ.
 constexpr int kTrialTurnDivisor = 2;
-/// Servers that end under a request, after which it is not repeated unless its parts are sound.
+/// Servers that end under a request, after which it is not repeated unless its suspects are sound.
 constexpr std::size_t kMaxSuspicionsForRepeat = 1;
 
 }  // namespace
@@ -25,7 +25,7 @@
     : settings_(std::move(settings)), sound_(settings_.sound), last_contact_(settings_.started) {}
 
 void crash_quarantine::OnServerEnd(const backend_incarnation& server, end_sign sign,
-                                   std::span<const prompt_part> unanswered, instant now) {
+                                   std::span<const crash_suspect> unanswered, instant now) {
   const crash_report* last = FindLast(server);
   const auto since = last != nullptr ? now - last->ended : microseconds(0);
   std::uint32_t episode = last != nullptr ? last->episode : 0;
@@ -47,8 +47,8 @@
                     .sign = sign,
                     .ended = now,
                     .gateways = {settings_.gateway}};
-  for (const prompt_part part : unanswered) {
-    seen.parts[part];
+  for (const crash_suspect& suspect : unanswered) {
+    seen.suspects[suspect];
   }
   AddStandings(seen);
   if (!unanswered.empty()) {
@@ -85,33 +85,35 @@
   }
 }
 
-void crash_quarantine::OnAnswer(std::span<const prompt_part> parts, instant now) {
-  for (const prompt_part part : parts) {
-    sound_.Add(part, now);
+void crash_quarantine::OnAnswer(std::span<const crash_suspect> suspects, instant now) {
+  for (const crash_suspect& suspect : suspects) {
+    if (const auto* part = std::get_if<prompt_part>(&suspect.what())) {
+      sound_.Add(*part, now);
+    }
     bool changed = false;
     for (auto& [server, report] : reports_) {
-      const auto suspect = report.parts.find(part);
-      if (suspect != report.parts.end() && report.ended < now) {
-        changed = !std::exchange(suspect->second.vouched_since, true) || changed;
+      const auto named = report.suspects.find(suspect);
+      if (named != report.suspects.end() && report.ended < now) {
+        changed = !std::exchange(named->second.vouched_since, true) || changed;
       }
     }
     if (changed) {
       stale_ = true;
-      news_ = news_ || held_.contains(part);
+      news_ = news_ || held_.contains(suspect);
     }
   }
 }
 
 void crash_quarantine::OnPeer(std::span<const crash_report> reports,
-                              std::span<const part_trial> trials, instant now) {
+                              std::span<const suspect_trial> trials, instant now) {
   for (const crash_report& heard : reports) {
     if (now - heard.ended <= settings_.held_retention) {
       Apply(heard);
     }
   }
-  for (const part_trial& heard : trials) {
+  for (const suspect_trial& heard : trials) {
     const auto [known, added] =
-        trials_.try_emplace(trial_key(heard.part, heard.gateway, heard.number), heard);
+        trials_.try_emplace(trial_key(heard.suspect, heard.gateway, heard.number), heard);
     known->second.sent = std::min(known->second.sent, heard.sent);
   }
   while (trials_.size() > settings_.max_trial_records) {
@@ -146,10 +148,15 @@
   LimitReports();
 }
 
+std::optional<instant> crash_quarantine::LastAnswer(const crash_suspect& suspect) const {
+  const auto* part = std::get_if<prompt_part>(&suspect.what());
+  return part != nullptr ? sound_.Find(*part) : std::nullopt;
+}
+
 bool crash_quarantine::AddStandings(crash_report& report) const {
   bool changed = false;
-  for (auto& [part, standing] : report.parts) {
-    if (const auto seen = sound_.Find(part)) {
+  for (auto& [suspect, standing] : report.suspects) {
+    if (const auto seen = LastAnswer(suspect)) {
       bool& known = *seen > report.ended ? standing.vouched_since : standing.known_good;
       changed = !std::exchange(known, true) || changed;
     }
@@ -159,7 +166,7 @@
 
 bool crash_quarantine::Supports(const crash_report& report) const {
   return !report.refuted &&
-         std::any_of(report.parts.begin(), report.parts.end(), [&](const auto& each) {
+         std::any_of(report.suspects.begin(), report.suspects.end(), [&](const auto& each) {
            return !each.second.vouched_since && held_.contains(each.first);
          });
 }
@@ -184,7 +191,7 @@
          now - last_contact_ > (had_contact_ ? settings_.contact_timeout : settings_.settle);
 }
 
-const std::map<prompt_part, crashing_part>& crash_quarantine::Held(instant now) const {
+const std::map<crash_suspect, crash_cause>& crash_quarantine::Held(instant now) const {
   const bool alone = cut_off(now);
   if (stale_ || now >= recheck_at_ || alone != held_while_cut_off_) {
     crash_rules rules = settings_.rules;
@@ -193,8 +200,8 @@
       rules.outages = 1;
     }
     held_.clear();
-    for (crashing_part& found : FindCrashingParts(reports_, rules, now)) {
-      held_[found.part] = std::move(found);
+    for (crash_cause& found : FindCrashCauses(reports_, rules, now)) {
+      held_[found.suspect] = std::move(found);
     }
     recheck_at_ = instant::max();
     for (const auto& [key, report] : reports_) {
@@ -209,56 +216,60 @@
   return held_;
 }
 
-std::uint32_t crash_quarantine::TrialCount(prompt_part part) const {
-  return static_cast<std::uint32_t>(std::count_if(
-      trials_.begin(), trials_.end(), [&](const auto& each) { return each.second.part == part; }));
+std::uint32_t crash_quarantine::TrialCount(const crash_suspect& suspect) const {
+  return static_cast<std::uint32_t>(
+      std::count_if(trials_.begin(), trials_.end(),
+                    [&](const auto& each) { return each.second.suspect == suspect; }));
 }
 
-instant crash_quarantine::LastEvidence(const crashing_part& held) const {
+instant crash_quarantine::LastEvidence(const crash_cause& held) const {
   instant last = held.last_crash;
   for (const auto& [key, trial] : trials_) {
-    if (trial.part == held.part) {
+    if (trial.suspect == held.suspect) {
       last = std::max(last, trial.sent);
     }
   }
   return last;
 }
 
-prompt_verdict crash_quarantine::Check(std::span<const prompt_part> parts, instant now) const {
+quarantine_verdict crash_quarantine::Check(std::span<const crash_suspect> suspects,
+                                           instant now) const {
   const auto& held = Held(now);
-  std::vector<const crashing_part*> found;
+  std::vector<const crash_cause*> found;
   if (!held.empty()) {
-    for (const prompt_part part : parts) {
-      const auto each = held.find(part);
+    for (const crash_suspect& suspect : suspects) {
+      const auto each = held.find(suspect);
       if (each != held.end()) {
         found.push_back(&each->second);
       }
     }
   }
   if (!found.empty()) {
-    prompt_verdict verdict = CheckTrial(*found.front(), now);
-    // A request with several held parts shows nothing of either.
-    if (found.size() > 1 && std::holds_alternative<prompt_trial>(verdict)) {
-      verdict = prompt_held{.evidence = *found.front(),
-                            .age = now - found.front()->last_crash,
-                            .trials = TrialCount(found.front()->part),
-                            .retry_after = settings_.trial_turn};
+    quarantine_verdict verdict = CheckTrial(*found.front(), now);
+    // A request with several held suspects shows nothing of either.
+    if (found.size() > 1 && std::holds_alternative<request_trial>(verdict)) {
+      verdict = request_held{.evidence = *found.front(),
+                             .age = now - found.front()->last_crash,
+                             .trials = TrialCount(found.front()->suspect),
+                             .retry_after = settings_.trial_turn};
     }
     return verdict;
   }
-  if (Settling(now) && std::any_of(parts.begin(), parts.end(),
-                                   [&](prompt_part part) { return !sound_.Find(part); })) {
-    return prompt_unknown{.retry_after = settings_.started + settings_.settle - now};
+  if (Settling(now) &&
+      std::any_of(suspects.begin(), suspects.end(), [&](const crash_suspect& suspect) {
+        return !suspect.is_request() && !LastAnswer(suspect);
+      })) {
+    return request_unknown{.retry_after = settings_.started + settings_.settle - now};
   }
-  return prompt_admitted{};
+  return request_admitted{};
 }
 
-prompt_verdict crash_quarantine::CheckTrial(const crashing_part& held, instant now) const {
-  const std::uint32_t trials = TrialCount(held.part);
-  prompt_held refusal{.evidence = held,
-                      .age = now - held.last_crash,
-                      .trials = trials,
-                      .retry_after = held.last_crash + settings_.held_retention - now};
+quarantine_verdict crash_quarantine::CheckTrial(const crash_cause& held, instant now) const {
+  const std::uint32_t trials = TrialCount(held.suspect);
+  request_held refusal{.evidence = held,
+                       .age = now - held.last_crash,
+                       .trials = trials,
+                       .retry_after = held.last_crash + settings_.held_retention - now};
   if (trials >= settings_.max_trials) {
     return refusal;
   }
@@ -272,58 +283,59 @@
     return refusal;
   }
   if (held.alike.size() > 1) {
-    return prompt_trial{.evidence = held};
+    return request_trial{.evidence = held};
   }
   const std::vector<std::string> gateways(held.gateways.begin(), held.gateways.end());
   const auto turn = static_cast<std::size_t>((now - due) / settings_.trial_turn);
   const microseconds into_turn = (now - due) % settings_.trial_turn;
   const std::string& next =
-      gateways[RendezvousOrder(held.part, gateways)[(trials + turn) % gateways.size()]];
+      gateways[RendezvousOrder(held.suspect.Key(), gateways)[(trials + turn) % gateways.size()]];
   if (next == settings_.gateway && into_turn < settings_.trial_turn / kTrialTurnDivisor &&
       !Settling(now)) {
-    return prompt_trial{.evidence = held};
+    return request_trial{.evidence = held};
   }
   refusal.retry_after = settings_.trial_turn - into_turn;
   return refusal;
 }
 
-void crash_quarantine::OnTrial(prompt_part part, instant now) {
+void crash_quarantine::OnTrial(const crash_suspect& suspect, instant now) {
   const auto own = static_cast<std::uint32_t>(
       std::count_if(trials_.begin(), trials_.end(), [&](const auto& each) {
-        return each.second.part == part && each.second.gateway == settings_.gateway;
+        return each.second.suspect == suspect && each.second.gateway == settings_.gateway;
       }));
-  trials_[trial_key(part, settings_.gateway, own)] = {
-      .part = part, .gateway = settings_.gateway, .number = own, .sent = now};
+  trials_[trial_key(suspect, settings_.gateway, own)] = {
+      .suspect = suspect, .gateway = settings_.gateway, .number = own, .sent = now};
   news_ = true;
 }
 
-std::size_t crash_quarantine::Suspicions(prompt_part part) const {
+std::size_t crash_quarantine::Suspicions(const crash_suspect& suspect) const {
   return static_cast<std::size_t>(
       std::count_if(reports_.begin(), reports_.end(), [&](const auto& each) {
-        const auto suspect = each.second.parts.find(part);
-        return !each.second.refuted && suspect != each.second.parts.end() &&
-               !suspect->second.vouched_since;
+        const auto named = each.second.suspects.find(suspect);
+        return !each.second.refuted && named != each.second.suspects.end() &&
+               !named->second.vouched_since;
       }));
 }
 
-bool crash_quarantine::MayRepeat(std::span<const prompt_part> parts, instant now) const {
+bool crash_quarantine::MayRepeat(std::span<const crash_suspect> suspects, instant now) const {
   const auto& held = Held(now);
-  return std::all_of(parts.begin(), parts.end(), [&](prompt_part part) {
-    return !held.contains(part) &&
-           (sound_.Find(part) || Suspicions(part) <= kMaxSuspicionsForRepeat);
+  return std::all_of(suspects.begin(), suspects.end(), [&](const crash_suspect& suspect) {
+    return !held.contains(suspect) &&
+           (LastAnswer(suspect) || Suspicions(suspect) <= kMaxSuspicionsForRepeat);
   });
 }
 
-bool crash_quarantine::MustCancel(std::span<const prompt_part> parts, instant now) const {
+bool crash_quarantine::MustCancel(std::span<const crash_suspect> suspects, instant now) const {
   const auto& held = Held(now);
-  return !held.empty() && std::any_of(parts.begin(), parts.end(), [&](prompt_part part) {
-    const auto each = held.find(part);
-    return each != held.end() && each->second.alike.size() == 1;
-  });
+  return !held.empty() &&
+         std::any_of(suspects.begin(), suspects.end(), [&](const crash_suspect& suspect) {
+           const auto each = held.find(suspect);
+           return each != held.end() && each->second.alike.size() == 1;
+         });
 }
 
-std::vector<part_trial> crash_quarantine::Trials() const {
-  std::vector<part_trial> all;
+std::vector<suspect_trial> crash_quarantine::Trials() const {
+  std::vector<suspect_trial> all;
   for (const auto& [key, trial] : trials_) {
     all.push_back(trial);
   }
--- a/src/routing/crash_report.cc
+++ b/src/routing/crash_report.cc
@@ -10,19 +10,19 @@
 namespace jacinthspool {
 namespace {
 
-/// Keeps the parts with the smallest weights, which differ by server, so that a part that is left
-/// out of one report stands in others.
-void LimitParts(crash_report& report) {
-  if (report.parts.size() <= crash_report::kMaxParts) {
+/// Keeps the suspects with the smallest weights, which differ by server, so that a suspect that is
+/// left out of one report stands in others.
+void LimitSuspects(crash_report& report) {
+  if (report.suspects.size() <= crash_report::kMaxSuspects) {
     return;
   }
-  std::vector<std::pair<std::uint64_t, prompt_part>> weights;
-  for (const auto& [part, standing] : report.parts) {
-    weights.emplace_back(RendezvousWeight(part, report.server.backend), part);
+  std::vector<std::pair<std::uint64_t, crash_suspect>> weights;
+  for (const auto& [suspect, standing] : report.suspects) {
+    weights.emplace_back(RendezvousWeight(suspect.Key(), report.server.backend), suspect);
   }
   std::sort(weights.begin(), weights.end());
-  for (std::size_t i = crash_report::kMaxParts; i < weights.size(); ++i) {
-    report.parts.erase(weights[i].second);
+  for (std::size_t i = crash_report::kMaxSuspects; i < weights.size(); ++i) {
+    report.suspects.erase(weights[i].second);
   }
 }
 
@@ -46,21 +46,22 @@
   return into != before;
 }
 
-bool MergeParts(crash_report& into, const crash_report& other) {
+bool MergeSuspects(crash_report& into, const crash_report& other) {
   bool changed = false;
-  std::vector<prompt_part> added;
-  for (const auto& [part, heard] : other.parts) {
-    const auto [known, is_new] = into.parts.try_emplace(part, heard);
+  std::vector<crash_suspect> added;
+  for (const auto& [suspect, heard] : other.suspects) {
+    const auto [known, is_new] = into.suspects.try_emplace(suspect, heard);
     if (is_new) {
-      added.push_back(part);
+      added.push_back(suspect);
     } else {
       changed = Raise(known->second.known_good, heard.known_good) || changed;
       changed = Raise(known->second.vouched_since, heard.vouched_since) || changed;
     }
   }
-  LimitParts(into);
-  return changed || std::any_of(added.begin(), added.end(),
-                                [&](prompt_part part) { return into.parts.contains(part); });
+  LimitSuspects(into);
+  return changed || std::any_of(added.begin(), added.end(), [&](const crash_suspect& suspect) {
+           return into.suspects.contains(suspect);
+         });
 }
 
 }  // namespace
@@ -86,7 +87,7 @@
   const bool stronger = Raise(into.sign, other.sign);
   const bool refuted = Raise(into.refuted, other.refuted);
   const bool seen_by_more = MergeGateways(into.gateways, other.gateways);
-  const bool learned = MergeParts(into, other);
+  const bool learned = MergeSuspects(into, other);
   return stronger || refuted || seen_by_more || learned;
 }
 
--- a/tests/routing/crashing_parts_test.cc
+++ b/tests/routing/crash_causes_test.cc
@@ -1,4 +1,4 @@
-#include "jacinthspool/routing/crashing_parts.h"
+#include "jacinthspool/routing/crash_causes.h"
 
 #include <doctest/doctest.h>
 
@@ -18,18 +18,18 @@
   crash_reports reports = {};
   crash_rules rules = {};
 
-  crash_report& Add(microseconds ago, const std::map<prompt_part, part_standing>& parts) {
+  crash_report& Add(microseconds ago, const std::map<crash_suspect, suspect_standing>& parts) {
     const backend_incarnation server{"i-" + std::to_string(reports.size()), 1};
     return reports[{server, 0}] = {.server = server,
                                    .sign = end_sign::kRefused,
                                    .ended = kNow - ago,
                                    .gateways = {"g0"},
-                                   .parts = parts};
+                                   .suspects = parts};
   }
-  [[nodiscard]] std::set<prompt_part> Found() const {
-    std::set<prompt_part> found;
-    for (const crashing_part& each : FindCrashingParts(reports, rules, kNow)) {
-      found.insert(each.part);
+  [[nodiscard]] std::set<crash_suspect> Found() const {
+    std::set<crash_suspect> found;
+    for (const crash_cause& each : FindCrashCauses(reports, rules, kNow)) {
+      found.insert(each.suspect);
     }
     return found;
   }
@@ -37,28 +37,28 @@
 
 TEST_CASE("only the part that crashing requests do not share with sound ones is held") {
   crash_history history;
-  const part_standing good{.known_good = true};
+  const suspect_standing good{.known_good = true};
   history.Add(seconds(5), {{kCaller, good}, {kBad, {}}, {10, {}}});
   history.Add(seconds(4), {{kCaller, good}, {kBad, {}}, {11, {}}});
   CHECK(history.Found().empty());
   history.Add(seconds(3), {{kCaller, good}, {kBad, {}}, {kOther, {}}});
-  CHECK(history.Found() == std::set{kBad});
+  CHECK(history.Found() == std::set<crash_suspect>{kBad});
 
   SUBCASE("however often servers end under requests of its caller") {
     for (prompt_part own = 50; own < 70; ++own) {
       history.Add(milliseconds(30 * own), {{kCaller, good}, {kBad, {}}, {own, {}}, {own + 50, {}}});
     }
-    CHECK(history.Found() == std::set{kBad});
+    CHECK(history.Found() == std::set<crash_suspect>{kBad});
   }
   SUBCASE("a second part is found by the servers that the first does not explain") {
     for (const prompt_part own : {kOther, prompt_part{12}, prompt_part{20}}) {
       history.Add(milliseconds(75 * own), {{kCaller, good}, {kSecondBad, {}}, {own, {}}});
     }
-    CHECK(history.Found() == std::set<prompt_part>{kBad, kSecondBad});
+    CHECK(history.Found() == std::set<crash_suspect>{kBad, kSecondBad});
   }
   SUBCASE("an answer to a request with it clears it") {
     for (auto& [key, report] : history.reports) {
-      report.parts[kBad].vouched_since = true;
+      report.suspects[kBad].vouched_since = true;
     }
     CHECK(history.Found().empty());
   }
@@ -69,11 +69,11 @@
   for (int i = 0; i < 3; ++i) {
     history.Add(seconds(5 - i), {{kBad, {}}, {kOther, {}}});
   }
-  const auto found = FindCrashingParts(history.reports, history.rules, kNow);
+  const auto found = FindCrashCauses(history.reports, history.rules, kNow);
   REQUIRE(found.size() == 2);
-  CHECK(found[0].alike == std::set<prompt_part>{kBad, kOther});
+  CHECK(found[0].alike == std::set<crash_suspect>{kBad, kOther});
   history.Add(seconds(1), {{kBad, {}}});
-  CHECK(history.Found() == std::set{kBad});
+  CHECK(history.Found() == std::set<crash_suspect>{kBad});
 }
 
 TEST_CASE("several parts that crash the same servers at the same time are all held") {
@@ -82,10 +82,10 @@
     history.Add(milliseconds(900 - 60 * i), {{kBad, {}}, {kOther, {}}, {kCaller, {true}}});
   }
   history.Add(milliseconds(100), {{kBad, {}}});
-  CHECK(history.Found() == std::set<prompt_part>{kBad, kOther});
+  CHECK(history.Found() == std::set<crash_suspect>{kBad, kOther});
   SUBCASE("but none to which answers are known") {
     history.Add(milliseconds(50), {{kOther, {.vouched_since = true}}});
-    CHECK(history.Found() == std::set{kBad});
+    CHECK(history.Found() == std::set<crash_suspect>{kBad});
   }
 }
 
@@ -98,7 +98,7 @@
     CHECK(history.Found().empty());
     SUBCASE("but not without end") {
       history.Add(seconds(2) + milliseconds(90), {{kBad, {}}});
-      CHECK(history.Found() == std::set{kBad});
+      CHECK(history.Found() == std::set<crash_suspect>{kBad});
     }
   }
   SUBCASE("a part to which answers were known needs more outages") {
@@ -109,7 +109,7 @@
     }
     CHECK(history.Found().empty());
     history.Add(milliseconds(500), {{kCaller, {}}});
-    CHECK(history.Found() == std::set{kCaller});
+    CHECK(history.Found() == std::set<crash_suspect>{kCaller});
   }
   SUBCASE("a server counts once, though several signs of its end were seen") {
     for (std::uint32_t episode = 0; episode < 6; ++episode) {
@@ -119,7 +119,7 @@
                                             .sign = end_sign::kRefused,
                                             .ended = kNow - seconds(20 - 3 * episode),
                                             .gateways = {"g0"},
-                                            .parts = {{kBad, {}}}};
+                                            .suspects = {{kBad, {}}}};
     }
     CHECK(history.Found().empty());
   }
--- a/tests/routing/crash_fleet.cc
+++ b/tests/routing/crash_fleet.cc
@@ -15,7 +15,8 @@
 constexpr std::size_t kMaxAttempts = 3;
 constexpr double kPrefillShare = 0.5;
 constexpr microseconds kTick = milliseconds(100);
-constexpr std::size_t kCrashesBeforeBound = 5;
+constexpr std::size_t kPartCrashesBeforeBound = 5;
+constexpr std::size_t kRequestCrashesBeforeBound = 3;
 
 prompt_part Caller(std::size_t caller) { return 0xCA000000 + caller; }
 
@@ -184,6 +185,7 @@
   if (work->companion) {
     work->parts[1] = kCompanion;
   }
+  work->parts.emplace_back(NewDigest());
   work->arrived = now_;
   Send(gateway, work);
 }
@@ -201,7 +203,12 @@
   if (scenario_.companion_share > 0) {
     work->parts[1] = kCompanion;
   }
-  work->parts[static_cast<std::size_t>(scenario_.bad[index])] = BadPart(index);
+  if (scenario_.bad[index] == part_place::kWholeRequest) {
+    work->parts = {Caller(0), 0xA0000000 + index, 0xB0000000 + index, BadRequest(index)};
+  } else {
+    work->parts[static_cast<std::size_t>(scenario_.bad[index])] = BadPart(index);
+    work->parts.emplace_back(NewDigest());
+  }
   work->bad = static_cast<int>(index);
   work->arrived = now_;
   Send(gateway, work);
@@ -224,21 +231,21 @@
   member& from = members_[gateway];
   bool trial = false;
   if (scenario_.quarantine) {
-    const prompt_verdict verdict = from.quarantine->Check(work->parts, now_);
+    const quarantine_verdict verdict = from.quarantine->Check(work->parts, now_);
     const bool admitted =
-        std::visit(overloaded{[](const prompt_admitted&) { return true; },
-                              [&](const prompt_trial& allowed) {
+        std::visit(overloaded{[](const request_admitted&) { return true; },
+                              [&](const request_trial& allowed) {
                                 trial = work->attempts == 0 && !work->prefilled;
                                 if (trial) {
-                                  from.quarantine->OnTrial(allowed.evidence.part, now_);
+                                  from.quarantine->OnTrial(allowed.evidence.suspect, now_);
                                 }
                                 return trial;
                               },
-                              [&](const prompt_held&) {
+                              [&](const request_held&) {
                                 sound_held_ += work->bad < 0 ? 1 : 0;
                                 return false;
                               },
-                              [&](const prompt_unknown&) {
+                              [&](const request_unknown&) {
                                 sound_unknown_ += work->bad < 0 ? 1 : 0;
                                 return false;
                               }},
@@ -277,8 +284,8 @@
     if (work->bad >= 0) {
       bad_part_figures& figures = bad_[static_cast<std::size_t>(work->bad)];
       ++figures.sends;
-      if (figures.crashes.size() >= kCrashesBeforeBound &&
-          now_ >= figures.crashes[kCrashesBeforeBound - 1] + kTouch) {
+      const std::size_t bound = CrashesBeforeBound(static_cast<std::size_t>(work->bad));
+      if (figures.crashes.size() >= bound && now_ >= figures.crashes[bound - 1] + kTouch) {
         ++figures.late_sends_any;
         figures.late_sends += InTouch(from) ? 1 : 0;
       }
@@ -353,7 +360,7 @@
   }
   bool repeat = true;
   if (scenario_.quarantine) {
-    const std::vector<prompt_part> none;
+    const std::vector<crash_suspect> none;
     at.quarantine->OnServerEnd(cut->name, end_sign::kCut, cut->begun ? none : cut->work->parts,
                                now_);
     repeat = at.quarantine->MayRepeat(cut->work->parts, now_);
@@ -390,7 +397,7 @@
     ++messages_;
     struct message {
       std::vector<crash_report> reports;
-      std::vector<part_trial> trials;
+      std::vector<suspect_trial> trials;
     };
     auto sent = std::make_shared<message>();
     for (const auto& [key, report] : members_[sender].quarantine->reports()) {
@@ -406,7 +413,7 @@
       for (crash_report& report : sent->reports) {
         report.ended += now_ - at;
       }
-      for (part_trial& trial : sent->trials) {
+      for (suspect_trial& trial : sent->trials) {
         trial.sent += now_ - at;
       }
       members_[receiver].quarantine->OnPeer(sent->reports, sent->trials, now_);
@@ -463,6 +470,11 @@
   }
 }
 
+std::size_t crash_fleet::CrashesBeforeBound(std::size_t index) const {
+  return scenario_.bad[index] == part_place::kWholeRequest ? kRequestCrashesBeforeBound
+                                                           : kPartCrashesBeforeBound;
+}
+
 std::size_t crash_fleet::crashes() const {
   std::size_t all = 0;
   for (const bad_part_figures& each : bad_) {
@@ -481,10 +493,11 @@
 
 double crash_fleet::ShareOf(const std::map<instant, bool>& answers) const {
   instant from = start_;
-  for (const bad_part_figures& each : bad_) {
-    if (!each.crashes.empty()) {
-      const std::size_t counted = std::min(each.crashes.size(), kCrashesBeforeBound);
-      from = std::max(from, each.crashes[counted - 1] + 2 * kTouch);
+  for (std::size_t i = 0; i < bad_.size(); ++i) {
+    const std::vector<instant>& crashes = bad_[i].crashes;
+    if (!crashes.empty()) {
+      const std::size_t counted = std::min(crashes.size(), CrashesBeforeBound(i));
+      from = std::max(from, crashes[counted - 1] + 2 * kTouch);
     }
   }
   std::size_t all = 0;
--- a/tests/routing/crash_fleet.h
+++ b/tests/routing/crash_fleet.h
@@ -16,8 +16,9 @@
 
 namespace jacinthspool::testing {
 
-/// \brief Place of the part that crashes servers among the shared parts of a prompt.
-enum class part_place { kFirst, kMiddle, kLast };
+/// \brief What crashes servers: a part, by its place among the shared parts of a prompt, or one
+/// whole request.
+enum class part_place { kFirst, kMiddle, kLast, kWholeRequest };
 
 /// \brief A fleet of gateways and backend servers in virtual time.
 struct crash_scenario {
@@ -40,7 +41,8 @@
 struct bad_part_figures {
   std::vector<instant> crashes = {};
   std::size_t sends = 0;
-  std::size_t late_sends = 0;      ///< By gateways in touch, from the fifth crash + `kTouch`.
+  /// By gateways in touch, from the fifth crash + `kTouch`, of a whole request from the third.
+  std::size_t late_sends = 0;
   std::size_t late_sends_any = 0;  ///< By any gateway.
 };
 
@@ -81,10 +83,13 @@
   [[nodiscard]] crash_quarantine& quarantine(std::size_t gateway);
   [[nodiscard]] instant now() const { return now_; }
   [[nodiscard]] static prompt_part BadPart(std::size_t index) { return 0xBAD0000 + index; }
+  [[nodiscard]] static request_digest BadRequest(std::size_t index) {
+    return {.high = 0xBAD, .low = index};
+  }
 
  private:
   struct request {
-    std::vector<prompt_part> parts;
+    std::vector<crash_suspect> parts;
     int bad = -1;
     bool first_caller = false;
     bool companion = false;
@@ -151,6 +156,10 @@
   void Tick(std::size_t gateway, std::uint64_t life);
   void Query(std::size_t from, std::size_t to);
   void Count(const request& work, bool answered);
+  /// \returns The number of crashes from which the bound on sends counts.
+  [[nodiscard]] std::size_t CrashesBeforeBound(std::size_t index) const;
+  /// \returns The digest of a request that nobody has sent before.
+  request_digest NewDigest() { return {.high = 0xD1, .low = ++last_digest_}; }
   [[nodiscard]] double ShareOf(const std::map<instant, bool>& answers) const;
   [[nodiscard]] bool Reaches(std::size_t from, std::size_t to);
   [[nodiscard]] bool InTouch(const member& each) const;
@@ -174,6 +183,7 @@
   std::size_t messages_ = 0;
   prompt_part next_document_ = 0xD0000000;
   prompt_part fashion_ = 0;
+  std::uint64_t last_digest_ = 0;
 };
 
 }  // namespace jacinthspool::testing
--- a/tests/routing/crash_fleet_test.cc
+++ b/tests/routing/crash_fleet_test.cc
@@ -12,7 +12,8 @@
 
 using enum part_place;
 
-/// Requests with a part that may reach servers once five have ended under it and `kTouch` is over.
+/// Requests with a part that may reach servers once five have ended under it and `kTouch` is over;
+/// of a whole request, once three have.
 constexpr std::size_t kMaxLateSends = 3;
 /// Of the sound requests with the same first part, answered at the first attempt.
 constexpr double kMinSoundShare = 0.9;
@@ -22,7 +23,10 @@
   std::size_t late_any = 0;
   for (std::size_t i = 0; i < scenario.bad.size(); ++i) {
     const part_place place = scenario.bad[i];
-    places += place == kFirst ? " first" : place == kMiddle ? " middle" : " last";
+    places += place == kFirst    ? " first"
+              : place == kMiddle ? " middle"
+              : place == kLast   ? " last"
+                                 : " whole request";
     late_any = std::max(late_any, fleet.bad()[i].late_sends_any);
   }
   MESSAGE(scenario.gateways, " gateways, ", scenario.servers, " servers, bad parts:", places,
@@ -65,6 +69,57 @@
   }
 }
 
+TEST_CASE("one request that is sent again and again does not crash server after server") {
+  for (const std::size_t gateways : {1, 4, 30, 103}) {
+    for (const std::size_t servers : {8, 20, 60}) {
+      for (const std::size_t requests : {1, 3}) {
+        crash_scenario scenario{.gateways = gateways,
+                                .servers = servers,
+                                .bad = std::vector<part_place>(requests, kWholeRequest),
+                                .seed = gateways + servers + requests,
+                                .end = seconds(gateways == 103 ? 30 : 60)};
+        if (gateways == 4) {
+          scenario.quarantine = false;
+          crash_fleet before(scenario);
+          before.Run();
+          Report(scenario, "", before);
+          scenario.quarantine = true;
+        }
+        crash_fleet fleet(scenario);
+        fleet.Run();
+        Report(scenario, "", fleet);
+        CHECK(fleet.late_sends() <= kMaxLateSends);
+        CHECK(fleet.SoundShare() >= kMinSoundShare);
+        CHECK(fleet.sound_held() == 0);
+      }
+    }
+  }
+}
+
+TEST_CASE("a request stays held while gateways are killed, started and cut off") {
+  for (const std::uint64_t seed : {1, 2, 3, 4, 5, 6, 7, 8}) {
+    const std::size_t gateways = seed % 4 == 0 ? 30 : 4;
+    crash_scenario scenario{.gateways = gateways,
+                            .servers = 20,
+                            .bad = {kWholeRequest, kWholeRequest},
+                            .bad_per_second = 3,
+                            .seed = seed};
+    crash_fleet fleet(scenario);
+    std::mt19937_64 random(seed);
+    for (seconds at(6); at < scenario.end; at += seconds(4)) {
+      const std::size_t killed = random() % gateways;
+      const std::size_t cut = random() % gateways;
+      const seconds length(3 + random() % 8);
+      fleet.At(at + milliseconds(random() % 3000), [&, killed] { fleet.Kill(killed, seconds(2)); });
+      fleet.At(at + milliseconds(random() % 3000), [&, cut, length] { fleet.CutOff(cut, length); });
+    }
+    fleet.Run();
+    Report(scenario, ", gateways killed and cut off", fleet);
+    CHECK(fleet.late_sends() <= kMaxLateSends);
+    CHECK(fleet.SoundShare() >= kMinSoundShare);
+  }
+}
+
 TEST_CASE("a part stays held while gateways are killed, started and cut off") {
   for (const std::uint64_t seed : {1, 2, 3, 4, 5, 6, 7, 8}) {
     const std::size_t gateways = seed % 4 == 0 ? 30 : 4;
--- a/tests/routing/crash_report_test.cc
+++ b/tests/routing/crash_report_test.cc
@@ -22,8 +22,8 @@
     report.gateways.insert("g" + std::to_string(random() % 20));
   }
   for (std::size_t i = random() % parts; i > 0; --i) {
-    report.parts[random() % (2 * parts)] = {.known_good = random() % 2 == 0,
-                                            .vouched_since = random() % 2 == 0};
+    report.suspects[random() % (2 * parts)] = {.known_good = random() % 2 == 0,
+                                               .vouched_since = random() % 2 == 0};
   }
   return report;
 }
@@ -46,7 +46,7 @@
         reports.push_back(RandomReport(random, parts));
       }
       const crash_report merged = MergeAll(reports);
-      CHECK(merged.parts.size() <= crash_report::kMaxParts);
+      CHECK(merged.suspects.size() <= crash_report::kMaxSuspects);
       CHECK(merged.gateways.size() <= crash_report::kMaxGateways);
       std::vector<crash_report> told = reports;
       told.insert(told.end(), reports.begin(), reports.begin() + 4);
@@ -77,11 +77,11 @@
   for (std::size_t server = 0; server < kReports; ++server) {
     crash_report report{.server = {"i-" + std::to_string(server), 1}};
     crash_report heard = report;
-    for (prompt_part part = 0; part < crash_report::kMaxParts + 16; ++part) {
-      heard.parts[part];
+    for (prompt_part part = 0; part < crash_report::kMaxSuspects + 16; ++part) {
+      heard.suspects[part];
     }
     Merge(report, heard);
-    kept += report.parts.contains(3) ? 1 : 0;
+    kept += report.suspects.contains(3) ? 1 : 0;
   }
   CHECK(kept > kReports / 2);
 }
