Hold back requests that end the servers that run them, at all gateways

What callers saw: one request ended server after server, with the answers of all others that ran there.

Cause: no gateway compared requests, half of the sends were repeats at a second server, and each gateway saw only its own crashes. crash_quarantine decided all this already, for parts of prompts, and no gateway used it.

Wired once, for parts and whole requests: the digest is made when the body is whole; every send (prefill, run, repeat, resume, in place of a silent attempt) asks first; ends, refusals of connections, lapsed registrations, answers and bytes are reported to it; a verdict ends waiting requests and repeatable attempts without an answer. Gateways know only the configured peers, so these pass on what is new to them to whoever queries them. http1_client tells a refused connection apart.

--- a/include/jacinthspool/routing/crash_quarantine.h
+++ b/include/jacinthspool/routing/crash_quarantine.h
@@ -121,6 +121,9 @@
 
   /// \returns true once after each change that all other gateways should know at once.
   [[nodiscard]] bool TakeNews() { return std::exchange(news_, false); }
+  /// \returns true once after each change that another gateway has reported, for one that passes
+  /// reports on to gateways that do not know each other.
+  [[nodiscard]] bool TakePeerNews() { return std::exchange(peer_news_, false); }
 
   [[nodiscard]] const crash_reports& reports() const { return reports_; }
   [[nodiscard]] std::vector<suspect_trial> Trials() const;
@@ -170,6 +173,7 @@
   instant last_contact_;
   bool had_contact_ = false;
   bool news_ = false;
+  bool peer_news_ = false;
   mutable std::map<crash_suspect, crash_cause> held_;
   mutable bool stale_ = true;  ///< `held_` must be computed anew.
   mutable bool held_while_cut_off_ = false;
--- a/src/gateway/backend_notices.cc
+++ b/src/gateway/backend_notices.cc
@@ -76,6 +76,9 @@
                std::chrono::duration_cast<milliseconds>(*notice.back_off_for));
     context.selector.SetBackOff(from.id, now + *notice.back_off_for);
   }
+  if (!notice.wrong_target && sent != instant{}) {
+    context.quarantine.OnHeard({from.id, from.started_ms}, now);
+  }
   if (notice.wrong_target) {
     log_notice("record_mistaken", milliseconds(0));
     context.selector.MarkRecordWrong(from.id, now);
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <span>
 #include <utility>
 #include <vector>
 
@@ -57,6 +58,8 @@
 constexpr std::string_view kNotTheRest = "not the rest of the stream";
 /// Logged when the planned stop of this process ends a request.
 constexpr std::string_view kStopping = "stopping";
+/// Logged for a request that servers may have ended of.
+constexpr std::string_view kHeld = "backend servers ended under it";
 
 /// \returns true for a status by which a server states that the request has not run.
 bool PromisesNotRun(int status) {
@@ -130,6 +133,8 @@
   [[nodiscard]] instant last_heard() const { return last_heard_; }
   [[nodiscard]] bool streaming() const { return streaming_; }
   [[nodiscard]] bool paused() const { return paused_; }
+  /// \returns true when part of an answer has arrived.
+  [[nodiscard]] bool answering() const { return event_count_ > 0 || forwarding_body_; }
 
   /// Reports the result to the selector; only the first call counts.
   void Report(attempt_result result) {
@@ -209,7 +214,8 @@
       return;
     }
     LogFailure(ToString(end), reason);
-    const bool unsent = end == call_outcome::kUnsent;
+    ReportServerEnd(end);
+    const bool unsent = end == call_outcome::kUnsent || end == call_outcome::kRefused;
     const attempt_failure failure = unsent                            ? attempt_failure::kUnsent
                                     : end == call_outcome::kMalformed ? attempt_failure::kUnsound
                                     : end == call_outcome::kCut       ? attempt_failure::kBrokeOff
@@ -261,6 +267,47 @@
     owner_.StopSeeking();
   }
 
+  [[nodiscard]] backend_incarnation Incarnation() const {
+    return {backend_.id, backend_.started_ms};
+  }
+
+  /// Reports that the server may have ended, unless it leaves as planned.
+  void ReportServerEnd(call_outcome end) {
+    gateway_context& context = owner_.context_;
+    const auto& listed = context.backends.backends();
+    const auto known = listed.find(backend_.id);
+    const bool leaving = known != listed.end() && known->second.leaving;
+    const auto sign = end == call_outcome::kRefused                             ? end_sign::kRefused
+                      : end == call_outcome::kLost || end == call_outcome::kCut ? end_sign::kCut
+                      : end == call_outcome::kWhole                             ? end_sign::kClosed
+                                                    : std::optional<end_sign>();
+    if (leaving || !sign) {
+      return;
+    }
+    const bool suspicious = sign != end_sign::kRefused && !answering();
+    if (suspicious) {
+      Log(log_level::kWarning, "server_ended",
+          {{"request", owner_.settings_.request.id},
+           {"backend", backend_.id},
+           {"started_ms", backend_.started_ms},
+           {"sign", ToString(*sign)},
+           {"digest", ToString(owner_.settings_.request.digest)},
+           {"parts", owner_.suspects_.size() - 1}});
+      context.metrics.Count("gateway_server_ends", {{"sign", std::string(ToString(*sign))}});
+    }
+    context.quarantine.OnServerEnd(Incarnation(), *sign,
+                                   suspicious ? std::span<const crash_suspect>(owner_.suspects_)
+                                              : std::span<const crash_suspect>(),
+                                   timer_service::now());
+  }
+
+  /// Reports once that the answer went on, so that its server has not ended of the request.
+  void Vouch() {
+    if (kind_ == attempt_kind::kServe && !std::exchange(vouched_, true)) {
+      owner_.context_.quarantine.OnAnswer(owner_.suspects_, timer_service::now());
+    }
+  }
+
   void OnStreamBytes(std::string_view bytes) {
     const std::vector<stream_event> events = events_.Split(bytes);
     // Neither an incomplete event nor a comment proves that the engine makes progress.
@@ -270,6 +317,10 @@
     if (progress > 0) {
       event_count_ += progress;
       RecordHeard();
+      owner_.context_.quarantine.OnHeard(Incarnation(), last_heard_);
+    }
+    if (event_count_ > 1) {
+      Vouch();
     }
     if (events_.pending_bytes() > kMaxEventBytes) {
       LogFailure("event too long", "");
@@ -298,6 +349,11 @@
       OnPrefillReply();
       return;
     }
+    if (streaming_ && event_count_ == 0) {
+      ReportServerEnd(call_outcome::kWhole);
+    } else {
+      Vouch();
+    }
     if (streaming_ ? events_.inside_event() : !facts_.sound) {
       LogFailure(streaming_ ? "truncated within an event" : "not a genuine answer", "");
       End(attempt_result::kFailed,
@@ -362,6 +418,7 @@
   bool forwarding_body_ = false;      ///< The body is forwarded as it arrives.
   bool paused_ = false;
   bool reported_ = false;
+  bool vouched_ = false;
   bool silence_reported_ = false;
   std::uint64_t event_count_ = 0;  ///< Events received in this attempt, comments excluded.
   std::unique_ptr<http1_call> call_;
@@ -373,6 +430,8 @@
       first_configuration_(context_.routes.configuration()->version),
       answer_(std::move(settings_.answer)) {
   last_event_ = settings_.request.resume_after;
+  suspects_.assign(settings_.request.shared_parts.begin(), settings_.request.shared_parts.end());
+  suspects_.emplace_back(settings_.request.digest);
 }
 
 forward_exchange::~forward_exchange() = default;
@@ -485,7 +544,60 @@
           .latest_start = std::max(now + kMinAttemptTime, latest_start)};
 }
 
+void forward_exchange::OnVerdictsChanged() {
+  const auto self = shared_from_this();
+  const instant now = timer_service::now();
+  const bool serving = attempt_ && attempt_->kind() == attempt_kind::kServe;
+  if (!serving) {
+    EndIfHeld();
+  } else if (settings_.route->repeatable() && !attempt_->answering() && !trial_ &&
+             context_.quarantine.MustCancel(suspects_, now)) {
+    attempt_->LogFailure("cancelled", kHeld);
+    EndUnanswered(http_status::kBadGateway, kHeld);
+  }
+}
+
+bool forward_exchange::EndIfHeld() {
+  const instant now = timer_service::now();
+  const auto end = [&](microseconds retry_after) {
+    EndUnanswered(http_status::kBadGateway, kHeld, std::chrono::ceil<milliseconds>(retry_after));
+    return true;
+  };
+  return std::visit(
+      overloaded{[](const request_admitted&) { return false; },
+                 [&](const request_trial& allowed) {
+                   if (sends_ > 0 || prefills_ > 0) {
+                     return end(kMinRetryAfter);
+                   }
+                   trial_ = allowed.evidence.suspect;
+                   prefill_abandoned_ = true;
+                   return false;
+                 },
+                 [&](const request_held& held) {
+                   Log(log_level::kWarning, "request_held",
+                       {{"request", settings_.request.id},
+                        {"suspect", ToString(held.evidence.suspect)},
+                        {"whole_request", held.evidence.suspect.is_request()},
+                        {"servers", held.evidence.servers},
+                        {"outages", held.evidence.outages},
+                        {"age_ms", held.age / milliseconds(1)},
+                        {"gateways", held.evidence.gateways},
+                        {"trials", held.trials},
+                        {"retry_after_ms", held.retry_after / milliseconds(1)}});
+                   context_.metrics.Count(
+                       "gateway_held_requests",
+                       {{"suspect", held.evidence.suspect.is_request() ? "request" : "part"}});
+                   return end(held.retry_after);
+                 },
+                 [&](const request_unknown& unknown) { return end(unknown.retry_after); }},
+      context_.quarantine.Check(suspects_, now));
+}
+
 void forward_exchange::ReserveAndSend() {
+  const auto self = shared_from_this();
+  if (EndIfHeld()) {
+    return;
+  }
   if (!NeedsReservation()) {
     SendNext();
     return;
@@ -597,7 +709,7 @@
 
 bool forward_exchange::MayRetry() const {
   const instant now = timer_service::now();
-  return TimeLeft(now) > kMinAttemptTime && EndsBeforeStop(now) &&
+  return TimeLeft(now) > kMinAttemptTime && EndsBeforeStop(now) && !trial_ &&
          context_.budget.left(now, settings_.service) >= 1;
 }
 
@@ -730,6 +842,13 @@
 }
 
 void forward_exchange::StartAttempt(attempt_kind kind, const backend_record& backend) {
+  const auto self = shared_from_this();
+  if (EndIfHeld()) {
+    return;
+  }
+  if (trial_) {
+    context_.quarantine.OnTrial(*trial_, timer_service::now());
+  }
   const bool prefill = kind == attempt_kind::kPrefill;
   ++(prefill ? prefills_ : sends_);
   const std::optional<decode_reservation> reservation = prefill ? std::nullopt : TakeReservation();
@@ -781,9 +900,10 @@
     CheckSilenceAfter(silence < limit ? limit - silence + milliseconds(1) : limit);
     return;
   }
-  const bool may_move = attempt_->kind() == attempt_kind::kPrefill ||
-                        (settings_.route->repeatable() && may_resume_ &&
-                         runs_ + 1 < settings_.route->max_attempts && MayRetry());
+  const bool may_move =
+      attempt_->kind() == attempt_kind::kPrefill ||
+      (settings_.route->repeatable() && may_resume_ && runs_ + 1 < settings_.route->max_attempts &&
+       MayRetry() && context_.quarantine.MayRepeat(suspects_, timer_service::now()));
   attempt_->ReportSilence(may_move ? "seeks a replacement" : "waits on");
   CheckSilenceAfter(may_move ? kSeekInterval : limit);
   if (may_move && !seeking_) {
@@ -887,11 +1007,13 @@
     kv_source_.clear();
   }
   // Without an attempt no further one can be sent.
-  const next_step step = DecideNextStep(
-      *settings_.route, {.last = failure,
-                         .runs = runs_,
-                         .answer_begun = AnswerBegun(),
-                         .may_retry = attempt_ != nullptr && may_resume_ && MayRetry()});
+  const next_step step =
+      DecideNextStep(*settings_.route,
+                     {.last = failure,
+                      .runs = runs_,
+                      .answer_begun = AnswerBegun(),
+                      .may_retry = attempt_ != nullptr && may_resume_ && MayRetry() &&
+                                   context_.quarantine.MayRepeat(suspects_, timer_service::now())});
   switch (step) {
     case next_step::kSendAgain:
       ReserveAndSend();
@@ -1016,7 +1138,7 @@
   Finish("served", "");
 }
 
-void forward_exchange::Reject(std::string_view why) {
+void forward_exchange::Reject(std::string_view why, std::optional<milliseconds> retry_after) {
   const auto self = shared_from_this();
   if (AnswerBegun()) {
     Cut(why);
@@ -1039,8 +1161,8 @@
   // together.
   const auto jitter = milliseconds(
       static_cast<std::int64_t>(context_.random() % static_cast<std::uint64_t>(wait.count())) / 4);
-  Reply(http_status::kServiceUnavailable, context_.dialect.RejectionHeaders(wait + jitter),
-        "not run\n");
+  Reply(http_status::kServiceUnavailable,
+        context_.dialect.RejectionHeaders(retry_after.value_or(wait + jitter)), "not run\n");
   Finish("refused", why);
 }
 
@@ -1095,14 +1217,15 @@
                 deadline_.cause == deadline_cause::kProcessEnd ? kStopping : "time is up");
 }
 
-void forward_exchange::EndUnanswered(int status, std::string_view why) {
+void forward_exchange::EndUnanswered(int status, std::string_view why,
+                                     std::optional<milliseconds> retry_after) {
   const bool may_have_run = runs_ > 0 || (attempt_ && attempt_->kind() == attempt_kind::kServe);
   if (AnswerBegun()) {
     Cut(why);
   } else if (may_have_run) {
     Fail(status, why);
   } else {
-    Reject(why);
+    Reject(why, retry_after);
   }
 }
 
@@ -1157,6 +1280,7 @@
        {"comes_back", is_retry_},
        {"allowed_ms", settings_.route->timeout.count()},
        {"bound_by", ToString(deadline_.cause)},
+       {"digest", outcome == "served" ? std::string() : ToString(settings_.request.digest)},
        {"caller_waits_ms", settings_.request.time_left.value_or(milliseconds(0)).count()},
        {"seat_ms", reservation_wait_ / milliseconds(1)},
        {"first_ms", time_to_first_event_ / milliseconds(1)},
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "jacinthspool/routing/event_splitter.h"
 #include "jacinthspool/routing/next_step.h"
@@ -45,12 +46,19 @@
   /// \brief This process has been told to stop: its end is a deadline of the request.
   void OnStopping();
 
+  /// \brief Other suspects are held back from now on: ends the request if it has one of them and no
+  /// answer.
+  void OnVerdictsChanged();
+
  private:
   class attempt;
   enum class attempt_kind { kPrefill, kServe };
 
   /// \brief Gets a reservation first if the service's engines offer them, then sends.
   void ReserveAndSend();
+  /// \brief Ends the request if it may end the server that it would be sent to.
+  /// \returns true when the request has ended.
+  bool EndIfHeld();
   [[nodiscard]] bool NeedsReservation() const;
   [[nodiscard]] reservation_request MakeReservationRequest(instant now) const;
   /// \brief Enqueues the request for a reservation.
@@ -113,7 +121,8 @@
   /// \returns false when a stream has begun, which a body cannot continue.
   [[nodiscard]] bool BeginBody(const http1_head& head);
   void EndAnswer();
-  void Reject(std::string_view why);
+  /// \param retry_after Nothing: chosen by the load and the time that the caller has left.
+  void Reject(std::string_view why, std::optional<milliseconds> retry_after = std::nullopt);
   void Fail(int status, std::string_view why);
   void Cut(std::string_view why);
   /// \returns The limits of the request's time under that route.
@@ -132,7 +141,8 @@
   /// process does.
   void CheckStop();
   /// \brief Ends the request without an attempt: as not run, or as failed with that status.
-  void EndUnanswered(int status, std::string_view why);
+  void EndUnanswered(int status, std::string_view why,
+                     std::optional<milliseconds> retry_after = std::nullopt);
   void ArmDeadline();
   void OnDeadline();
   void OnCallerDisconnected();
@@ -153,6 +163,9 @@
   timer_subscription silence_timer_;
   timer_subscription stop_timer_;
   std::set<std::string> tried_;
+  std::vector<crash_suspect> suspects_;  ///< What a server could end of: its parts, and itself.
+  /// Sent once to show whether the verdict on it still holds.
+  std::optional<crash_suspect> trial_;
   std::uint32_t sends_ = 0;     ///< Attempts to serve, rejected ones included.
   std::uint32_t prefills_ = 0;  ///< Attempts that only prefill.
   std::uint32_t runs_ = 0;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -50,6 +50,8 @@
                .limiter = send_limiter({.gateway = settings.name}),
                .balance = prefill_share_estimate({}),
                .prefills = prefill_placement({}),
+               .quarantine =
+                   crash_quarantine({.gateway = settings.name, .started = settings.started}),
                .background = {},
                .metrics = {},
                .random = std::mt19937_64(std::random_device{}())},
@@ -66,6 +68,8 @@
       UpdateSelector();
     }
     UpdateShares(context_);
+    context_.quarantine.Expire(now);
+    ApplyVerdicts(now);
   });
   share_report_ = settings.timers.Every(kShareReportPeriod,
                                         [this](instant /*now*/) { ReportShares(context_); });
@@ -80,6 +84,7 @@
 
 void gateway::SetGateways(std::uint32_t gateways) {
   context_.gateways = gateways;
+  context_.quarantine.SetHasPeers(gateways > 1);
   context_.budget.SetEntries(gateways);
   context_.limiter.fleet().SetGateways(gateways);
   UpdateShares(context_);
@@ -97,6 +102,10 @@
       news.fleet.push_back(report);
     }
   }
+  for (const auto& [key, report] : context_.quarantine.reports()) {
+    news.crashes.push_back(report);
+  }
+  news.trials = context_.quarantine.Trials();
   return news;
 }
 
@@ -107,9 +116,54 @@
     }
   }
   ApplyPeerLimits(context_, other.limits);
+  const instant now = timer_service::now();
+  context_.quarantine.OnPeer(other.crashes, other.trials, now);
+  ApplyVerdicts(now);
+}
+
+void gateway::OnPeerAnswer() {
+  context_.limiter.fleet().OnContact(timer_service::now());
+  context_.quarantine.OnContact(timer_service::now());
+}
+
+void gateway::ApplyVerdicts(instant now) {
+  const auto& held = context_.quarantine.Held(now);
+  std::set<crash_suspect> suspects;
+  for (const auto& [suspect, cause] : held) {
+    suspects.insert(suspect);
+    if (!held_.contains(suspect)) {
+      Log(log_level::kWarning, "crash_cause_held",
+          {{"suspect", ToString(suspect)},
+           {"request", suspect.is_request()},
+           {"servers", cause.servers},
+           {"outages", cause.outages},
+           {"age_ms", (now - cause.last_crash) / milliseconds(1)},
+           {"gateways", cause.gateways},
+           {"alike", cause.alike.size()}});
+    }
+  }
+  for (const crash_suspect& suspect : held_) {
+    if (!suspects.contains(suspect)) {
+      Log(log_level::kInfo, "crash_cause_released", {{"suspect", ToString(suspect)}});
+    }
+  }
+  if (held_ == suspects) {
+    return;
+  }
+  held_ = std::move(suspects);
+  context_.metrics.Set("gateway_held_causes", {}, static_cast<double>(held_.size()));
+  const std::set<std::shared_ptr<forward_exchange>> in_progress = exchanges_;
+  for (const auto& exchange : in_progress) {
+    exchange->OnVerdictsChanged();
+  }
 }
 
-void gateway::OnPeerAnswer() { context_.limiter.fleet().OnContact(timer_service::now()); }
+void gateway::OnLapsed(const backend_record& before) {
+  if (!before.leaving) {
+    context_.quarantine.OnServerEnd({before.id, before.started_ms}, end_sign::kDeregistered, {},
+                                    timer_service::now());
+  }
+}
 
 bool gateway::can_route() const {
   return context_.routes.configuration() != nullptr && list_known_;
@@ -155,6 +209,7 @@
     return;
   }
   decoded->body = std::move(request.body);
+  decoded->digest = DigestOf(decoded->method, decoded->host, decoded->target, decoded->body);
   const auto exchange = std::make_shared<forward_exchange>(forward_exchange::options{
       .context = context_,
       .reservations = reservations_,
@@ -218,16 +273,22 @@
        {"stage", ToString(record.stage)},
        {"revision", record.published.revision}});
   const std::string id = record.id;
-  context_.backends.Put(std::move(record));
   const auto& listed = context_.backends.backends();
+  if (const auto before = listed.find(id);
+      before != listed.end() && before->second.started_ms < record.started_ms) {
+    OnLapsed(before->second);
+  }
+  context_.backends.Put(std::move(record));
   if (const auto known = listed.find(id); known != listed.end()) {
     context_.selector.Update(known->second);
   }
 }
 
 void gateway::OnBackendRemoved(const std::string& id, store_position at) {
-  if (context_.backends.backends().contains(id)) {
+  const auto& listed = context_.backends.backends();
+  if (const auto before = listed.find(id); before != listed.end()) {
     Log(log_level::kInfo, "backend_removed", {{"backend", id}, {"revision", at.revision}});
+    OnLapsed(before->second);
   }
   context_.backends.Remove(id, at, timer_service::now());
   UpdateSelector();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -76,6 +76,14 @@
   /// \returns true while some backend server's limit is in force.
   [[nodiscard]] bool limited() const { return context_.limiter.limits().any(); }
 
+  /// \returns true once after each change of the crash reports that all gateways should know at
+  /// once.
+  [[nodiscard]] bool TakeCrashNews() { return context_.quarantine.TakeNews(); }
+  /// \returns true once after each such change that another gateway has reported.
+  [[nodiscard]] bool TakePeerCrashNews() { return context_.quarantine.TakePeerNews(); }
+  /// \returns true while some server that has ended is remembered.
+  [[nodiscard]] bool has_crash_reports() const { return !context_.quarantine.reports().empty(); }
+
   /// \brief Sets the number of gateways that share the retry budget and the servers' limits.
   void SetGateways(std::uint32_t gateways);
 
@@ -87,6 +95,10 @@
 
  private:
   void UpdateSelector();
+  /// \brief Logs what is held and released, and applies it to the requests in progress.
+  void ApplyVerdicts(instant now);
+  /// \brief The registration of a server has lapsed, or names another incarnation.
+  void OnLapsed(const backend_record& before);
   void Reject(http1_responder answer, int status, std::string_view id, std::string_view why,
               milliseconds retry_after);
 
@@ -97,6 +109,7 @@
   std::set<std::shared_ptr<forward_exchange>> exchanges_;
   timer_subscription expiry_;
   timer_subscription share_report_;
+  std::set<crash_suspect> held_;  ///< As last logged.
   bool list_known_ = false;
   bool rejecting_ = false;
   bool publisher_lost_ = true;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -7,6 +7,7 @@
 
 #include "jacinthspool/routing/backend_list.h"
 #include "jacinthspool/routing/backend_selector.h"
+#include "jacinthspool/routing/crash_quarantine.h"
 #include "jacinthspool/routing/forward_retry_budget.h"
 #include "jacinthspool/routing/load_shedder.h"
 #include "jacinthspool/routing/output_length_estimate.h"
@@ -43,6 +44,7 @@
   send_limiter limiter;
   prefill_share_estimate balance;
   prefill_placement prefills;
+  crash_quarantine quarantine;
   background_calls background;
   metrics_registry metrics;
   std::mt19937_64 random;
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -5,6 +5,7 @@
 
 #include "src/telemetry/log.h"
 #include "src/transport/http_status.h"
+#include "src/transport/socket_address.h"
 
 namespace jacinthspool {
 namespace {
@@ -13,14 +14,17 @@
 constexpr milliseconds kQueryPeriod = milliseconds(2000);
 /// Between two rounds of queries to all peers while it is not.
 constexpr milliseconds kFastQueryPeriod = milliseconds(400);
-/// Between two queries while some server's limit is in force, whose shares follow the traffic.
-constexpr milliseconds kLimitedQueryPeriod = milliseconds(800);
-/// A limit that this gateway is the first to learn is sent to all peers within this time.
-constexpr milliseconds kLimitCheckPeriod = milliseconds(100);
+/// Between two queries while some server's limit is in force, whose shares follow the traffic, and
+/// while servers that ended are remembered.
+constexpr milliseconds kActiveQueryPeriod = milliseconds(800);
+/// A limit that this gateway is the first to learn, and news of servers that ended, are sent to all
+/// peers within this time.
+constexpr milliseconds kNewsCheckPeriod = milliseconds(100);
 /// After the start all peers are queried at the shorter interval for this time.
 constexpr milliseconds kSettleTime = seconds(3);
 /// A gateway that has not queried for this time is not counted.
 constexpr milliseconds kForgetAfter = seconds(10);
+constexpr std::size_t kMaxLearned = 1024;
 
 }  // namespace
 
@@ -46,10 +50,15 @@
     return false;
   }
   QueryPeers();
-  limit_check_ = settings_.timers.Every(kLimitCheckPeriod, [this](instant /*now*/) {
+  news_check_ = settings_.timers.Every(kNewsCheckPeriod, [this](instant /*now*/) {
     if (settings_.owner.limited() && !was_limited_) {
       QueryPeers();
     }
+    // The peers may know gateways that do not know each other, so they pass reports on.
+    const bool from_peers = settings_.owner.TakePeerCrashNews() && !learned_.empty();
+    if (settings_.owner.TakeCrashNews() || from_peers) {
+      TellAll();
+    }
   });
   return true;
 }
@@ -63,6 +72,7 @@
   const instant now = timer_service::now();
   if (const auto name = request.head.Find(kGatewayNameHeader)) {
     last_query_[std::string(*name)] = now;
+    Learn(request, now);
   }
   if (!request.body.empty()) {
     if (const auto news = DecodeSnapshot(request.body)) {
@@ -85,6 +95,27 @@
                           EncodeSnapshot(snapshot));
 }
 
+void peer_exchange::Learn(const http1_request& request, instant now) {
+  const std::string address(request.head.Find(kGatewayAddressHeader).value_or(""));
+  socket_address parsed;
+  const bool configured =
+      address == settings_.listen ||
+      std::find(settings_.peers.begin(), settings_.peers.end(), address) != settings_.peers.end();
+  if (configured || !ParseSocketAddress(address, parsed)) {
+    return;
+  }
+  std::erase_if(learned_, [&](const auto& each) {
+    if (now - each.second < kForgetAfter) {
+      return false;
+    }
+    queries_.erase(each.first);
+    return true;
+  });
+  if (learned_.size() < kMaxLearned || learned_.contains(address)) {
+    learned_[address] = now;
+  }
+}
+
 std::uint32_t peer_exchange::CountGateways(instant now) const {
   const auto recent = std::count_if(last_query_.begin(), last_query_.end(), [&](const auto& each) {
     return now - each.second < kForgetAfter;
@@ -102,6 +133,7 @@
       .client = settings_.client,
       .address = address,
       .gateway = settings_.name,
+      .listen = settings_.listen,
       .scope = settings_.owner.WantedScope(),
       .news = EncodeSnapshot(settings_.owner.FleetSnapshot(gateway::fleet_scope::kOwn)),
       .on_answer = [this, address](std::optional<gateway_snapshot> snapshot) {
@@ -112,14 +144,39 @@
                  {"reason", snapshot->fault},
                  {"suppressed", fault_lines_.TakeSuppressed()}});
           }
-          reported_gateways_[address] = snapshot->gateways;
-          settings_.owner.OnPeerAnswer();
+          if (!learned_.contains(address)) {
+            reported_gateways_[address] = snapshot->gateways;
+          }
           settings_.owner.ApplyFleet(*snapshot);
+          settings_.owner.OnPeerAnswer();
           settings_.owner.ApplySnapshot(std::move(*snapshot));
         }
+        if (told_late_.erase(address) > 0) {
+          // The query that has ended here must not be destroyed yet.
+          settings_.loop.Post([this, address, alive = std::weak_ptr<bool>(alive_)] {
+            if (alive.lock()) {
+              QueryPeer(address);
+            }
+          });
+        }
       }});
 }
 
+void peer_exchange::TellAll() {
+  const auto tell = [this](const std::string& address) {
+    const auto open = queries_.find(address);
+    if (open != queries_.end() && !open->second->answered()) {
+      told_late_.insert(address);
+    } else {
+      QueryPeer(address);
+    }
+  };
+  std::for_each(settings_.peers.begin(), settings_.peers.end(), tell);
+  for (const auto& [address, queried] : learned_) {
+    tell(address);
+  }
+}
+
 void peer_exchange::QueryPeers() {
   std::uint32_t gateways = std::max(CountGateways(timer_service::now()),
                                     static_cast<std::uint32_t>(settings_.peers.size()) + 1);
@@ -140,9 +197,9 @@
     }
   }
   was_limited_ = limited;
-  const milliseconds period = !regular  ? kFastQueryPeriod
-                              : limited ? kLimitedQueryPeriod
-                                        : kQueryPeriod;
+  const milliseconds period = !regular                                         ? kFastQueryPeriod
+                              : limited || settings_.owner.has_crash_reports() ? kActiveQueryPeriod
+                                                                               : kQueryPeriod;
   const auto jitter = milliseconds(
       static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(period.count() / 4)));
   next_ = settings_.timers.After(period + jitter, [this](instant /*now*/) { QueryPeers(); });
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -42,12 +43,19 @@
  private:
   void QueryPeers();
   void QueryPeer(const std::string& address);
+  /// \brief Queries all known gateways now; one whose query is open, again after its answer.
+  void TellAll();
+  /// \brief Remembers a gateway that queries this one, which others may not know.
+  void Learn(const http1_request& request, instant now);
   void Answer(const http1_request& request, http1_responder answer);
   [[nodiscard]] std::uint32_t CountGateways(instant now) const;
 
   options settings_;
   std::unique_ptr<http1_server> server_;
   std::map<std::string, std::unique_ptr<snapshot_query>> queries_;  ///< By peer.
+  std::set<std::string> told_late_;  ///< Peers to query again once their open query has ended.
+  /// Addresses of other gateways by the time of their last query, the configured peers left out.
+  std::map<std::string, instant> learned_;
   std::map<std::string, instant> last_query_;               ///< Time of each gateway's last query.
   std::map<std::string, std::uint32_t> reported_gateways_;  ///< Count reported by each peer.
   instant start_;
@@ -55,8 +63,9 @@
   bool was_limited_ = false;    ///< Some server's limit was in force at the last query.
   line_limit fault_lines_{{}};  ///< By peer.
   timer_subscription next_;
-  timer_subscription limit_check_;
+  timer_subscription news_check_;
   std::mt19937_64 random_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  ///< For posted actions.
 };
 
 }  // namespace jacinthspool
--- a/src/gateway/snapshot.cc
+++ b/src/gateway/snapshot.cc
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <utility>
 
+#include "jacinthspool/impl/overloaded.h"
 #include "schema/generated/snapshot_generated.h"
 #include "src/gateway/record_check.h"
 #include "src/transport/timer_service.h"
@@ -199,6 +200,70 @@
   return report;
 }
 
+std::shared_ptr<snapshot::listed_suspect_value> ToWire(const crash_suspect& suspect,
+                                                       const suspect_standing& standing) {
+  auto wire = std::make_shared<snapshot::listed_suspect_value>();
+  std::visit(overloaded{[&](prompt_part part) { wire->low = part; },
+                        [&](const request_digest& request) {
+                          wire->request = true;
+                          wire->high = request.high;
+                          wire->low = request.low;
+                        }},
+             suspect.what());
+  wire->known_good = standing.known_good;
+  wire->vouched_since = standing.vouched_since;
+  return wire;
+}
+
+crash_suspect FromWire(const snapshot::listed_suspect_value& wire) {
+  return wire.request ? crash_suspect(request_digest{.high = wire.high, .low = wire.low})
+                      : crash_suspect(wire.low);
+}
+
+std::shared_ptr<snapshot::listed_crash_value> ToWire(const crash_report& report, instant now) {
+  auto wire = std::make_shared<snapshot::listed_crash_value>();
+  wire->backend = report.server.backend;
+  wire->started_ms = report.server.started_ms;
+  wire->episode = report.episode;
+  wire->sign = static_cast<std::uint8_t>(report.sign);
+  wire->age = AgeOf(report.ended, now);
+  wire->refuted = report.refuted;
+  wire->gateways.assign(report.gateways.begin(), report.gateways.end());
+  for (const auto& [suspect, standing] : report.suspects) {
+    wire->suspects.push_back(ToWire(suspect, standing));
+  }
+  return wire;
+}
+
+/// \returns Nothing when a peer of another version knows a sign that this process does not.
+std::optional<crash_report> FromWire(const snapshot::listed_crash_value& wire, instant now) {
+  if (wire.sign > static_cast<std::uint8_t>(end_sign::kRefused) ||
+      wire.suspects.size() > crash_report::kMaxSuspects ||
+      wire.gateways.size() > crash_report::kMaxGateways) {
+    return std::nullopt;
+  }
+  crash_report report{.server = {wire.backend, wire.started_ms},
+                      .episode = wire.episode,
+                      .sign = static_cast<end_sign>(wire.sign),
+                      .ended = TimeOf(wire.age, now),
+                      .refuted = wire.refuted,
+                      .gateways = {wire.gateways.begin(), wire.gateways.end()}};
+  for (const auto& suspect : wire.suspects) {
+    report.suspects[FromWire(*suspect)] = {.known_good = suspect->known_good,
+                                           .vouched_since = suspect->vouched_since};
+  }
+  return report;
+}
+
+std::shared_ptr<snapshot::listed_trial_value> ToWire(const suspect_trial& trial, instant now) {
+  auto wire = std::make_shared<snapshot::listed_trial_value>();
+  wire->suspect = ToWire(trial.suspect, {});
+  wire->gateway = trial.gateway;
+  wire->number = trial.number;
+  wire->age = AgeOf(trial.sent, now);
+  return wire;
+}
+
 /// Path at which a gateway serves its snapshot.
 constexpr std::string_view kSnapshotPath = "/jacinthspool/snapshot";
 constexpr std::string_view kConfigurationAfter = "configuration=";
@@ -288,6 +353,12 @@
   for (const departed_backend& each : value.departed) {
     wire.departed.push_back(ToWire(each));
   }
+  for (const crash_report& report : value.crashes) {
+    wire.crashes.push_back(ToWire(report, now));
+  }
+  for (const suspect_trial& trial : value.trials) {
+    wire.trials.push_back(ToWire(trial, now));
+  }
   flatbuffers::FlatBufferBuilder builder;
   builder.Finish(snapshot::gateway_snapshot::Pack(builder, &wire));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
@@ -338,6 +409,21 @@
   for (const auto& each : wire.departed) {
     value.departed.push_back(FromWire(*each));
   }
+  for (const auto& each : wire.crashes) {
+    if (auto report = FromWire(*each, now)) {
+      value.crashes.push_back(*std::move(report));
+    } else {
+      value.fault = "a crash report out of range";
+    }
+  }
+  for (const auto& each : wire.trials) {
+    if (each->suspect) {
+      value.trials.push_back({.suspect = FromWire(*each->suspect),
+                              .gateway = each->gateway,
+                              .number = each->number,
+                              .sent = TimeOf(each->age, now)});
+    }
+  }
   return value;
 }
 
--- a/src/gateway/snapshot.h
+++ b/src/gateway/snapshot.h
@@ -11,6 +11,7 @@
 
 #include "jacinthspool/routing/backend_list.h"
 #include "jacinthspool/routing/configuration.h"
+#include "jacinthspool/routing/crash_quarantine.h"
 #include "jacinthspool/routing/gateway_fleet.h"
 #include "jacinthspool/routing/named_limits.h"
 
@@ -47,6 +48,9 @@
   std::vector<gateway_report> fleet = {};  ///< Of the gateways that the sender knows.
   /// Servers that the sender has seen depart; others that its list lacks may have lapsed.
   std::vector<departed_backend> departed = {};
+  /// Servers that have ended, with the requests and parts of prompts that they may have ended of.
+  std::vector<crash_report> crashes = {};
+  std::vector<suspect_trial> trials = {};
   /// Why part of a decoded snapshot cannot be used and was left out; empty: nothing was.
   std::string_view fault = {};
 };
--- a/src/gateway/snapshot_query.cc
+++ b/src/gateway/snapshot_query.cc
@@ -19,7 +19,8 @@
                       SnapshotTarget(settings_.scope) + " HTTP/1.1\r\nHost: " + settings_.address +
                       "\r\n";
   if (!settings_.gateway.empty()) {
-    bytes += std::string(kGatewayNameHeader) + ": " + settings_.gateway + "\r\n";
+    bytes += std::string(kGatewayNameHeader) + ": " + settings_.gateway + "\r\n" +
+             std::string(kGatewayAddressHeader) + ": " + settings_.listen + "\r\n";
   }
   if (!settings_.news.empty()) {
     bytes += "Content-Type: application/octet-stream\r\nContent-Length: " +
--- a/src/gateway/snapshot_query.h
+++ b/src/gateway/snapshot_query.h
@@ -14,6 +14,8 @@
 
 /// Name of the querying gateway; absent when another process queries.
 inline constexpr std::string_view kGatewayNameHeader = "X-Jacinthspool-Gateway";
+/// Where the querying gateway serves its own snapshot.
+inline constexpr std::string_view kGatewayAddressHeader = "X-Jacinthspool-Address";
 
 /// \brief One query of one gateway for its snapshot.
 class snapshot_query : public http1_call_listener {
@@ -21,8 +23,9 @@
   struct options {
     timer_service& timers;
     http1_client& client;
-    std::string address;  ///< ip:port
-    std::string gateway;  ///< Name of the querying gateway; empty: another process.
+    std::string address;      ///< ip:port
+    std::string gateway;      ///< Name of the querying gateway; empty: another process.
+    std::string listen = {};  ///< ip:port at which it serves its own snapshot.
     snapshot_scope scope;
     std::string news = {};  ///< Encoded snapshot that is sent with the query; empty: none.
     /// Called once, with nothing when the query failed. It must not destroy this object.
--- a/src/gateway/wire_dialect.h
+++ b/src/gateway/wire_dialect.h
@@ -9,6 +9,7 @@
 
 #include "jacinthspool/impl/time.h"
 #include "jacinthspool/routing/backend_list.h"
+#include "jacinthspool/routing/crash_suspect.h"
 #include "jacinthspool/routing/rate_statement.h"
 #include "src/transport/http1_reader.h"
 
@@ -36,6 +37,7 @@
   bool parts_unreadable = false;  ///< The parts are stated, but in no valid form.
   http_headers passed = {};       ///< Headers that are forwarded unchanged.
   std::string body = {};
+  request_digest digest = {};  ///< Of what stays the same when its caller sends it again.
 };
 
 /// \brief Fields that are added to a request for one attempt.
--- a/src/routing/crash_quarantine.cc
+++ b/src/routing/crash_quarantine.cc
@@ -115,6 +115,7 @@
     const auto [known, added] =
         trials_.try_emplace(trial_key(heard.suspect, heard.gateway, heard.number), heard);
     known->second.sent = std::min(known->second.sent, heard.sent);
+    peer_news_ = peer_news_ || added;
   }
   while (trials_.size() > settings_.max_trial_records) {
     trials_.erase(std::min_element(
@@ -140,6 +141,7 @@
     return;
   }
   stale_ = true;
+  peer_news_ = true;
   const auto echoes = echoes_.find(key);
   if (echoes != echoes_.end() && echoes->second > 0) {
     --echoes->second;
--- a/src/transport/http1_client.cc
+++ b/src/transport/http1_client.cc
@@ -43,6 +43,8 @@
       return "whole";
     case call_outcome::kUnsent:
       return "unsent";
+    case call_outcome::kRefused:
+      return "refused";
     case call_outcome::kLost:
       return "lost";
     case call_outcome::kCut:
@@ -163,6 +165,12 @@
     OnFailed("closed by the backend server");
   }
 
+  void OnRefused(const std::string& reason) override {
+    const auto self = shared_from_this();
+    Finish(call_outcome::kRefused, reason);
+    Retire();
+  }
+
   void OnFailed(const std::string& reason) override {
     const auto self = shared_from_this();
     const call_outcome end = reply_began_ ? call_outcome::kCut
--- a/src/transport/http1_client.h
+++ b/src/transport/http1_client.h
@@ -26,6 +26,7 @@
 enum class call_outcome {
   kWhole,      ///< The complete reply was received.
   kUnsent,     ///< No byte of the request was sent.
+  kRefused,    ///< Likewise: the server refused the connection.
   kLost,       ///< The request was sent at least in part; no reply began.
   kCut,        ///< The connection failed in the middle of the reply.
   kMalformed,  ///< The reply is not valid HTTP, exceeds a limit, or belongs to another request.
--- a/src/transport/tcp_stream.cc
+++ b/src/transport/tcp_stream.cc
@@ -105,6 +105,11 @@
     int error = 0;
     socklen_t length = sizeof(error);
     getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &length);
+    if (error == ECONNREFUSED && !stopped) {
+      StopEvents();
+      listener.OnRefused(std::strerror(error));
+      return;
+    }
     if (error != 0) {
       Fail(std::strerror(error));
       return;
--- a/src/transport/tcp_stream.h
+++ b/src/transport/tcp_stream.h
@@ -31,6 +31,8 @@
   virtual void OnDrained() = 0;
   /// \brief The connection failed; no other event follows.
   virtual void OnFailed(const std::string& reason) = 0;
+  /// \brief The remote end refused the connection; no other event follows.
+  virtual void OnRefused(const std::string& reason) { OnFailed(reason); }
   /// \brief The remote end closed in order, after all its bytes have been passed to OnBytes.
   virtual void OnClosed() { OnFailed("closed by the peer"); }
 };
--- a/tests/crash_rule.h
+++ b/tests/crash_rule.h
@@ -11,15 +11,17 @@
 
 namespace jacinthspool::testing {
 
-/// \brief Counts the requests with parts that end backend servers, and the sound ones beside them.
+/// \brief Counts the requests that end backend servers, alone or by parts of their prompts, and the
+/// sound ones beside them.
 ///
-/// From `kTouch` after the fifth server ended under a part, at most `kSends` requests with it may
-/// reach servers. From twice that time on, sound requests must begin at least `kLeastShare` times
-/// as often as before the first crash.
+/// From `kTouch` after the fifth server ended under a part, or the third under a whole request, at
+/// most `kSends` requests with it may reach servers. From twice that time on, sound requests must
+/// begin at least `kLeastShare` times as often as before the first crash.
 class crash_rule {
  public:
   static constexpr microseconds kTouch = seconds(3);
-  static constexpr int kCrashes = 5;
+  static constexpr int kCrashes = 5;         ///< Under one part.
+  static constexpr int kRequestCrashes = 3;  ///< Under one whole request.
   static constexpr int kSends = 3;
   static constexpr int kLeastRequests = 20;
   static constexpr double kLeastShare = 0.5;
@@ -31,10 +33,12 @@
     [[nodiscard]] double share() const { return sent == 0 ? 0 : static_cast<double>(begun) / sent; }
   };
 
-  /// \brief A backend server ended under a request with the part.
+  explicit crash_rule(int crashes = kCrashes) : crashes_before_bound_(crashes) {}
+
+  /// \brief A backend server ended under a request with the part, or under that request.
   void OnCrash(std::uint64_t part, instant now) {
     record& each = parts_[part];
-    if (++each.crashes <= kCrashes) {
+    if (++each.crashes <= crashes_before_bound_) {
       each.settled = now;
     }
     first_crash_ = std::min(first_crash_, now);
@@ -42,8 +46,10 @@
   /// \brief A request with the part reaches a backend server.
   void OnSend(const std::string& gateway, std::uint64_t part, instant now) {
     record& each = parts_[part];
-    each.late_sends +=
-        each.crashes >= kCrashes && now - each.settled > kTouch && !IsExcused(gateway, now) ? 1 : 0;
+    each.late_sends += each.crashes >= crashes_before_bound_ && now - each.settled > kTouch &&
+                               !IsExcused(gateway, now)
+                           ? 1
+                           : 0;
   }
   /// \brief A caller's first attempt of a sound request has ended.
   void OnSound(const std::string& gateway, instant sent, bool begun) {
@@ -98,7 +104,7 @@
   struct record {
     int crashes = 0;
     int late_sends = 0;
-    instant settled{};  ///< Time of the fifth crash, or of the last if there are fewer.
+    instant settled{};  ///< Time of the crash from which the bound counts, or of the last.
   };
   struct outcome {
     instant sent{};
@@ -110,6 +116,7 @@
     return found != excused_until_.end() && now < found->second;
   }
 
+  int crashes_before_bound_;
   std::map<std::uint64_t, record> parts_;
   std::map<std::string, instant> excused_until_;
   std::vector<outcome> sound_;
--- a/tests/gateway/crashing_fleet.h
+++ b/tests/gateway/crashing_fleet.h
@@ -32,15 +32,15 @@
   static constexpr milliseconds kListedFor = milliseconds(1500);  ///< After its end.
   static constexpr milliseconds kDownFor = milliseconds(3000);
 
-  /// \brief Where a bad part stands in the prompts that hold it.
-  enum class place { kFirst, kMiddle, kLastShared };
+  /// \brief Where a bad part stands in the prompts that hold it; or a whole request is bad.
+  enum class place { kFirst, kMiddle, kLastShared, kWholeRequest };
 
   struct options {
     int gateways = 4;
     int decode_engines = 8;
     int prefill_engines = 2;
-    std::vector<place> bad_parts = {};
-    bool prefill_ends = false;  ///< Prefill engines end as well.
+    std::vector<place> bad_parts = {};  ///< Parts only, or whole requests only.
+    bool prefill_ends = false;          ///< Prefill engines end as well.
     int first_event_after = 0;  ///< Intervals from the head of a sound answer to its first event.
     milliseconds sound_interval = milliseconds(25);
     milliseconds bad_interval = milliseconds(250);
@@ -100,7 +100,10 @@
   timer_subscription bad_traffic;
 
   explicit crashing_fleet(options the_settings)
-      : settings(std::move(the_settings)), random(settings.seed) {
+      : settings(std::move(the_settings)),
+        rule(WholeRequests() ? testing::crash_rule::kRequestCrashes
+                             : testing::crash_rule::kCrashes),
+        random(settings.seed) {
     for (int i = 0; i < settings.decode_engines + settings.prefill_engines; ++i) {
       engines.push_back(std::make_unique<engine>());
       engines.back()->record.stage =
@@ -270,8 +273,19 @@
     return part >= BadPart(0) && part < BadPart(settings.bad_parts.size());
   }
 
-  /// \returns The bad part of the request's prompt, or 0.
+  [[nodiscard]] bool WholeRequests() const {
+    return !settings.bad_parts.empty() && settings.bad_parts.front() == place::kWholeRequest;
+  }
+  /// \returns The body of the bad request with that index.
+  static std::string BadBody(std::size_t index) { return "bad " + std::to_string(index); }
+
+  /// \returns The bad part of the request's prompt, or what stands for the bad request; or 0.
   [[nodiscard]] std::uint64_t BadPartOf(const http1_request& request) const {
+    for (std::size_t i = 0; WholeRequests() && i < settings.bad_parts.size(); ++i) {
+      if (request.body == BadBody(i)) {
+        return BadPart(i);
+      }
+    }
     const auto decoded = dialect.DecodeRequest(request.head);
     const auto& parts = decoded->shared_parts;
     const auto found = std::find_if(parts.begin(), parts.end(),
@@ -296,7 +310,8 @@
   }
 
   std::unique_ptr<http1_call> SendPrompt(member& to, const std::vector<std::uint64_t>& parts,
-                                         http1_call_listener& listener) {
+                                         http1_call_listener& listener,
+                                         const std::string& body = "") {
     std::string prefix;
     char text[32];
     for (const std::uint64_t each : parts) {
@@ -304,11 +319,11 @@
       prefix += text;
     }
     std::snprintf(text, sizeof(text), "%llx:60", static_cast<unsigned long long>(random()));
-    return Send(to, random() % 2 == 0 ? "/resumable/" : "/brittle/",
+    return Send(to, !body.empty() || random() % 2 == 0 ? "/resumable/" : "/brittle/",
                 "X-Deadline-Ms: 3000\r\nX-Token-Count: 300,20\r\nX-Length-Hint: 10\r\n"
                 "X-Prompt-Prefix: " +
                     prefix + text + "\r\n",
-                listener);
+                listener, body);
   }
   void SendSound() {
     if (member* to = AnyMember()) {
@@ -321,6 +336,14 @@
     bad_traffic = timers.Every(settings.bad_interval, [this](instant /*now*/) {
       const std::size_t index = random() % settings.bad_parts.size();
       const place where = settings.bad_parts[index];
+      if (where == place::kWholeRequest) {
+        if (member* to = AnyMember()) {
+          calls.push_back(std::make_unique<counted_call>(statuses));
+          calls.back()->call =
+              SendPrompt(*to, {kFirstPart, 0xb00, 0xd00}, *calls.back(), BadBody(index));
+        }
+        return;
+      }
       std::vector<std::uint64_t> parts = SoundParts();
       parts.insert(where == place::kFirst    ? parts.begin()
                    : where == place::kMiddle ? parts.begin() + 2
--- a/tests/gateway/crashing_part_test.cc
+++ b/tests/gateway/crashing_part_test.cc
@@ -33,6 +33,14 @@
   CheckRule(fleet);
 }
 
+TEST_CASE("one request that is sent again and again does not end engine after engine") {
+  crashing_fleet fleet({.bad_parts = {place::kWholeRequest}});
+  fleet.Run(seconds(2));
+  fleet.SendBad();
+  fleet.Run(milliseconds(10500));
+  CheckRule(fleet);
+}
+
 TEST_CASE("engines that end for another cause leave no sound request held back") {
   crashing_fleet fleet(
       {.decode_engines = 12, .first_event_after = 4, .sound_interval = milliseconds(8)});
@@ -54,7 +62,8 @@
 }
 
 /// For manual runs: CRASH_FLEET="FIRST COUNT GATEWAYS ENGINES PLACES SECONDS DISTURBED" (PLACES: f,
-/// m or l a bad part; DISTURBED 1: gateways are stopped and cut off, 2: prefill engines end too).
+/// m or l a bad part, w a bad request; DISTURBED 1: gateways are stopped and cut off, 2: prefill
+/// engines end too).
 TEST_CASE("further fleets from CRASH_FLEET") {
   const char* requested = std::getenv("CRASH_FLEET");
   if (requested == nullptr) {
@@ -71,7 +80,10 @@
   text >> first >> count >> gateways >> engines >> places >> length >> disturbed;
   std::vector<place> bad;
   for (const char each : places) {
-    bad.push_back(each == 'f' ? place::kFirst : each == 'm' ? place::kMiddle : place::kLastShared);
+    bad.push_back(each == 'f'   ? place::kFirst
+                  : each == 'm' ? place::kMiddle
+                  : each == 'w' ? place::kWholeRequest
+                                : place::kLastShared);
   }
   for (std::uint64_t seed = first; seed < first + count; ++seed) {
     crashing_fleet fleet({.gateways = gateways,
--- a/tests/gateway/peered_gateways.h
+++ b/tests/gateway/peered_gateways.h
@@ -120,12 +120,17 @@
   }
 
   /// \brief Sends one request, whose id begins with the name of the gateway.
+  /// \param body Empty: one that no other request has.
   std::unique_ptr<http1_call> Send(member& to, const std::string& path, const std::string& headers,
-                                   http1_call_listener& listener) {
+                                   http1_call_listener& listener, std::string body = "") {
+    if (body.empty()) {
+      body = "body " + std::to_string(sent);
+    }
     return callers.Start(
         {.address = "127.0.0.1:" + std::to_string(to.edge->port()),
          .bytes = "POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + to.name + "." +
-                  std::to_string(sent++) + "\r\n" + headers + "Content-Length: 4\r\n\r\nbody"},
+                  std::to_string(sent++) + "\r\n" + headers +
+                  "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body},
         listener);
   }
   /// \returns The name of the gateway that has sent a request to a backend server.
--- a/tests/transport/http1_test.cc
+++ b/tests/transport/http1_test.cc
@@ -321,12 +321,12 @@
 TEST_CASE("a call reports how far it progressed") {
   client_fixture caller;
 
-  SUBCASE("unsent: no server listens on the port") {
+  SUBCASE("refused: no server listens on the port") {
     raw_socket closed = raw_socket::Listen();
     const std::uint16_t port = closed.port();
     closed.Close();
     caller.Start(port);
-    CHECK(caller.End() == call_outcome::kUnsent);
+    CHECK(caller.End() == call_outcome::kRefused);
   }
   SUBCASE("lost: the request was sent and no reply began") {
     caller.Start();
