Take a reply that ends after its head, without framing, for a cut one

What callers saw: a server that stopped after the head of a 200 without length or chunks, and closed, gave them a 200 with an empty body, framed as whole, plain and as a stream.

Cause: without framing an orderly close ends a reply, so that an empty body counted as whole.

Why it works: a close completes such a reply only after a byte of its body.

--- a/src/transport/http1_client.cc
+++ b/src/transport/http1_client.cc
@@ -88,6 +88,7 @@
     listener_ = &listener;
     ++call_number_;
     reply_began_ = false;
+    body_began_ = false;
     skipped_ = 0;
     reader_.LimitBody(call.max_body_bytes);
     if (!call.expects_body) {
@@ -157,7 +158,8 @@
 
   void OnClosed() override {
     const auto self = shared_from_this();
-    if (listener_ != nullptr && reply_began_ && reader_.EndsAtClose()) {
+    // Without a byte of the body the server may have stopped after its head.
+    if (listener_ != nullptr && reply_began_ && body_began_ && reader_.EndsAtClose()) {
       Finish(call_outcome::kWhole, "");
       Retire();
       return;
@@ -239,6 +241,7 @@
 
   void Take(const http1_body& body) {
     if (!skipping_) {
+      body_began_ = body_began_ || !body.bytes.empty();
       listener_->OnBody(body.bytes);
     }
   }
@@ -294,6 +297,7 @@
   std::uint64_t call_number_ = 0;
   bool connected_ = false;
   bool reply_began_ = false;
+  bool body_began_ = false;
   bool skipping_ = false;
   int skipped_ = 0;     ///< Reply heads discarded in the current call.
   bool stray_ = false;  ///< A reply to another request was received.
--- a/tests/transport/http_test.cc
+++ b/tests/transport/http_test.cc
@@ -322,6 +322,33 @@
     }
   }
 
+  SUBCASE("a head that is cut at any byte is an error, closed or reset") {
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-More: 1\r\nContent-Type: text/plain\r\n";
+    for (std::size_t length = 0; length <= head.size(); ++length) {
+      for (const bool resets : {false, true}) {
+        CAPTURE(length);
+        CAPTURE(resets);
+        response.reset();
+        const auto call = client->Fetch(request, callbacks);
+        raw_socket server = listener.Accept();
+        std::string received;
+        REQUIRE(RunUntil(loop, [&] {
+          server.Read(received);
+          return received.ends_with("\r\n\r\n");
+        }));
+        server.Write(head.substr(0, length));
+        if (resets) {
+          server.Reset();
+        } else {
+          server.Close();
+        }
+        REQUIRE(RunUntil(loop, answered));
+        CHECK(response->status == 0);
+      }
+    }
+  }
+
   SUBCASE("a server that does not answer causes a timeout") {
     request.timeout = milliseconds(20);
     const auto call = client->Fetch(request, callbacks);
