--- a/tests/platform/store_watch_test.cc
+++ b/tests/platform/store_watch_test.cc
@@ -89,12 +89,13 @@
   timer_service timers{loop};
   store_standin store{loop, timers};
   recording_listener listener;
-  store_watch watch{{.loop = loop,
-                     .timers = timers,
-                     .publisher = store.address(),
-                     .change_bound = milliseconds(90)}};
+  store_watch watch;
 
-  watch_rig() {
+  explicit watch_rig(milliseconds change_bound = milliseconds(90))
+      : watch({.loop = loop,
+               .timers = timers,
+               .publisher = store.address(),
+               .change_bound = change_bound}) {
     store.Put("op/config", Configuration(1));
     store.Put("servers/a", Registration("10.0.0.1:80"));
     watch.Start(listener);
@@ -117,6 +118,17 @@
   CHECK(rig.listener.lists[0].era == 1);
 }
 
+TEST_CASE("a change is learned in time although the answers of all watches are lost") {
+  watch_rig rig(seconds(2));
+  rig.Elapse(milliseconds(700));
+  rig.store.LoseWatches();
+  rig.store.Put("op/config", Configuration(2));
+  rig.store.Put("servers/b", Registration("10.0.0.2:80"));
+  rig.Elapse(seconds(3));
+  CHECK(rig.listener.version == 2);
+  CHECK(rig.listener.addresses.size() == 2);
+}
+
 TEST_CASE("a store restored from an older copy is read again") {
   watch_rig rig;
   rig.store.BackUp();
@@ -264,7 +276,7 @@
     CHECK(rig.listener.addresses.size() == 2);
   }
   SUBCASE("a page without any key does not have the same page read over and over") {
-    watch_rig rig;
+    watch_rig rig(seconds(2));
     rig.store.SetPageSize(1);
     rig.store.PutText("servers/ ", "{}");
     rig.store.BackUp();
--- a/tests/soak/store_standin.cc
+++ b/tests/soak/store_standin.cc
@@ -142,6 +142,12 @@
   }
 }
 
+void store_standin::LoseWatches() {
+  for (waiting_watch& each : std::exchange(watches_, {})) {
+    lost_.push_back(std::move(each.answer));
+  }
+}
+
 void store_standin::BackUp() { backup_ = content_; }
 
 void store_standin::RestoreBackup() {
--- a/tests/soak/store_standin.h
+++ b/tests/soak/store_standin.h
@@ -42,6 +42,9 @@
 
   void SetBehaviour(behaviour next);
 
+  /// \brief Loses the answers of the waiting watches, whose connections stay open and silent.
+  void LoseWatches();
+
   /// \brief Makes a backup of the current content.
   void BackUp();
   /// \brief Restores the backup: later writes are lost, and a new era begins.
@@ -98,6 +101,7 @@
   std::uint64_t oldest_known_ = 1;  ///< Changes after this revision are in the history.
   std::list<waiting_watch> watches_;
   std::list<std::shared_ptr<any_answer>> unanswered_;
+  std::list<std::shared_ptr<any_answer>> lost_;  ///< Never answered.
   behaviour behaviour_ = behaviour::kServing;
   std::uint64_t calls_ = 0;
   std::size_t page_size_ = std::numeric_limits<std::size_t>::max();
