Answer the review of the planned stop and of the crash quarantine

Mended, with a test where one is named:

- A peer's report without a gateway divided by zero when the turn of a trial was computed (crash_quarantine_test "a peer's reports cannot mislead a gateway"); such reports are rejected on the wire as well.
- A gateway that had been cut off applied its peers' reports while it still counted as cut off, and held parts with one crash for a moment.
- Reports of more than 10 minutes were told to and fro by gateways that dropped them at different times (same test).
- An unframed empty reply counted as cut whatever its status, and as a strong sign that its server had ended: only a success does now, as a clean close.
- A server that had left as planned, and was gone from the list, counted as ended when its last connection closed.
- A lapsed registration was evidence before the list had accepted the change.
- A request that many callers send at once, as they all would a page, could be held when one zone took three servers with it: both conditions are needed while servers end for other causes.
- A held request drew from the retry budget before it was ended; a verdict that had been released left a trial behind; requests that had ended were told of verdicts; learned gateways were forgotten late; the slot queue was sorted for each request that is passed over.

--- a/include/jacinthspool/routing/crash_causes.h
+++ b/include/jacinthspool/routing/crash_causes.h
@@ -25,11 +25,11 @@
   std::size_t outages = 3;             ///< Of a part to which no answer is known.
   std::size_t servers = 5;             ///< Of such a part, in any number of outages.
   std::size_t known_good_outages = 5;  ///< Of a part to which answers were known.
-  /// Of one whole request, unless as many servers that no request explains have ended since
-  /// `wave_span` before the first of them.
+  /// Of one whole request; either suffices, unless as many servers that no request explains have
+  /// ended since `wave_span` before the first of them: then both are needed.
   std::size_t request_outages = 2;
+  std::size_t request_servers = 3;
   microseconds wave_span = seconds(5);
-  std::size_t request_servers = 3;  ///< Of one whole request, in any number of outages.
   /// In which some gateway would have heard from a server if only one connection had failed.
   microseconds refutation_time = milliseconds(250);
 };
--- a/include/jacinthspool/routing/crash_quarantine.h
+++ b/include/jacinthspool/routing/crash_quarantine.h
@@ -145,6 +145,8 @@
   /// \returns true while other gateways may know of crashes that this one does not.
   [[nodiscard]] bool Settling(instant now) const;
   void Apply(const crash_report& heard);
+  /// \brief Applies unknown reports that are kept only as evidence against what is held.
+  void ApplyOld(const crash_reports& old, instant now);
   /// \returns When an answer to a request with that part was seen last; nothing for a request.
   [[nodiscard]] std::optional<instant> LastAnswer(const crash_suspect& suspect) const;
   /// \brief Adds what this process knows of the suspects.
--- a/include/jacinthspool/routing/slot_queue.h
+++ b/include/jacinthspool/routing/slot_queue.h
@@ -48,10 +48,11 @@
   std::uint64_t Add(slot_request request);
   void Remove(std::uint64_t number) { requests_.erase(number); }
 
-  /// \param passed_over Numbers of requests that are not returned.
   /// \returns The request that gets the next slot of the service, or nothing.
-  [[nodiscard]] std::optional<std::uint64_t> Next(
-      std::string_view service, instant now, const std::set<std::uint64_t>& passed_over = {}) const;
+  [[nodiscard]] std::optional<std::uint64_t> Next(std::string_view service, instant now) const;
+
+  /// \returns The numbers of the service's requests, the most urgent first.
+  [[nodiscard]] std::vector<std::uint64_t> Order(std::string_view service, instant now) const;
 
   [[nodiscard]] const slot_request* Find(std::uint64_t number) const;
 
@@ -74,9 +75,6 @@
   [[nodiscard]] std::vector<std::string> Services() const;
 
  private:
-  /// \returns The numbers of the service's requests, the most urgent first.
-  [[nodiscard]] std::vector<std::uint64_t> Order(std::string_view service, instant now) const;
-
   options settings_;
   std::map<std::uint64_t, slot_request> requests_;            ///< In order of arrival.
   std::map<std::string, instant, std::less<>> last_returns_;  ///< By service.
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -276,11 +276,18 @@
     gateway_context& context = owner_.context_;
     const auto& listed = context.backends.backends();
     const auto known = listed.find(backend_.id);
-    const bool leaving = known != listed.end() && known->second.leaving;
-    const auto sign = end == call_outcome::kRefused                             ? end_sign::kRefused
-                      : end == call_outcome::kLost || end == call_outcome::kCut ? end_sign::kCut
-                      : end == call_outcome::kWhole                             ? end_sign::kClosed
-                                                    : std::optional<end_sign>();
+    // The record of a server that crashes is listed for some time; one that is gone has left.
+    const bool leaving = known == listed.end() || known->second.leaving ||
+                         known->second.started_ms != backend_.started_ms;
+    const bool unframed = head_ && !head_->chunked && !head_->content_length;
+    std::optional<end_sign> sign;
+    if (end == call_outcome::kRefused) {
+      sign = end_sign::kRefused;
+    } else if (end == call_outcome::kWhole || (end == call_outcome::kCut && unframed)) {
+      sign = end_sign::kClosed;
+    } else if (end == call_outcome::kLost || end == call_outcome::kCut) {
+      sign = end_sign::kCut;
+    }
     if (leaving || !sign) {
       return;
     }
@@ -461,6 +468,9 @@
 }
 
 void forward_exchange::OnStopping() {
+  if (ended_) {
+    return;
+  }
   const auto self = shared_from_this();
   deadline_ = EarliestDeadline(TimeLimits(*settings_.route));
   ArmDeadline();
@@ -545,6 +555,9 @@
 }
 
 void forward_exchange::OnVerdictsChanged() {
+  if (ended_) {
+    return;
+  }
   const auto self = shared_from_this();
   const instant now = timer_service::now();
   const bool serving = attempt_ && attempt_->kind() == attempt_kind::kServe;
@@ -564,7 +577,10 @@
     return true;
   };
   return std::visit(
-      overloaded{[](const request_admitted&) { return false; },
+      overloaded{[&](const request_admitted&) {
+                   trial_.reset();
+                   return false;
+                 },
                  [&](const request_trial& allowed) {
                    if (sends_ > 0 || prefills_ > 0) {
                      return end(kMinRetryAfter);
@@ -721,6 +737,9 @@
 void forward_exchange::SendNext() {
   const auto self = shared_from_this();
   EndAttempt();
+  if (EndIfHeld()) {
+    return;
+  }
   const instant now = timer_service::now();
   if (TimeLeft(now) < kMinAttemptTime) {
     // An earlier attempt may have run, so DecideNextStep chooses between rejection and failure.
@@ -842,10 +861,6 @@
 }
 
 void forward_exchange::StartAttempt(attempt_kind kind, const backend_record& backend) {
-  const auto self = shared_from_this();
-  if (EndIfHeld()) {
-    return;
-  }
   if (trial_) {
     context_.quarantine.OnTrial(*trial_, timer_service::now());
   }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -274,23 +274,28 @@
        {"revision", record.published.revision}});
   const std::string id = record.id;
   const auto& listed = context_.backends.backends();
-  if (const auto before = listed.find(id);
-      before != listed.end() && before->second.started_ms < record.started_ms) {
-    OnLapsed(before->second);
-  }
+  const auto known = listed.find(id);
+  const auto before = known == listed.end() ? std::nullopt : std::optional(known->second);
   context_.backends.Put(std::move(record));
-  if (const auto known = listed.find(id); known != listed.end()) {
-    context_.selector.Update(known->second);
+  if (const auto newest = listed.find(id); newest != listed.end()) {
+    context_.selector.Update(newest->second);
+    if (before && before->started_ms < newest->second.started_ms) {
+      OnLapsed(*before);
+    }
   }
 }
 
 void gateway::OnBackendRemoved(const std::string& id, store_position at) {
   const auto& listed = context_.backends.backends();
-  if (const auto before = listed.find(id); before != listed.end()) {
+  const auto known = listed.find(id);
+  const auto before = known == listed.end() ? std::nullopt : std::optional(known->second);
+  if (before) {
     Log(log_level::kInfo, "backend_removed", {{"backend", id}, {"revision", at.revision}});
-    OnLapsed(before->second);
   }
   context_.backends.Remove(id, at, timer_service::now());
+  if (before && !listed.contains(id)) {
+    OnLapsed(*before);
+  }
   UpdateSelector();
 }
 
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -96,6 +96,14 @@
 }
 
 void peer_exchange::Learn(const http1_request& request, instant now) {
+  std::erase_if(learned_, [&](const auto& each) {
+    if (now - each.second < kForgetAfter) {
+      return false;
+    }
+    queries_.erase(each.first);
+    told_late_.erase(each.first);
+    return true;
+  });
   const std::string address(request.head.Find(kGatewayAddressHeader).value_or(""));
   socket_address parsed;
   const bool configured =
@@ -104,13 +112,6 @@
   if (configured || !ParseSocketAddress(address, parsed)) {
     return;
   }
-  std::erase_if(learned_, [&](const auto& each) {
-    if (now - each.second < kForgetAfter) {
-      return false;
-    }
-    queries_.erase(each.first);
-    return true;
-  });
   if (learned_.size() < kMaxLearned || learned_.contains(address)) {
     learned_[address] = now;
   }
@@ -147,8 +148,8 @@
           if (!learned_.contains(address)) {
             reported_gateways_[address] = snapshot->gateways;
           }
-          settings_.owner.ApplyFleet(*snapshot);
           settings_.owner.OnPeerAnswer();
+          settings_.owner.ApplyFleet(*snapshot);
           settings_.owner.ApplySnapshot(std::move(*snapshot));
         }
         if (told_late_.erase(address) > 0) {
--- a/src/gateway/slot_dispatcher.cc
+++ b/src/gateway/slot_dispatcher.cc
@@ -44,24 +44,26 @@
 
 void slot_dispatcher::Dispatch(const std::string& service) {
   const instant now = timer_service::now();
-  std::set<std::uint64_t> passed_over;
-  while (const auto number = queue_.Next(service, now, passed_over)) {
-    const slot_request& next = *queue_.Find(*number);
+  for (const std::uint64_t number : queue_.Order(service, now)) {
+    const slot_request* next = queue_.Find(number);
+    if (next == nullptr) {
+      continue;  // It has left the queue when an earlier one was sent.
+    }
+    const bool suits_any = next->tried.empty() && next->repeatable;
     if (context_.selector.Choose({.service = service,
                                   .stage = context_.selector.ServingStage(service),
-                                  .repeatable = next.repeatable,
-                                  .tried = &next.tried,
+                                  .repeatable = next->repeatable,
+                                  .tried = &next->tried,
                                   .limiter = &context_.limiter},
                                  now, context_.random()) == nullptr) {
-      if (next.tried.empty() && next.repeatable) {
+      if (suits_any) {
         break;
       }
       // A server that this request may not use can have a slot for the ones behind it.
-      passed_over.insert(*number);
       continue;
     }
-    queue_.Remove(*number);
-    if (auto found = handlers_.extract(*number)) {
+    queue_.Remove(number);
+    if (auto found = handlers_.extract(number)) {
       found.mapped().on_ready();
     }
   }
--- a/src/gateway/snapshot.cc
+++ b/src/gateway/snapshot.cc
@@ -235,10 +235,10 @@
   return wire;
 }
 
-/// \returns Nothing when a peer of another version knows a sign that this process does not.
+/// \returns Nothing when the report is out of range: of a peer of another version.
 std::optional<crash_report> FromWire(const snapshot::listed_crash_value& wire, instant now) {
   if (wire.sign > static_cast<std::uint8_t>(end_sign::kRefused) ||
-      wire.suspects.size() > crash_report::kMaxSuspects ||
+      wire.suspects.size() > crash_report::kMaxSuspects || wire.gateways.empty() ||
       wire.gateways.size() > crash_report::kMaxGateways) {
     return std::nullopt;
   }
--- a/src/routing/crash_causes.cc
+++ b/src/routing/crash_causes.cc
@@ -57,8 +57,10 @@
   const std::size_t outages = CountOutages(against.reports, rules.outage_span);
   const std::size_t servers = against.reports.size();
   if (suspect.is_request()) {
-    return servers >= rules.request_servers ||
-           (outages >= rules.request_outages && !OthersEnd(against, others, rules.wave_span));
+    const bool repeated = outages >= rules.request_outages;
+    const bool many = servers >= rules.request_servers;
+    return (repeated && many) ||
+           ((repeated || many) && !OthersEnd(against, others, rules.wave_span));
   }
   return against.known_good ? outages >= rules.known_good_outages
                             : outages >= rules.outages || servers >= rules.servers;
--- a/src/routing/crash_quarantine.cc
+++ b/src/routing/crash_quarantine.cc
@@ -106,12 +106,20 @@
 
 void crash_quarantine::OnPeer(std::span<const crash_report> reports,
                               std::span<const suspect_trial> trials, instant now) {
+  crash_reports old;
   for (const crash_report& heard : reports) {
-    if (now - heard.ended <= settings_.held_retention) {
+    const crash_key key(heard.server, heard.episode);
+    if (reports_.contains(key) || now - heard.ended <= settings_.retention) {
       Apply(heard);
+    } else if (now - heard.ended <= settings_.held_retention) {
+      old.emplace(key, heard);
     }
   }
+  ApplyOld(old, now);
   for (const suspect_trial& heard : trials) {
+    if (now - heard.sent > settings_.held_retention) {
+      continue;
+    }
     const auto [known, added] =
         trials_.try_emplace(trial_key(heard.suspect, heard.gateway, heard.number), heard);
     known->second.sent = std::min(known->second.sent, heard.sent);
@@ -124,6 +132,25 @@
   }
 }
 
+void crash_quarantine::ApplyOld(const crash_reports& old, instant now) {
+  if (old.empty()) {
+    return;
+  }
+  reports_.insert(old.begin(), old.end());
+  stale_ = true;
+  static_cast<void>(Held(now));
+  for (const auto& [key, report] : old) {
+    if (Supports(report)) {
+      peer_news_ = true;
+    } else {
+      // Dropped here as well, by its age: it would be told to and fro otherwise.
+      reports_.erase(key);
+      stale_ = true;
+    }
+  }
+  LimitReports();
+}
+
 void crash_quarantine::OnContact(instant now) {
   last_contact_ = now;
   had_contact_ = true;
@@ -272,7 +299,7 @@
                        .age = now - held.last_crash,
                        .trials = trials,
                        .retry_after = held.last_crash + settings_.held_retention - now};
-  if (trials >= settings_.max_trials) {
+  if (trials >= settings_.max_trials || held.gateways.empty()) {
     return refusal;
   }
   const std::size_t beyond =
--- a/src/routing/slot_queue.cc
+++ b/src/routing/slot_queue.cc
@@ -39,14 +39,9 @@
   return numbers;
 }
 
-std::optional<std::uint64_t> slot_queue::Next(std::string_view service, instant now,
-                                              const std::set<std::uint64_t>& passed_over) const {
-  for (const std::uint64_t number : Order(service, now)) {
-    if (!passed_over.contains(number)) {
-      return number;
-    }
-  }
-  return std::nullopt;
+std::optional<std::uint64_t> slot_queue::Next(std::string_view service, instant now) const {
+  const std::vector<std::uint64_t> order = Order(service, now);
+  return order.empty() ? std::nullopt : std::optional(order.front());
 }
 
 const slot_request* slot_queue::Find(std::uint64_t number) const {
--- a/src/transport/http1_client.cc
+++ b/src/transport/http1_client.cc
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr int kFirstFinalStatus = 200;
+constexpr int kFirstRedirectStatus = 300;
 /// Limit for the replies, interim or to other requests, that one call may discard.
 constexpr int kMaxSkippedReplies = 8;
 /// An idle connection is discarded this long before the idle timeout announced by the server.
@@ -158,8 +159,9 @@
 
   void OnClosed() override {
     const auto self = shared_from_this();
-    // Without a byte of the body the server may have stopped after its head.
-    if (listener_ != nullptr && reply_began_ && body_began_ && reader_.EndsAtClose()) {
+    // A success without a byte of its body may be of a server that stopped after the head.
+    const bool whole = reply_began_ && (body_began_ || !success_) && reader_.EndsAtClose();
+    if (listener_ != nullptr && whole) {
       Finish(call_outcome::kWhole, "");
       Retire();
       return;
@@ -226,6 +228,7 @@
       CountSkipped();
       return;
     }
+    success_ = head.status < kFirstRedirectStatus;
     keep_ = head.keep_alive;
     if (const auto announced = AnnouncedIdleTime(head)) {
       announced_idle_ = *announced;
@@ -298,6 +301,7 @@
   bool connected_ = false;
   bool reply_began_ = false;
   bool body_began_ = false;
+  bool success_ = false;
   bool skipping_ = false;
   int skipped_ = 0;     ///< Reply heads discarded in the current call.
   bool stray_ = false;  ///< A reply to another request was received.
--- a/tests/routing/crash_quarantine_test.cc
+++ b/tests/routing/crash_quarantine_test.cc
@@ -127,6 +127,46 @@
   }
 }
 
+TEST_CASE("a peer's reports cannot mislead a gateway") {
+  const instant now = kStart + seconds(30);
+  SUBCASE("those that name no gateway hold a part without trials") {
+    crash_quarantine one = Make("g0");
+    std::vector<crash_report> unnamed;
+    for (int i = 0; i < 3; ++i) {
+      unnamed.push_back({.server = Server(i),
+                         .sign = end_sign::kRefused,
+                         .ended = kStart + seconds(i),
+                         .suspects = {{kBad, {}}}});
+    }
+    one.OnPeer(unnamed, {}, now);
+    CHECK(Is<request_held>(one.Check(kBadPrompt, now)));
+  }
+  SUBCASE("those that all others have dropped by their age are not told again") {
+    crash_quarantine one = Make("g0", true);
+    const crash_report old{.server = Server(1),
+                           .sign = end_sign::kRefused,
+                           .ended = now - seconds(601),
+                           .gateways = {"g1"},
+                           .suspects = {{kBad, {}}}};
+    one.OnContact(now);
+    one.OnPeer(std::vector{old}, {}, now);
+    CHECK(one.reports().empty());
+    CHECK_FALSE(one.TakePeerNews());
+    SUBCASE("but evidence against what is held is") {
+      std::vector<crash_report> all;
+      for (int i = 0; i < 3; ++i) {
+        all.push_back(old);
+        all.back().server = Server(i);
+        all.back().ended -= seconds(i);
+      }
+      one.OnPeer(all, {}, now);
+      CHECK(one.reports().size() == 3);
+      CHECK(one.TakePeerNews());
+      CHECK(Is<request_held>(one.Check(kBadPrompt, now)));
+    }
+  }
+}
+
 TEST_CASE("a request under which two servers have ended is not sent to a third") {
   crash_quarantine one = Make("g0");
   one.OnAnswer(parts{kCaller}, kStart);
