--- a/tests/routing/crash_quarantine_test.cc
+++ b/tests/routing/crash_quarantine_test.cc
@@ -132,6 +132,7 @@
   SUBCASE("those that name no gateway hold a part without trials") {
     crash_quarantine one = Make("g0");
     std::vector<crash_report> unnamed;
+    unnamed.reserve(3);
     for (int i = 0; i < 3; ++i) {
       unnamed.push_back({.server = Server(i),
                          .sign = end_sign::kRefused,
