--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -78,6 +78,20 @@
           !PromisesNotRun(status));
 }
 
+/// Adds how far the bytes of a send got to a log line; -1: that moment did not come.
+void AddTrace(nlohmann::json& fields, const send_trace& trace) {
+  const auto since_start = [&](const std::optional<instant>& moment) {
+    return moment ? (*moment - trace.started) / milliseconds(1) : -1;
+  };
+  fields["connection"] = trace.connection;
+  fields["kept"] = trace.kept;
+  fields["connect_ms"] = trace.kept ? 0 : since_start(trace.connected);
+  fields["first_byte_ms"] = since_start(trace.first_write);
+  fields["last_byte_ms"] = since_start(trace.last_write);
+  fields["bytes"] = trace.bytes;
+  fields["written"] = trace.written;
+}
+
 http_headers EndToEndHeaders(const http1_head& head) {
   http_headers kept;
   for (const auto& header : head.headers) {
@@ -96,6 +110,7 @@
   attempt(forward_exchange& owner, attempt_kind kind, backend_record backend)
       : owner_(owner),
         kind_(kind),
+        number_(kind == attempt_kind::kPrefill ? owner.prefills_ : owner.sends_),
         backend_(std::move(backend)),
         started_(timer_service::now()),
         last_heard_(started_) {
@@ -115,6 +130,7 @@
     call_ = owner_.context_.client.Start(
         {.address = backend_.address,
          .bytes = bytes,
+         .request = owner_.settings_.request.id,
          .expects_body = owner_.settings_.request.method != "HEAD",
          .new_connection = NeedsNewConnection(),
          .connect_timeout = kConnectTimeout,
@@ -213,9 +229,12 @@
       OnWhole();
       return;
     }
-    LogFailure(ToString(end), reason);
-    ReportServerEnd(end);
     const bool unsent = end == call_outcome::kUnsent || end == call_outcome::kRefused;
+    LogFailure(ToString(end), reason,
+               end == call_outcome::kRefused ? "connection refused"
+               : unsent                      ? "no byte sent"
+                                             : "");
+    ReportServerEnd(end);
     const attempt_failure failure = unsent                            ? attempt_failure::kUnsent
                                     : end == call_outcome::kMalformed ? attempt_failure::kUnsound
                                     : end == call_outcome::kCut       ? attempt_failure::kBrokeOff
@@ -231,20 +250,28 @@
     }
   }
 
-  void LogFailure(std::string_view how, std::string_view reason) const {
-    Log(log_level::kWarning, "attempt_failed",
-        {{"request", owner_.settings_.request.id},
-         {"backend", backend_.id},
-         {"prefill", kind_ == attempt_kind::kPrefill},
-         {"how", how},
-         {"reason", reason},
-         {"status", head_ ? head_->status : 0},
-         {"took_ms", (timer_service::now() - started_) / milliseconds(1)},
-         {"events", event_count_},
-         {"silent_ms", (timer_service::now() - last_heard_) / milliseconds(1)},
-         {"configuration", owner_.context_.routes.configuration()->version},
-         {"list_revision", owner_.context_.backends.revision()}});
-  }
+  /// \param proof Why the request has not run at this server; empty: it may have run.
+  void LogFailure(std::string_view how, std::string_view reason,
+                  std::string_view proof = {}) const {
+    nlohmann::json fields{{"request", owner_.settings_.request.id},
+                          {"backend", backend_.id},
+                          {"prefill", kind_ == attempt_kind::kPrefill},
+                          {"send", number_},
+                          {"how", how},
+                          {"reason", reason},
+                          {"proof", proof},
+                          {"status", head_ ? head_->status : 0},
+                          {"took_ms", (timer_service::now() - started_) / milliseconds(1)},
+                          {"events", event_count_},
+                          {"silent_ms", (timer_service::now() - last_heard_) / milliseconds(1)},
+                          {"configuration", owner_.context_.routes.configuration()->version},
+                          {"list_revision", owner_.context_.backends.revision()}};
+    AddTrace(fields, trace());
+    Log(log_level::kWarning, "attempt_failed", std::move(fields));
+  }
+
+  /// \returns What was sent; nothing before the call has started.
+  [[nodiscard]] send_trace trace() const { return call_ ? call_->trace() : send_trace(); }
 
  private:
   /// \returns true when an earlier reply on a kept connection could not be told from this one's.
@@ -343,7 +370,10 @@
   void OnWhole() {
     const int status = head_->status;
     if (facts_.not_run) {
-      LogFailure("not_run", "");
+      LogFailure("not_run", "",
+                 facts_.origin == reply_origin::kThisRequest
+                     ? "stated by the server"
+                     : "stated by the server, first reply of the connection");
       const bool full =
           status == http_status::kServiceUnavailable || status == http_status::kTooManyRequests;
       if (full && !owner_.settings_.request.model) {
@@ -412,6 +442,7 @@
 
   forward_exchange& owner_;
   attempt_kind kind_;
+  std::uint32_t number_;  ///< Among the request's attempts of this kind, from 1.
   backend_record backend_;
   instant started_;
   instant first_heard_{};
@@ -1273,6 +1304,7 @@
   const auto self = shared_from_this();
   const instant now = timer_service::now();
   const std::string last = attempt_ ? attempt_->backend().id : "";
+  const send_trace last_send = attempt_ ? attempt_->trace() : send_trace();
   EndAttempt();
   deadline_timer_.Cancel();
   stop_timer_.Cancel();
@@ -1281,31 +1313,33 @@
   ReleaseReservation();
   ReleaseHandle();
   const auto took = now - settings_.received;
-  Log(log_level::kInfo, "request",
-      {{"request", settings_.request.id},
-       {"route", settings_.route->name},
-       {"service", settings_.service},
-       {"outcome", outcome},
-       {"why", why},
-       {"backend", last},
-       {"sends", sends_},
-       {"prefills", prefills_},
-       {"runs", runs_},
-       {"took_ms", took / milliseconds(1)},
-       {"comes_back", is_retry_},
-       {"allowed_ms", settings_.route->timeout.count()},
-       {"bound_by", ToString(deadline_.cause)},
-       {"digest", outcome == "served" ? std::string() : ToString(settings_.request.digest)},
-       {"caller_waits_ms", settings_.request.time_left.value_or(milliseconds(0)).count()},
-       {"seat_ms", reservation_wait_ / milliseconds(1)},
-       {"first_ms", time_to_first_event_ / milliseconds(1)},
-       {"prompt_tokens", settings_.request.model ? settings_.request.model->prompt_tokens : 0},
-       {"max_output", settings_.request.model ? settings_.request.model->max_output_tokens : 0},
-       {"expected_output",
-        settings_.request.model ? settings_.request.model->expected_output_tokens : 0},
-       {"events", last_event_.value_or(0)},
-       {"configuration_at_start", first_configuration_},
-       {"configuration", context_.routes.configuration()->version}});
+  nlohmann::json fields{
+      {"request", settings_.request.id},
+      {"route", settings_.route->name},
+      {"service", settings_.service},
+      {"outcome", outcome},
+      {"why", why},
+      {"backend", last},
+      {"sends", sends_},
+      {"prefills", prefills_},
+      {"runs", runs_},
+      {"took_ms", took / milliseconds(1)},
+      {"comes_back", is_retry_},
+      {"allowed_ms", settings_.route->timeout.count()},
+      {"bound_by", ToString(deadline_.cause)},
+      {"digest", outcome == "served" ? std::string() : ToString(settings_.request.digest)},
+      {"caller_waits_ms", settings_.request.time_left.value_or(milliseconds(0)).count()},
+      {"seat_ms", reservation_wait_ / milliseconds(1)},
+      {"first_ms", time_to_first_event_ / milliseconds(1)},
+      {"prompt_tokens", settings_.request.model ? settings_.request.model->prompt_tokens : 0},
+      {"max_output", settings_.request.model ? settings_.request.model->max_output_tokens : 0},
+      {"expected_output",
+       settings_.request.model ? settings_.request.model->expected_output_tokens : 0},
+      {"events", last_event_.value_or(0)},
+      {"configuration_at_start", first_configuration_},
+      {"configuration", context_.routes.configuration()->version}};
+  AddTrace(fields, last_send);
+  Log(log_level::kInfo, "request", std::move(fields));
   context_.metrics.Count("gateway_requests", {{"outcome", std::string(outcome)}});
   context_.metrics.Observe("gateway_request_time", {{"outcome", std::string(outcome)}}, took);
   settings_.on_ended(*this);
--- a/src/transport/http1_client.cc
+++ b/src/transport/http1_client.cc
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "src/telemetry/log.h"
 #include "src/transport/tcp_stream.h"
 
 namespace jacinthspool {
@@ -62,6 +63,7 @@
   options settings;
   std::map<std::string, std::vector<std::shared_ptr<connection>>> idle;
   std::uint64_t opened = 0;
+  std::uint64_t bytes_after_end = 0;
   bool closing = false;
 
   std::shared_ptr<connection> TakeIdle(const http1_call_options& call, instant now);
@@ -81,7 +83,7 @@
                  .max_body_bytes = call.max_body_bytes}),
         stream_(owner_->settings.loop, call.address, *this,
                 {.user_timeout = owner_->settings.user_timeout, .keep_alive_probes = true}) {
-    ++owner_->opened;
+    trace_.connection = ++owner_->opened;
   }
 
   /// \returns The sequence number of the call on this connection.
@@ -98,6 +100,11 @@
     stream_.Write(
         std::span(reinterpret_cast<const std::uint8_t*>(call.bytes.data()), call.bytes.size()));
     request_bytes_ = call.bytes.size();
+    request_ = call.request;
+    trace_ = {.connection = trace_.connection,
+              .kept = call_number_ > 1,
+              .started = timer_service::now(),
+              .bytes = request_bytes_};
     if (connected_) {
       // Deferred, so that a failure is not reported before Start has returned the call.
       owner_->settings.loop.Post([self = shared_from_this()] { self->FlushCall(); });
@@ -130,6 +137,9 @@
     }
   }
 
+  [[nodiscard]] send_trace trace(std::uint64_t call_number) const {
+    return call_number == call_number_ ? trace_ : send_trace();
+  }
   [[nodiscard]] const std::string& address() const { return address_; }
   /// \returns true when bytes have arrived that belong to no call.
   [[nodiscard]] bool HasUnread() const { return stream_.has_unread(); }
@@ -140,6 +150,7 @@
 
   void OnConnected() override {
     connected_ = true;
+    trace_.connected = timer_service::now();
     timeout_.Cancel();
     stream_.Flush();
   }
@@ -157,6 +168,21 @@
   void OnReadEnd() override {}
   void OnDrained() override {}
 
+  void OnWritten(std::size_t count) override {
+    trace_.last_write = timer_service::now();
+    trace_.first_write = trace_.first_write.value_or(*trace_.last_write);
+    trace_.written += count;
+    if (listener_ == nullptr) {
+      owner_->bytes_after_end += count;
+      Log(log_level::kError, "bytes_after_end",
+          {{"request", request_},
+           {"address", address_},
+           {"connection", trace_.connection},
+           {"bytes", count},
+           {"queued_ms", (*trace_.last_write - trace_.started) / milliseconds(1)}});
+    }
+  }
+
   void OnClosed() override {
     const auto self = shared_from_this();
     // A success without a byte of its body may be of a server that stopped after the head.
@@ -298,6 +324,8 @@
   timer_subscription timeout_;
   std::size_t request_bytes_ = 0;
   std::uint64_t call_number_ = 0;
+  std::string request_;  ///< Id of the newest call's request.
+  send_trace trace_;     ///< Of the newest call.
   bool connected_ = false;
   bool reply_began_ = false;
   bool body_began_ = false;
@@ -319,6 +347,7 @@
   ~call_handle() override { connection_->Abandon(call_number_); }
   [[nodiscard]] bool first_on_connection() const override { return call_number_ == 1; }
   void PauseReply(bool paused) override { connection_->PauseReply(call_number_, paused); }
+  [[nodiscard]] send_trace trace() const override { return connection_->trace(call_number_); }
   call_handle(const call_handle&) = delete;
   call_handle& operator=(const call_handle&) = delete;
 
@@ -385,4 +414,6 @@
 
 std::uint64_t http1_client::connections_opened() const { return state_->opened; }
 
+std::uint64_t http1_client::bytes_after_end() const { return state_->bytes_after_end; }
+
 }  // namespace jacinthspool
--- a/src/transport/http1_client.h
+++ b/src/transport/http1_client.h
@@ -9,6 +9,7 @@
 #include "jacinthspool/impl/time.h"
 #include "src/transport/event_loop.h"
 #include "src/transport/http1_reader.h"
+#include "src/transport/send_trace.h"
 #include "src/transport/timer_service.h"
 
 namespace jacinthspool {
@@ -53,11 +54,14 @@
   [[nodiscard]] virtual bool first_on_connection() const = 0;
   /// \brief Pauses or resumes reading of the reply.
   virtual void PauseReply(bool paused) = 0;
+  /// \returns What was sent so far; final once the call has ended.
+  [[nodiscard]] virtual send_trace trace() const = 0;
 };
 
 struct http1_call_options {
   std::string address;       ///< ip:port
   std::string bytes;         ///< The complete request as sent on the wire.
+  std::string request = {};  ///< Id of the caller's request, for log lines; empty: none.
   bool expects_body = true;  ///< false for HEAD.
   bool new_connection =
       false;  ///< Do not reuse a connection on which an earlier reply may be pending.
@@ -92,6 +96,9 @@
   /// \returns Number of connections opened so far.
   [[nodiscard]] std::uint64_t connections_opened() const;
 
+  /// \returns Number of bytes of requests that were sent although their call had ended.
+  [[nodiscard]] std::uint64_t bytes_after_end() const;
+
  private:
   struct state;
   class connection;
--- a/src/transport/tcp_stream.cc
+++ b/src/transport/tcp_stream.cc
@@ -135,6 +135,7 @@
         Fail(std::strerror(errno));
         return;
       }
+      listener.OnWritten(static_cast<std::size_t>(written));
     }
   }
 
--- a/src/transport/tcp_stream.h
+++ b/src/transport/tcp_stream.h
@@ -29,6 +29,8 @@
   virtual void OnReadEnd() = 0;
   /// \brief The output queue has been written to the socket.
   virtual void OnDrained() = 0;
+  /// \brief The kernel has taken `count` bytes of the output queue.
+  virtual void OnWritten(std::size_t /*count*/) {}
   /// \brief The connection failed; no other event follows.
   virtual void OnFailed(const std::string& reason) = 0;
   /// \brief The remote end refused the connection; no other event follows.
