Show requests that are sent after their call has ended

A client whose timers fire apart from its sockets, which is the order after a stop in epoll_wait, reports 'unsent' and sends all the same; at the gateway, stopped for 450 ms with the site's route timeout of 800 ms, both servers run one request that must run once, and a request that was refused as not run is run.

--- a/tests/gateway/fake_platform.h
+++ b/tests/gateway/fake_platform.h
@@ -69,7 +69,7 @@
 struct fake_platform {
   event_loop loop;
   timer_service timers{loop};
-  http1_client client{{.loop = loop, .timers = timers}};
+  http1_client client;
   platform::replica_dialect dialect;
   gateway router{
       {.loop = loop, .timers = timers, .client = client, .dialect = dialect, .data_centre = "dc"}};
@@ -86,6 +86,11 @@
   std::vector<std::unique_ptr<scripted_backend>> backends;
   std::uint64_t revision = 0;
 
+  fake_platform() : client({.loop = loop, .timers = timers}) {}
+  /// \param client_timers For the connections to the backend servers.
+  explicit fake_platform(timer_service& client_timers)
+      : client({.loop = loop, .timers = client_timers}) {}
+
   scripted_backend& AddBackend(const std::string& service,
                                engine_stage stage = engine_stage::kNone) {
     const std::string id = "i-" + std::to_string(backends.size());
