Close the socket of a call before its end is reported

What callers saw: a request that must run once ran at two servers, or was answered 503 ('not run') and then ran. Cause: an ending was inferred from the clock while what it rules out was still possible. When the connect timeout fired, the client reported 'unsent', but the socket went on connecting with the whole request queued, and was destroyed by an action posted for a later iteration of the loop. Sockets come before posted actions there, so a connection that was established meanwhile sent the request, though nobody listened any more. A stop between 400 and 780 ms while a connection is being opened is enough: the wait for events ends with EINTR, and the due timers run before the sockets are looked at. The fix: a tcp_stream is connecting, connected or closed, and only the first two have a socket and a queue. A call that ends, however it ends, closes its stream first: events removed, descriptor closed, queue gone. Only then is the evidence read and the end reported, so 'unsent' means that nothing was handed to the kernel and nothing can be. Posted destruction and the null listener are gone; a listener may now destroy or close a stream inside any of its calls.

--- a/src/transport/http1_client.cc
+++ b/src/transport/http1_client.cc
@@ -5,6 +5,7 @@
 #include <optional>
 #include <span>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "src/telemetry/log.h"
@@ -37,6 +38,26 @@
   return std::max(milliseconds(0), milliseconds(seconds(announced)) - kKeepAliveMargin);
 }
 
+/// A connection that may carry a call.
+struct idle_connection {
+  instant since{};
+};
+/// The call on a connection, and how far its reply has come.
+struct running_call {
+  explicit running_call(http1_call_listener& the_listener) : listener(the_listener) {}
+  http1_call_listener& listener;
+  timer_subscription connect_timeout = {};
+  bool reply_began = false;
+  bool body_began = false;
+  bool success = false;
+  bool skipping = false;
+  bool stray = false;  ///< A reply to another request was received.
+  bool keep = false;
+  int skipped = 0;  ///< Reply heads discarded.
+};
+/// Its socket is closed.
+struct closed_connection {};
+
 }  // namespace
 
 std::string_view ToString(call_outcome end) {
@@ -64,14 +85,14 @@
   std::map<std::string, std::vector<std::shared_ptr<connection>>> idle;
   std::uint64_t opened = 0;
   std::uint64_t bytes_after_end = 0;
-  bool closing = false;
 
   std::shared_ptr<connection> TakeIdle(const http1_call_options& call, instant now);
   void Keep(const std::shared_ptr<connection>& kept);
   void Drop(connection& dropped);
 };
 
-/// A connection and the call on it. Destroyed only between loop iterations.
+/// A connection and the call on it. A method that calls the listener may find it destroyed or
+/// closed afterwards.
 class http1_client::connection : public tcp_listener,
                                  public std::enable_shared_from_this<connection> {
  public:
@@ -88,28 +109,24 @@
 
   /// \returns The sequence number of the call on this connection.
   std::uint64_t Begin(const http1_call_options& call, http1_call_listener& listener) {
-    listener_ = &listener;
     ++call_number_;
-    reply_began_ = false;
-    body_began_ = false;
-    skipped_ = 0;
+    running_call& begun = phase_.emplace<running_call>(listener);
     reader_.LimitBody(call.max_body_bytes);
     if (!call.expects_body) {
       reader_.ExpectNoBody();
     }
     stream_.Write(
         std::span(reinterpret_cast<const std::uint8_t*>(call.bytes.data()), call.bytes.size()));
-    request_bytes_ = call.bytes.size();
     request_ = call.request;
     trace_ = {.connection = trace_.connection,
               .kept = call_number_ > 1,
               .started = timer_service::now(),
-              .bytes = request_bytes_};
-    if (connected_) {
+              .bytes = call.bytes.size()};
+    if (trace_.kept) {
       // Deferred, so that a failure is not reported before Start has returned the call.
-      owner_->settings.loop.Post([self = shared_from_this()] { self->FlushCall(); });
+      owner_->settings.loop.Post([self = shared_from_this()] { self->stream_.Flush(); });
     } else {
-      timeout_ = owner_->settings.timers.After(
+      begun.connect_timeout = owner_->settings.timers.After(
           call.connect_timeout, [this](instant /*now*/) { OnFailed("connect timed out"); });
     }
     return call_number_;
@@ -117,17 +134,13 @@
 
   /// Cancels the call if it is still running, and closes its connection.
   void Abandon(std::uint64_t call_number) {
-    if (listener_ != nullptr && call_number == call_number_) {
-      Abandon();
+    if (Running(call_number)) {
+      Close();
     }
   }
-  void Abandon() {
-    listener_ = nullptr;
-    Retire();
-  }
 
   void PauseReply(std::uint64_t call_number, bool paused) {
-    if (listener_ != nullptr && call_number == call_number_) {
+    if (Running(call_number)) {
       paused_ = paused;
       stream_.PauseReading(paused);
       if (!paused) {
@@ -144,20 +157,28 @@
   /// \returns true when bytes have arrived that belong to no call.
   [[nodiscard]] bool HasUnread() const { return stream_.has_unread(); }
   [[nodiscard]] bool IsFresh(instant now, milliseconds max_idle) const {
-    return now - idle_since_ < std::min<microseconds>(max_idle, announced_idle_);
+    const auto* idle = std::get_if<idle_connection>(&phase_);
+    return idle != nullptr && now - idle->since < std::min<microseconds>(max_idle, announced_idle_);
+  }
+
+  /// Takes the bytes of the call back and closes the socket, so that nothing is sent from now on.
+  void Close() {
+    stream_.Close();
+    phase_ = closed_connection();
   }
-  void BecomeIdle(instant now) { idle_since_ = now; }
 
   void OnConnected() override {
-    connected_ = true;
     trace_.connected = timer_service::now();
-    timeout_.Cancel();
+    if (auto* call = std::get_if<running_call>(&phase_)) {
+      call->connect_timeout.Cancel();
+    }
     stream_.Flush();
   }
 
   void OnBytes(std::span<const std::uint8_t> bytes) override {
+    const auto self = shared_from_this();
     reader_.Feed({reinterpret_cast<const char*>(bytes.data()), bytes.size()});
-    if (listener_ == nullptr) {
+    if (!std::holds_alternative<running_call>(phase_)) {
       // No call is running, so these bytes belong to no request.
       Retire();
       return;
@@ -172,7 +193,7 @@
     trace_.last_write = timer_service::now();
     trace_.first_write = trace_.first_write.value_or(*trace_.last_write);
     trace_.written += count;
-    if (listener_ == nullptr) {
+    if (!std::holds_alternative<running_call>(phase_)) {
       owner_->bytes_after_end += count;
       Log(log_level::kError, "bytes_after_end",
           {{"request", request_},
@@ -184,159 +205,139 @@
   }
 
   void OnClosed() override {
-    const auto self = shared_from_this();
+    const auto* call = std::get_if<running_call>(&phase_);
     // A success without a byte of its body may be of a server that stopped after the head.
-    const bool whole = reply_began_ && (body_began_ || !success_) && reader_.EndsAtClose();
-    if (listener_ != nullptr && whole) {
-      Finish(call_outcome::kWhole, "");
-      Retire();
-      return;
+    const bool whole = call != nullptr && call->reply_began &&
+                       (call->body_began || !call->success) && reader_.EndsAtClose();
+    if (whole) {
+      End(call_outcome::kWhole, "");
+    } else {
+      OnFailed("closed by the backend server");
     }
-    OnFailed("closed by the backend server");
   }
 
-  void OnRefused(const std::string& reason) override {
-    const auto self = shared_from_this();
-    Finish(call_outcome::kRefused, reason);
-    Retire();
-  }
+  void OnRefused(const std::string& reason) override { End(call_outcome::kRefused, reason); }
 
   void OnFailed(const std::string& reason) override {
-    const auto self = shared_from_this();
-    const call_outcome end = reply_began_ ? call_outcome::kCut
-                             : Sent()     ? call_outcome::kLost
-                                          : call_outcome::kUnsent;
-    Finish(end, reason);
-    Retire();
+    // Before the evidence is read, so that it stays true.
+    stream_.Close();
+    const auto* call = std::get_if<running_call>(&phase_);
+    End(call != nullptr && call->reply_began ? call_outcome::kCut
+        : trace_.written > 0                 ? call_outcome::kLost
+                                             : call_outcome::kUnsent,
+        reason);
   }
 
  private:
-  void FlushCall() {
-    if (listener_ != nullptr) {
-      stream_.Flush();
-    }
+  [[nodiscard]] bool Running(std::uint64_t call_number) const {
+    return call_number == call_number_ && std::holds_alternative<running_call>(phase_);
   }
 
-  [[nodiscard]] bool Sent() const { return connected_ && stream_.queued_bytes() < request_bytes_; }
-
   void ReadReply() {
     const auto self = shared_from_this();
-    while (listener_ != nullptr && !paused_) {
+    for (auto* call = std::get_if<running_call>(&phase_); call != nullptr && !paused_;
+         call = std::get_if<running_call>(&phase_)) {
       http1_event found = reader_.Read();
       if (std::holds_alternative<http1_need_more>(found)) {
         return;
       }
-      std::visit([this](auto& event) { Take(event); }, found);
+      std::visit([&](auto& event) { Take(*call, event); }, found);
     }
   }
 
-  void Take(const http1_need_more& /*event*/) {}
+  void Take(running_call& /*call*/, const http1_need_more& /*event*/) {}
 
-  void Take(const http1_head& head) {
-    skipping_ = head.status < kFirstFinalStatus;
-    if (skipping_) {
-      CountSkipped();
+  void Take(running_call& call, const http1_head& head) {
+    call.skipping = head.status < kFirstFinalStatus;
+    if (call.skipping) {
+      CountSkipped(call);
       return;
     }
-    const head_action verdict = listener_->OnHead(head);
-    if (listener_ == nullptr) {
+    const std::uint64_t number = call_number_;
+    const head_action verdict = call.listener.OnHead(head);
+    if (!Running(number)) {
       return;
     }
     if (verdict == head_action::kClose) {
-      Finish(call_outcome::kMalformed, "reply belongs to another request");
-      Retire();
+      End(call_outcome::kMalformed, "reply belongs to another request");
       return;
     }
-    skipping_ = verdict == head_action::kSkip;
-    reply_began_ = !skipping_;
-    if (skipping_) {
-      stray_ = true;
-      CountSkipped();
+    call.skipping = verdict == head_action::kSkip;
+    call.reply_began = !call.skipping;
+    if (call.skipping) {
+      call.stray = true;
+      CountSkipped(call);
       return;
     }
-    success_ = head.status < kFirstRedirectStatus;
-    keep_ = head.keep_alive;
+    call.success = head.status < kFirstRedirectStatus;
+    call.keep = head.keep_alive;
     if (const auto announced = AnnouncedIdleTime(head)) {
       announced_idle_ = *announced;
     }
   }
 
-  void CountSkipped() {
-    if (++skipped_ > kMaxSkippedReplies) {
-      Finish(call_outcome::kMalformed, "too many interim replies or replies to other requests");
-      Retire();
+  void CountSkipped(running_call& call) {
+    if (++call.skipped > kMaxSkippedReplies) {
+      End(call_outcome::kMalformed, "too many interim replies or replies to other requests");
     }
   }
 
-  void Take(const http1_body& body) {
-    if (!skipping_) {
-      body_began_ = body_began_ || !body.bytes.empty();
-      listener_->OnBody(body.bytes);
+  void Take(running_call& call, const http1_body& body) {
+    if (!call.skipping) {
+      call.body_began = call.body_began || !body.bytes.empty();
+      call.listener.OnBody(body.bytes);
     }
   }
 
-  void Take(const http1_end& /*event*/) {
-    if (skipping_) {
+  void Take(running_call& call, const http1_end& /*event*/) {
+    if (call.skipping) {
       return;
     }
     // If the reply came before the whole request was sent, the rest of the request is still queued.
     // After a reply to another request it is not known how many more follow.
     const bool reusable =
-        keep_ && !stray_ && stream_.queued_bytes() == 0 && reader_.buffered() == 0;
-    if (reusable) {
-      owner_->Keep(shared_from_this());
-    }
-    Finish(call_outcome::kWhole, "");
+        call.keep && !call.stray && stream_.queued_bytes() == 0 && reader_.buffered() == 0;
     if (!reusable) {
-      Retire();
+      End(call_outcome::kWhole, "");
+      return;
     }
+    http1_call_listener& listener = call.listener;
+    phase_ = idle_connection{.since = timer_service::now()};
+    owner_->Keep(shared_from_this());
+    listener.OnEnd(call_outcome::kWhole, "");
   }
 
-  void Take(const http1_fault& /*event*/) {
-    Finish(call_outcome::kMalformed, "malformed or oversized HTTP reply");
-    Retire();
+  void Take(running_call& /*call*/, const http1_fault& /*event*/) {
+    End(call_outcome::kMalformed, "malformed or oversized HTTP reply");
   }
 
-  void Finish(call_outcome end, const std::string& reason) {
-    timeout_.Cancel();
-    if (http1_call_listener* listener = std::exchange(listener_, nullptr)) {
+  /// Closes the connection, then reports the end of its call if one is running.
+  void End(call_outcome end, const std::string& reason) {
+    const auto self = shared_from_this();
+    auto* call = std::get_if<running_call>(&phase_);
+    http1_call_listener* listener = call != nullptr ? &call->listener : nullptr;
+    Retire();
+    if (listener != nullptr) {
       listener->OnEnd(end, reason);
     }
   }
 
-  /// Destroys the connection in a later loop iteration, since this may run in a callback of its
-  /// stream.
+  /// Closes a connection that may be in the idle list.
   void Retire() {
-    // The idle list may hold the only reference.
-    auto self = weak_from_this().lock();
-    timeout_.Cancel();
+    const auto self = shared_from_this();
+    Close();
     owner_->Drop(*this);
-    if (!std::exchange(retired_, true) && !owner_->closing) {
-      owner_->settings.loop.Post([kept = std::move(self)] {});
-    }
   }
 
   std::shared_ptr<state> owner_;
   std::string address_;
   http1_reader reader_;
   tcp_stream stream_;
-  http1_call_listener* listener_ = nullptr;
-  timer_subscription timeout_;
-  std::size_t request_bytes_ = 0;
+  std::variant<idle_connection, running_call, closed_connection> phase_;
   std::uint64_t call_number_ = 0;
   std::string request_;  ///< Id of the newest call's request.
   send_trace trace_;     ///< Of the newest call.
-  bool connected_ = false;
-  bool reply_began_ = false;
-  bool body_began_ = false;
-  bool success_ = false;
-  bool skipping_ = false;
-  int skipped_ = 0;     ///< Reply heads discarded in the current call.
-  bool stray_ = false;  ///< A reply to another request was received.
-  bool keep_ = false;
-  bool retired_ = false;
   bool paused_ = false;
-  instant idle_since_{};
   microseconds announced_idle_ = seconds(60);
 };
 
@@ -370,19 +371,18 @@
     if (last->IsFresh(now, call.max_idle) && !last->HasUnread()) {
       return last;
     }
-    last->Abandon();
+    last->Close();
   }
   return nullptr;
 }
 
 void http1_client::state::Keep(const std::shared_ptr<connection>& kept) {
-  kept->BecomeIdle(timer_service::now());
   auto& list = idle[kept->address()];
   list.push_back(kept);
   if (list.size() > settings.max_idle_connections) {
     const std::shared_ptr<connection> oldest = list.front();
     list.erase(list.begin());
-    oldest->Abandon();
+    oldest->Close();
   }
 }
 
@@ -397,7 +397,7 @@
 http1_client::http1_client(const options& settings) : state_(std::make_shared<state>(settings)) {}
 
 http1_client::~http1_client() {
-  state_->closing = true;
+  // Each connection of the list holds the state that has the list.
   std::exchange(state_->idle, {}).clear();
 }
 
--- a/src/transport/tcp_stream.cc
+++ b/src/transport/tcp_stream.cc
@@ -11,7 +11,10 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <utility>
+#include <variant>
 
+#include "jacinthspool/impl/overloaded.h"
 #include "jacinthspool/impl/time.h"
 #include "src/transport/socket_address.h"
 
@@ -48,65 +51,87 @@
 
 bool IsTransient(int error) { return error == EAGAIN || error == EWOULDBLOCK || error == EINTR; }
 
+struct event_deleter {
+  void operator()(event* source) const { event_free(source); }
+};
+struct buffer_deleter {
+  void operator()(evbuffer* buffer) const { evbuffer_free(buffer); }
+};
+using event_handle = std::unique_ptr<event, event_deleter>;
+using buffer_handle = std::unique_ptr<evbuffer, buffer_deleter>;
+
+/// A descriptor, which is closed after the events on it are removed.
+class socket_handle {
+ public:
+  socket_handle() = default;
+  explicit socket_handle(int descriptor) : descriptor_(descriptor) {}
+  socket_handle(socket_handle&& other) noexcept
+      : descriptor_(std::exchange(other.descriptor_, -1)) {}
+  socket_handle& operator=(socket_handle&& other) noexcept {
+    std::swap(descriptor_, other.descriptor_);
+    return *this;
+  }
+  ~socket_handle() {
+    if (descriptor_ >= 0) {
+      close(descriptor_);
+    }
+  }
+  [[nodiscard]] int get() const { return descriptor_; }
+
+ private:
+  int descriptor_ = -1;
+};
+
+/// What only a stream has that is not closed.
+struct open_socket {
+  socket_handle socket;
+  event_handle readable;
+  event_handle writable;
+  buffer_handle output{evbuffer_new()};
+};
+struct connecting : open_socket {};
+struct connected : open_socket {};
+struct closed_socket {};
+
 }  // namespace
 
-struct tcp_stream::state {
+struct tcp_stream::state : std::enable_shared_from_this<tcp_stream::state> {
   event_loop& loop;
-  tcp_listener& listener;
-  int socket = -1;
-  event* readable = nullptr;
-  event* writable = nullptr;
-  evbuffer* output = evbuffer_new();
+  tcp_listener& listener;  ///< Not called once the stream is closed.
   tcp_options options;
-  bool connecting = false;
-  bool stopped = false;
+  std::variant<connecting, connected, closed_socket> phase;
   bool paused = false;
 
   state(event_loop& the_loop, tcp_listener& the_listener, const tcp_options& the_options)
       : loop(the_loop), listener(the_listener), options(the_options) {}
-  state(const state&) = delete;
-  state& operator=(const state&) = delete;
 
-  ~state() {
-    if (readable != nullptr) {
-      event_free(readable);
-      event_free(writable);
-    }
-    evbuffer_free(output);
-    if (socket >= 0) {
-      close(socket);
-    }
+  void Register(open_socket& target, int descriptor) {
+    target.socket = socket_handle(descriptor);
+    SetSocketOptions(descriptor, options);
+    target.readable.reset(
+        event_new(loop.base(), descriptor, EV_READ | EV_PERSIST, &state::OnReadable, this));
+    target.writable.reset(event_new(loop.base(), descriptor, EV_WRITE, &state::OnWritable, this));
   }
 
-  void RegisterEvents(int the_socket) {
-    socket = the_socket;
-    SetSocketOptions(socket, options);
-    readable = event_new(loop.base(), socket, EV_READ | EV_PERSIST, &state::OnReadable, this);
-    writable = event_new(loop.base(), socket, EV_WRITE, &state::OnWritable, this);
+  [[nodiscard]] open_socket* open() {
+    return std::visit(overloaded{[](closed_socket&) -> open_socket* { return nullptr; },
+                                 [](auto& socket) -> open_socket* { return &socket; }},
+                      phase);
   }
 
-  void StopEvents() {
-    stopped = true;
-    if (readable != nullptr) {
-      event_del(readable);
-      event_del(writable);
-    }
-  }
+  void Close() { phase = closed_socket(); }
 
   void Fail(const std::string& reason) {
-    if (stopped) {
-      return;
-    }
-    StopEvents();
+    Close();
     listener.OnFailed(reason);
   }
 
-  void FinishConnect() {
+  void FinishConnect(connecting& pending) {
     int error = 0;
     socklen_t length = sizeof(error);
-    getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &length);
-    if (error == ECONNREFUSED && !stopped) {
-      StopEvents();
+    getsockopt(pending.socket.get(), SOL_SOCKET, SO_ERROR, &error, &length);
+    if (error == ECONNREFUSED) {
+      Close();
       listener.OnRefused(std::strerror(error));
       return;
     }
@@ -114,21 +139,21 @@
       Fail(std::strerror(error));
       return;
     }
-    connecting = false;
+    connected established{std::move(pending)};
     if (!paused) {
-      event_add(readable, nullptr);
+      event_add(established.readable.get(), nullptr);
     }
+    phase = std::move(established);
     listener.OnConnected();
   }
 
   void Flush() {
-    if (connecting || stopped) {
-      return;
-    }
-    while (evbuffer_get_length(output) > 0) {
-      const int written = evbuffer_write(output, socket);
+    for (auto* socket = std::get_if<connected>(&phase);
+         socket != nullptr && evbuffer_get_length(socket->output.get()) > 0;
+         socket = std::get_if<connected>(&phase)) {
+      const int written = evbuffer_write(socket->output.get(), socket->socket.get());
       if (written < 0 && IsTransient(errno)) {
-        event_add(writable, nullptr);
+        event_add(socket->writable.get(), nullptr);
         return;
       }
       if (written < 0) {
@@ -141,8 +166,12 @@
 
   void Read() {
     static std::array<std::uint8_t, kReadBytes> buffer;
-    for (int reads = 0; reads < kMaxReadsPerIteration && !stopped && !paused; ++reads) {
-      const ssize_t length = recv(socket, buffer.data(), buffer.size(), 0);
+    for (int reads = 0; reads < kMaxReadsPerIteration && !paused; ++reads) {
+      const auto* socket = std::get_if<connected>(&phase);
+      if (socket == nullptr) {
+        return;
+      }
+      const ssize_t length = recv(socket->socket.get(), buffer.data(), buffer.size(), 0);
       if (length < 0 && IsTransient(errno)) {
         break;
       }
@@ -151,7 +180,7 @@
         return;
       }
       if (length == 0) {
-        StopEvents();
+        Close();
         listener.OnClosed();
         return;
       }
@@ -161,40 +190,46 @@
         break;
       }
     }
-    if (!stopped) {
+    if (std::holds_alternative<connected>(phase)) {
       listener.OnReadEnd();
     }
   }
 
+  void HandleWritable() {
+    if (auto* pending = std::get_if<connecting>(&phase)) {
+      FinishConnect(*pending);
+      return;
+    }
+    Flush();
+    const auto* socket = std::get_if<connected>(&phase);
+    if (socket != nullptr && evbuffer_get_length(socket->output.get()) == 0) {
+      listener.OnDrained();
+    }
+  }
+
+  // The listener may destroy the stream, so each event holds its state.
   static void OnReadable(evutil_socket_t /*unused*/, std::int16_t /*unused*/, void* context) {
-    static_cast<state*>(context)->Read();
+    static_cast<state*>(context)->shared_from_this()->Read();
   }
 
   static void OnWritable(evutil_socket_t /*unused*/, std::int16_t /*unused*/, void* context) {
-    auto* self = static_cast<state*>(context);
-    if (self->connecting) {
-      self->FinishConnect();
-      return;
-    }
-    self->Flush();
-    if (!self->stopped && evbuffer_get_length(self->output) == 0) {
-      self->listener.OnDrained();
-    }
+    static_cast<state*>(context)->shared_from_this()->HandleWritable();
   }
 };
 
 tcp_stream::tcp_stream(event_loop& loop, int socket, tcp_listener& listener,
                        const tcp_options& options)
-    : state_(std::make_unique<state>(loop, listener, options)) {
+    : state_(std::make_shared<state>(loop, listener, options)) {
   evutil_make_socket_nonblocking(socket);
-  state_->RegisterEvents(socket);
-  event_add(state_->readable, nullptr);
+  connected accepted;
+  state_->Register(accepted, socket);
+  event_add(accepted.readable.get(), nullptr);
+  state_->phase = std::move(accepted);
 }
 
 tcp_stream::tcp_stream(event_loop& loop, const std::string& address, tcp_listener& listener,
                        const tcp_options& options)
-    : state_(std::make_unique<state>(loop, listener, options)) {
-  state_->connecting = true;
+    : state_(std::make_shared<state>(loop, listener, options)) {
   socket_address target;
   int descriptor = -1;
   if (ParseSocketAddress(address, target)) {
@@ -204,37 +239,53 @@
     // The listener is still being constructed and must not be called; its own timeout applies.
     return;
   }
-  state_->RegisterEvents(descriptor);
+  auto& pending = std::get<connecting>(state_->phase);
+  state_->Register(pending, descriptor);
   (void)connect(descriptor, target.get(), static_cast<socklen_t>(target.length));
   // A connect that fails immediately makes the socket writable as well.
-  event_add(state_->writable, nullptr);
+  event_add(pending.writable.get(), nullptr);
 }
 
-tcp_stream::~tcp_stream() = default;
+tcp_stream::~tcp_stream() { state_->Close(); }
 
 void tcp_stream::Write(std::span<const std::uint8_t> bytes) {
-  evbuffer_add(state_->output, bytes.data(), bytes.size());
+  if (const open_socket* open = state_->open()) {
+    evbuffer_add(open->output.get(), bytes.data(), bytes.size());
+  }
 }
 
-void tcp_stream::Flush() { state_->Flush(); }
+void tcp_stream::Flush() {
+  const auto kept = state_;
+  kept->Flush();
+}
+
+void tcp_stream::Close() { state_->Close(); }
+
+bool tcp_stream::closed() const { return std::holds_alternative<closed_socket>(state_->phase); }
 
 void tcp_stream::PauseReading(bool paused) {
   state_->paused = paused;
-  if (state_->readable == nullptr || state_->connecting || state_->stopped) {
+  const auto* socket = std::get_if<connected>(&state_->phase);
+  if (socket == nullptr) {
     return;
   }
   if (paused) {
-    event_del(state_->readable);
+    event_del(socket->readable.get());
   } else {
-    event_add(state_->readable, nullptr);
+    event_add(socket->readable.get(), nullptr);
   }
 }
 
-std::size_t tcp_stream::queued_bytes() const { return evbuffer_get_length(state_->output); }
+std::size_t tcp_stream::queued_bytes() const {
+  const open_socket* open = state_->open();
+  return open != nullptr ? evbuffer_get_length(open->output.get()) : 0;
+}
 
 bool tcp_stream::has_unread() const {
   std::uint8_t byte = 0;
-  return state_->socket >= 0 && recv(state_->socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+  const open_socket* open = state_->open();
+  return open != nullptr && open->socket.get() >= 0 &&
+         recv(open->socket.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
 }  // namespace jacinthspool
--- a/src/transport/tcp_stream.h
+++ b/src/transport/tcp_stream.h
@@ -19,7 +19,7 @@
   bool keep_alive_probes = false;
 };
 
-/// \brief Receives the events of a TCP stream.
+/// \brief Receives the events of a TCP stream; may close or destroy the stream in any of them.
 class tcp_listener {
  public:
   virtual ~tcp_listener() = default;
@@ -31,17 +31,19 @@
   virtual void OnDrained() = 0;
   /// \brief The kernel has taken `count` bytes of the output queue.
   virtual void OnWritten(std::size_t /*count*/) {}
-  /// \brief The connection failed; no other event follows.
+  /// \brief The connection failed and is closed; no other event follows.
   virtual void OnFailed(const std::string& reason) = 0;
-  /// \brief The remote end refused the connection; no other event follows.
+  /// \brief The remote end refused the connection, which is closed; no other event follows.
   virtual void OnRefused(const std::string& reason) { OnFailed(reason); }
-  /// \brief The remote end closed in order, after all its bytes have been passed to OnBytes.
+  /// \brief The remote end closed in order, after all its bytes have been passed to OnBytes. The
+  /// connection is closed; no other event follows.
   virtual void OnClosed() { OnFailed("closed by the peer"); }
 };
 
 /// \brief A non-blocking TCP connection; written bytes are queued until Flush.
 ///
-/// The stream must not be destroyed inside a call to its listener.
+/// A stream is connecting, connected or closed. Only the first two have a socket and a queue, so
+/// nothing is sent once it is closed.
 class tcp_stream {
  public:
   /// \brief Takes ownership of a connected socket.
@@ -67,6 +69,12 @@
   /// While paused, a close by the remote end is not detected.
   void PauseReading(bool paused);
 
+  /// \brief Closes the connection at once and discards the queue; no event follows.
+  void Close();
+
+  [[nodiscard]] bool closed() const;
+
+  /// \returns Bytes that the kernel has not taken yet; 0 once the stream is closed.
   [[nodiscard]] std::size_t queued_bytes() const;
 
   /// \returns true when bytes have arrived that have not been passed to the listener yet.
@@ -74,7 +82,7 @@
 
  private:
   struct state;
-  std::unique_ptr<state> state_;
+  std::shared_ptr<state> state_;
 };
 
 }  // namespace jacinthspool
