Read what arrived before a pause before the end of the connection

What callers saw: a whole answer that was cut, where the caller reads slowly and the server closes after its reply. Cause: a resumed reply had its socket read at once and the bytes that the reader still held only in a posted action, so the end of the connection came first. The test (with a length, in chunks) failed in 2 of 2 sections before and passes.

--- a/src/transport/http1_client.cc
+++ b/src/transport/http1_client.cc
@@ -142,10 +142,10 @@
   void PauseReply(std::uint64_t call_number, bool paused) {
     if (Running(call_number)) {
       paused_ = paused;
-      stream_.PauseReading(paused);
-      if (!paused) {
-        // The reader still holds the bytes that arrived before the pause.
-        owner_->settings.loop.Post([self = shared_from_this()] { self->ReadReply(); });
+      if (paused) {
+        stream_.PauseReading(true);
+      } else {
+        owner_->settings.loop.Post([self = shared_from_this()] { self->ResumeReply(); });
       }
     }
   }
@@ -233,6 +233,14 @@
     return call_number == call_number_ && std::holds_alternative<running_call>(phase_);
   }
 
+  /// Reads what arrived before the pause first: the end of the connection may have arrived since.
+  void ResumeReply() {
+    ReadReply();
+    if (!paused_) {
+      stream_.PauseReading(false);
+    }
+  }
+
   void ReadReply() {
     const auto self = shared_from_this();
     for (auto* call = std::get_if<running_call>(&phase_); call != nullptr && !paused_;
--- a/tests/transport/http1_test.cc
+++ b/tests/transport/http1_test.cc
@@ -278,12 +278,18 @@
   std::vector<int> statuses;
   std::optional<call_outcome> end;
   head_action verdict = head_action::kAccept;
+  bool pause_in_body = false;
 
   head_action OnHead(const http1_head& head) override {
     statuses.push_back(head.status);
     return statuses.size() == 1 ? verdict : head_action::kAccept;
   }
-  void OnBody(std::string_view bytes) override { body += bytes; }
+  void OnBody(std::string_view bytes) override {
+    body += bytes;
+    if (pause_in_body) {
+      call->PauseReply(true);
+    }
+  }
   void OnEnd(call_outcome how, const std::string& /*reason*/) override { end = how; }
 
   void Start(std::uint16_t port = 0, milliseconds max_idle = seconds(4)) {
@@ -399,6 +405,23 @@
   }
 }
 
+TEST_CASE("a complete reply is whole although its server closed while it was paused") {
+  client_fixture caller;
+  caller.pause_in_body = true;
+  caller.Start();
+  SUBCASE("with a length") {
+    caller.Answer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").Close();
+  }
+  SUBCASE("in chunks") {
+    caller.Answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n")
+        .Close();
+  }
+  REQUIRE(RunUntil(caller.loop, [&] { return !caller.body.empty(); }));
+  caller.call->PauseReply(false);
+  CHECK(caller.End() == call_outcome::kWhole);
+  CHECK(caller.body == "ok");
+}
+
 TEST_CASE("a reply to another request is skipped") {
   client_fixture caller;
   caller.verdict = head_action::kSkip;
