Reuse no kept connection whose end has arrived

What callers saw: 502 for a request that was written to a connection which its server had closed while the gateway did not look, as after a stop. Cause: a kept connection was examined for unread bytes only, so an end or an error that had arrived counted as quiet. quiet() is true only while neither has.

--- a/src/transport/http1_client.cc
+++ b/src/transport/http1_client.cc
@@ -154,14 +154,15 @@
     return call_number == call_number_ ? trace_ : send_trace();
   }
   [[nodiscard]] const std::string& address() const { return address_; }
-  /// \returns true when bytes have arrived that belong to no call.
-  [[nodiscard]] bool HasUnread() const { return stream_.has_unread(); }
-  [[nodiscard]] bool IsFresh(instant now, milliseconds max_idle) const {
+  /// \returns true when the connection may carry another call: it has not been idle for too long,
+  /// and neither bytes that belong to no call nor its end have arrived.
+  [[nodiscard]] bool IsUsable(instant now, milliseconds max_idle) const {
     const auto* idle = std::get_if<idle_connection>(&phase_);
-    return idle != nullptr && now - idle->since < std::min<microseconds>(max_idle, announced_idle_);
+    return idle != nullptr &&
+           now - idle->since < std::min<microseconds>(max_idle, announced_idle_) && stream_.quiet();
   }
 
-  /// Takes the bytes of the call back and closes the socket, so that nothing is sent from now on.
+  /// Closes the socket; what the kernel has not taken yet is never sent.
   void Close() {
     stream_.Close();
     phase_ = closed_connection();
@@ -219,7 +220,7 @@
   void OnRefused(const std::string& reason) override { End(call_outcome::kRefused, reason); }
 
   void OnFailed(const std::string& reason) override {
-    // Before the evidence is read, so that it stays true.
+    // First, since only on a closed stream does the number of written bytes not change any more.
     stream_.Close();
     const auto* call = std::get_if<running_call>(&phase_);
     End(call != nullptr && call->reply_began ? call_outcome::kCut
@@ -376,7 +377,7 @@
   while (!kept.empty()) {
     std::shared_ptr<connection> last = std::move(kept.back());
     kept.pop_back();
-    if (last->IsFresh(now, call.max_idle) && !last->HasUnread()) {
+    if (last->IsUsable(now, call.max_idle)) {
       return last;
     }
     last->Close();
--- a/src/transport/http1_server.cc
+++ b/src/transport/http1_server.cc
@@ -138,7 +138,7 @@
     }
     if (in_message) {
       Reject(408);
-    } else if (!stream_.has_unread()) {
+    } else if (stream_.quiet()) {
       Retire();
     }
   }
--- a/src/transport/tcp_stream.cc
+++ b/src/transport/tcp_stream.cc
@@ -60,7 +60,7 @@
 using event_handle = std::unique_ptr<event, event_deleter>;
 using buffer_handle = std::unique_ptr<evbuffer, buffer_deleter>;
 
-/// A descriptor, which is closed after the events on it are removed.
+/// Owns a descriptor.
 class socket_handle {
  public:
   socket_handle() = default;
@@ -68,7 +68,7 @@
   socket_handle(socket_handle&& other) noexcept
       : descriptor_(std::exchange(other.descriptor_, -1)) {}
   socket_handle& operator=(socket_handle&& other) noexcept {
-    std::swap(descriptor_, other.descriptor_);
+    socket_handle(std::move(other)).swap(*this);
     return *this;
   }
   ~socket_handle() {
@@ -77,14 +77,15 @@
     }
   }
   [[nodiscard]] int get() const { return descriptor_; }
+  void swap(socket_handle& other) noexcept { std::swap(descriptor_, other.descriptor_); }
 
  private:
   int descriptor_ = -1;
 };
 
-/// What only a stream has that is not closed.
+/// What a stream has until it is closed; the events are removed before the descriptor is closed.
 struct open_socket {
-  socket_handle socket;
+  socket_handle descriptor;
   event_handle readable;
   event_handle writable;
   buffer_handle output{evbuffer_new()};
@@ -97,7 +98,7 @@
 
 struct tcp_stream::state : std::enable_shared_from_this<tcp_stream::state> {
   event_loop& loop;
-  tcp_listener& listener;  ///< Not called once the stream is closed.
+  tcp_listener& listener;  ///< Once the stream is closed, called at most to report its end.
   tcp_options options;
   std::variant<connecting, connected, closed_socket> phase;
   bool paused = false;
@@ -106,7 +107,7 @@
       : loop(the_loop), listener(the_listener), options(the_options) {}
 
   void Register(open_socket& target, int descriptor) {
-    target.socket = socket_handle(descriptor);
+    target.descriptor = socket_handle(descriptor);
     SetSocketOptions(descriptor, options);
     target.readable.reset(
         event_new(loop.base(), descriptor, EV_READ | EV_PERSIST, &state::OnReadable, this));
@@ -115,7 +116,7 @@
 
   [[nodiscard]] open_socket* open() {
     return std::visit(overloaded{[](closed_socket&) -> open_socket* { return nullptr; },
-                                 [](auto& socket) -> open_socket* { return &socket; }},
+                                 [](auto& target) -> open_socket* { return &target; }},
                       phase);
   }
 
@@ -129,7 +130,7 @@
   void FinishConnect(connecting& pending) {
     int error = 0;
     socklen_t length = sizeof(error);
-    getsockopt(pending.socket.get(), SOL_SOCKET, SO_ERROR, &error, &length);
+    getsockopt(pending.descriptor.get(), SOL_SOCKET, SO_ERROR, &error, &length);
     if (error == ECONNREFUSED) {
       Close();
       listener.OnRefused(std::strerror(error));
@@ -148,12 +149,12 @@
   }
 
   void Flush() {
-    for (auto* socket = std::get_if<connected>(&phase);
-         socket != nullptr && evbuffer_get_length(socket->output.get()) > 0;
-         socket = std::get_if<connected>(&phase)) {
-      const int written = evbuffer_write(socket->output.get(), socket->socket.get());
+    for (auto* target = std::get_if<connected>(&phase);
+         target != nullptr && evbuffer_get_length(target->output.get()) > 0;
+         target = std::get_if<connected>(&phase)) {
+      const int written = evbuffer_write(target->output.get(), target->descriptor.get());
       if (written < 0 && IsTransient(errno)) {
-        event_add(socket->writable.get(), nullptr);
+        event_add(target->writable.get(), nullptr);
         return;
       }
       if (written < 0) {
@@ -167,11 +168,11 @@
   void Read() {
     static std::array<std::uint8_t, kReadBytes> buffer;
     for (int reads = 0; reads < kMaxReadsPerIteration && !paused; ++reads) {
-      const auto* socket = std::get_if<connected>(&phase);
-      if (socket == nullptr) {
+      const auto* source = std::get_if<connected>(&phase);
+      if (source == nullptr) {
         return;
       }
-      const ssize_t length = recv(socket->socket.get(), buffer.data(), buffer.size(), 0);
+      const ssize_t length = recv(source->descriptor.get(), buffer.data(), buffer.size(), 0);
       if (length < 0 && IsTransient(errno)) {
         break;
       }
@@ -201,8 +202,8 @@
       return;
     }
     Flush();
-    const auto* socket = std::get_if<connected>(&phase);
-    if (socket != nullptr && evbuffer_get_length(socket->output.get()) == 0) {
+    const auto* target = std::get_if<connected>(&phase);
+    if (target != nullptr && evbuffer_get_length(target->output.get()) == 0) {
       listener.OnDrained();
     }
   }
@@ -249,8 +250,8 @@
 tcp_stream::~tcp_stream() { state_->Close(); }
 
 void tcp_stream::Write(std::span<const std::uint8_t> bytes) {
-  if (const open_socket* open = state_->open()) {
-    evbuffer_add(open->output.get(), bytes.data(), bytes.size());
+  if (const open_socket* target = state_->open()) {
+    evbuffer_add(target->output.get(), bytes.data(), bytes.size());
   }
 }
 
@@ -261,31 +262,30 @@
 
 void tcp_stream::Close() { state_->Close(); }
 
-bool tcp_stream::closed() const { return std::holds_alternative<closed_socket>(state_->phase); }
-
 void tcp_stream::PauseReading(bool paused) {
   state_->paused = paused;
-  const auto* socket = std::get_if<connected>(&state_->phase);
-  if (socket == nullptr) {
+  const auto* source = std::get_if<connected>(&state_->phase);
+  if (source == nullptr) {
     return;
   }
   if (paused) {
-    event_del(socket->readable.get());
+    event_del(source->readable.get());
   } else {
-    event_add(socket->readable.get(), nullptr);
+    event_add(source->readable.get(), nullptr);
   }
 }
 
 std::size_t tcp_stream::queued_bytes() const {
-  const open_socket* open = state_->open();
-  return open != nullptr ? evbuffer_get_length(open->output.get()) : 0;
+  const open_socket* target = state_->open();
+  return target != nullptr ? evbuffer_get_length(target->output.get()) : 0;
 }
 
-bool tcp_stream::has_unread() const {
+bool tcp_stream::quiet() const {
+  const open_socket* target = state_->open();
   std::uint8_t byte = 0;
-  const open_socket* open = state_->open();
-  return open != nullptr && open->socket.get() >= 0 &&
-         recv(open->socket.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+  return target != nullptr &&
+         recv(target->descriptor.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         IsTransient(errno);
 }
 
 }  // namespace jacinthspool
--- a/src/transport/tcp_stream.h
+++ b/src/transport/tcp_stream.h
@@ -72,13 +72,12 @@
   /// \brief Closes the connection at once and discards the queue; no event follows.
   void Close();
 
-  [[nodiscard]] bool closed() const;
-
   /// \returns Bytes that the kernel has not taken yet; 0 once the stream is closed.
   [[nodiscard]] std::size_t queued_bytes() const;
 
-  /// \returns true when bytes have arrived that have not been passed to the listener yet.
-  [[nodiscard]] bool has_unread() const;
+  /// \returns true when nothing has arrived that has not been passed to the listener: neither bytes
+  /// nor the end of the connection.
+  [[nodiscard]] bool quiet() const;
 
  private:
   struct state;
--- a/tests/transport/http1_test.cc
+++ b/tests/transport/http1_test.cc
@@ -366,7 +366,7 @@
 TEST_CASE("an idle connection is reused for the next call") {
   client_fixture caller;
   caller.Start();
-  const raw_socket peer = caller.Answer(kWhole);
+  raw_socket peer = caller.Answer(kWhole);
   REQUIRE(caller.End() == call_outcome::kWhole);
   caller.Start();
   caller.AnswerOn(peer, kWhole);
@@ -391,6 +391,13 @@
     const raw_socket next = caller.Answer(kWhole);
     CHECK(caller.End() == call_outcome::kWhole);
   }
+  SUBCASE("except when its server closed it before the call") {
+    peer.Close();
+    caller.Start();
+    REQUIRE(caller.client.connections_opened() == 2);
+    const raw_socket next = caller.Answer(kWhole);
+    CHECK(caller.End() == call_outcome::kWhole);
+  }
   SUBCASE("except after unsolicited bytes arrived on it") {
     caller.call.reset();
     peer.Write(kWhole);
