Hand out a place in a queue before it can be granted

slot_dispatcher::Enqueue called on_ready before it returned, and its result was then stored over the number of a place that the handler had got. A request that waits again within its grant could not be withdrawn: its handler stayed behind. A request of crew-dispatch can't come to that: its grant is spent on a send or an ending, and neither enqueues it again. A stream whose prefilled prompt expires between the two could.

Enqueue now gives a queued_place, which withdraws its request when it is destroyed, and handlers are called in a later loop iteration only. A reservation that is not expected in time is returned as no place, without a callback. An exchange has one place, and the end of its attempt or of itself drops it, so that no grant reaches an exchange that has ended or sends beside an attempt. A grant is no longer lost to a prefill for which there is no engine.

--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -675,17 +675,21 @@
     OnNoPlace("all engines want quiet");
     return;
   }
-  queue_number_ =
-      settings_.reservations.Enqueue(wanted, {.on_reserved =
-                                                  [this](decode_reservation reservation) {
-                                                    queue_number_ = 0;
-                                                    OnReserved(std::move(reservation));
-                                                  },
-                                              .on_rejected =
-                                                  [this](std::string_view why) {
-                                                    queue_number_ = 0;
-                                                    OnNoPlace(why);
-                                                  }});
+  auto place = settings_.reservations.Enqueue(wanted, {.on_reserved =
+                                                           [this](decode_reservation reservation) {
+                                                             place_ = {};
+                                                             OnReserved(std::move(reservation));
+                                                           },
+                                                       .on_rejected =
+                                                           [this](std::string_view why) {
+                                                             place_ = {};
+                                                             OnNoPlace(why);
+                                                           }});
+  if (!place) {
+    OnNoPlace(kNoSeatInTime);
+    return;
+  }
+  place_ = std::move(*place);
 }
 
 void forward_exchange::OnReserved(decode_reservation reservation) {
@@ -788,7 +792,7 @@
     return;
   }
   const placement wanted = MakePlacement(stage, prefill);
-  const bool granted = std::exchange(slot_granted_, false);
+  const bool granted = !prefill && std::exchange(slot_granted_, false);
   const bool others_wait = !prefill && !granted && settings_.slots.HasWaiting(settings_.service);
   const backend_record* chosen =
       others_wait ? nullptr : context_.selector.Choose(wanted, now, context_.random());
@@ -839,25 +843,24 @@
   const instant now = timer_service::now();
   const instant on_time_until =
       is_retry_ ? instant{} : settings_.received + settings_.route->latency_objective;
-  slot_number_ =
-      settings_.slots.Enqueue({.service = settings_.service,
-                               .priority = settings_.route->priority,
-                               .resumes = AnswerBegun() || settings_.request.resume_after,
-                               .on_time_until = on_time_until,
-                               .latest_start = now + (deadline_.at - now) / kSlotWaitDivisor,
-                               .tried = tried_,
-                               .repeatable = settings_.route->repeatable()},
-                              {.on_ready =
-                                   [this] {
-                                     slot_number_ = 0;
-                                     slot_granted_ = true;
-                                     OnPlaceHeld();
-                                   },
-                               .on_rejected =
-                                   [this](std::string_view why) {
-                                     slot_number_ = 0;
-                                     OnNoPlace(why);
-                                   }});
+  place_ = settings_.slots.Enqueue({.service = settings_.service,
+                                    .priority = settings_.route->priority,
+                                    .resumes = AnswerBegun() || settings_.request.resume_after,
+                                    .on_time_until = on_time_until,
+                                    .latest_start = now + (deadline_.at - now) / kSlotWaitDivisor,
+                                    .tried = tried_,
+                                    .repeatable = settings_.route->repeatable()},
+                                   {.on_ready =
+                                        [this] {
+                                          place_ = {};
+                                          slot_granted_ = true;
+                                          OnPlaceHeld();
+                                        },
+                                    .on_rejected =
+                                        [this](std::string_view why) {
+                                          place_ = {};
+                                          OnNoPlace(why);
+                                        }});
 }
 
 void forward_exchange::OnPlaceHeld() {
@@ -896,6 +899,7 @@
     context_.quarantine.OnTrial(*trial_, timer_service::now());
   }
   const bool prefill = kind == attempt_kind::kPrefill;
+  slot_granted_ = false;
   ++(prefill ? prefills_ : sends_);
   const std::optional<decode_reservation> reservation = prefill ? std::nullopt : TakeReservation();
   attempt_ = std::make_unique<attempt>(*this, kind, backend);
@@ -919,6 +923,8 @@
 
 void forward_exchange::EndAttempt() {
   silence_timer_.Cancel();
+  seeking_ = false;
+  place_ = {};
   attempt_.reset();
 }
 
@@ -983,8 +989,7 @@
 
 void forward_exchange::StopSeeking() {
   if (std::exchange(seeking_, false)) {
-    settings_.reservations.Withdraw(std::exchange(queue_number_, 0));
-    settings_.slots.Withdraw(std::exchange(slot_number_, 0));
+    place_ = {};
   }
 }
 
@@ -1308,8 +1313,6 @@
   EndAttempt();
   deadline_timer_.Cancel();
   stop_timer_.Cancel();
-  settings_.reservations.Withdraw(queue_number_);
-  settings_.slots.Withdraw(slot_number_);
   ReleaseReservation();
   ReleaseHandle();
   const auto took = now - settings_.received;
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -13,6 +13,7 @@
 #include "jacinthspool/routing/next_step.h"
 #include "jacinthspool/routing/request_deadline.h"
 #include "src/gateway/gateway_context.h"
+#include "src/gateway/queued_place.h"
 #include "src/gateway/reservation_dispatcher.h"
 #include "src/gateway/slot_dispatcher.h"
 #include "src/transport/http1_server.h"
@@ -94,6 +95,7 @@
   void OnServeFailed(attempt_failure failure);
   /// \brief Reports the answer time of a plain service to the load shedder.
   void ReportAnswer(microseconds taken);
+  /// \brief Ends the attempt and the search for a replacement.
   void EndAttempt();
   /// \returns How long the attempt's server may be silent before a replacement is sought.
   [[nodiscard]] microseconds SilenceLimit(const attempt& checked) const;
@@ -175,12 +177,12 @@
   backend_record kv_holder_;  ///< The engine that holds it.
   std::string kv_handle_;
   instant kv_until_{};
-  std::uint64_t queue_number_ = 0;  ///< In the admission queue; 0: none.
-  std::uint64_t slot_number_ = 0;   ///< In the slot queue; 0: none.
-  bool slot_granted_ = false;       ///< The slot queue has chosen this request for the next send.
-  bool seeking_ = false;            ///< A replacement for the silent attempt is sought.
-  bool send_paid_ = false;          ///< The next send has been charged to the retry budget.
-  bool limit_reached_ = false;      ///< Rejected because of the servers' request limits.
+  /// In the admission or the slot queue: for the next send, or to replace the silent attempt.
+  queued_place place_;
+  bool slot_granted_ = false;   ///< The slot queue has chosen this request for the next send.
+  bool seeking_ = false;        ///< A replacement for the silent attempt is sought.
+  bool send_paid_ = false;      ///< The next send has been charged to the retry budget.
+  bool limit_reached_ = false;  ///< Rejected because of the servers' request limits.
   std::optional<decode_reservation> reservation_;
   bool is_retry_ = false;  ///< Probably a retry of a rejected request.
   /// Not begun, begun, or ended; each state has only what may follow in it.
--- a/src/gateway/reservation_dispatcher.cc
+++ b/src/gateway/reservation_dispatcher.cc
@@ -112,16 +112,17 @@
   return *capacity->ready + std::chrono::duration_cast<microseconds>(queued) > request.latest_start;
 }
 
-std::uint64_t reservation_dispatcher::Enqueue(reservation_request request, handlers callbacks) {
+std::optional<queued_place> reservation_dispatcher::Enqueue(reservation_request request,
+                                                            handlers callbacks) {
   headroom_.Learn(request);
   const auto number = queue_.Add(std::move(request), timer_service::now());
   if (!number) {
-    callbacks.on_rejected("no seat in time");
-    return 0;
+    return std::nullopt;
   }
   handlers_.emplace(*number, std::move(callbacks));
+  // Starts calls at most: none of them ends before a later loop iteration.
   Dispatch();
-  return *number;
+  return queued_place([this, withdrawn = *number] { Withdraw(withdrawn); });
 }
 
 void reservation_dispatcher::Withdraw(std::uint64_t number) {
@@ -181,7 +182,7 @@
 void reservation_dispatcher::RejectExpired() {
   for (const std::uint64_t number : queue_.Expire(timer_service::now())) {
     if (auto found = handlers_.extract(number)) {
-      found.mapped().on_rejected("no seat in time");
+      found.mapped().on_rejected(kNoSeatInTime);
     }
   }
 }
--- a/src/gateway/reservation_dispatcher.h
+++ b/src/gateway/reservation_dispatcher.h
@@ -5,15 +5,21 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 #include "jacinthspool/routing/admission_queue.h"
 #include "jacinthspool/routing/backend_list.h"
 #include "jacinthspool/routing/memory_headroom.h"
 #include "src/gateway/gateway_context.h"
+#include "src/gateway/queued_place.h"
 
 namespace jacinthspool {
 
+/// Reason of a rejection, for the log.
+inline constexpr std::string_view kNoSeatInTime = "no seat in time";
+
 /// \brief Memory that a decode engine has reserved for one request.
 struct decode_reservation {
   backend_record backend = {};
@@ -40,12 +46,11 @@
   /// its `latest_start`.
   [[nodiscard]] bool IsHopeless(const reservation_request& request, instant now) const;
 
-  /// \brief Enqueues a request; its handlers may run before this returns.
-  /// \returns The number by which it is withdrawn; 0 when it was rejected at once.
-  std::uint64_t Enqueue(reservation_request request, handlers callbacks);
-
-  /// \brief Removes a request; its handlers are not called afterwards.
-  void Withdraw(std::uint64_t number);
+  /// \brief Enqueues a request; one of its handlers is called in a later loop iteration, unless
+  /// its place is destroyed before.
+  /// \returns Nothing when no reservation is expected in time; no handler is called then.
+  [[nodiscard]] std::optional<queued_place> Enqueue(reservation_request request,
+                                                    handlers callbacks);
 
   /// \brief Releases an unused reservation at its engine.
   void Release(const decode_reservation& reservation);
@@ -53,10 +58,11 @@
   /// \brief Called when a request at this backend server has ended and freed memory.
   void OnMemoryFreed(const std::string& backend_id);
 
-  [[nodiscard]] std::size_t waiting() const { return queue_.size(); }
+  [[nodiscard]] std::size_t waiting() const { return handlers_.size(); }
 
  private:
   class reservation_call;
+  void Withdraw(std::uint64_t number);
   void Dispatch();
   bool TryNext(instant now);
   [[nodiscard]] const backend_record* ChooseEngine(const reservation_request& request,
--- a/src/gateway/slot_dispatcher.cc
+++ b/src/gateway/slot_dispatcher.cc
@@ -24,13 +24,13 @@
   return slot_pace{.next = *capacity->ready, .per_second = capacity->per_second};
 }
 
-std::uint64_t slot_dispatcher::Enqueue(slot_request request, handlers callbacks) {
-  const std::string service = request.service;
+queued_place slot_dispatcher::Enqueue(slot_request request, handlers callbacks) {
   const std::uint64_t number = queue_.Add(std::move(request));
   handlers_.emplace(number, std::move(callbacks));
-  Dispatch(service);
-  ScheduleNext();
-  return handlers_.contains(number) ? number : 0;
+  if (!first_pass_.active()) {
+    first_pass_ = context_.timers.After(microseconds(0), [this](instant) { DispatchAll(); });
+  }
+  return queued_place([this, number] { Withdraw(number); });
 }
 
 void slot_dispatcher::Withdraw(std::uint64_t number) {
@@ -75,6 +75,13 @@
   }
 }
 
+void slot_dispatcher::DispatchAll() {
+  for (const std::string& service : queue_.Services()) {
+    Dispatch(service);
+  }
+  ScheduleNext();
+}
+
 void slot_dispatcher::ScheduleNext() {
   const instant now = timer_service::now();
   microseconds wait = kMaxPassInterval;
@@ -89,10 +96,7 @@
   }
   tick_ = context_.timers.After(std::max<microseconds>(wait, kMinPassInterval), [this](instant) {
     tick_ = {};
-    for (const std::string& service : queue_.Services()) {
-      Dispatch(service);
-    }
-    ScheduleNext();
+    DispatchAll();
   });
 }
 
--- a/src/gateway/slot_dispatcher.h
+++ b/src/gateway/slot_dispatcher.h
@@ -10,6 +10,7 @@
 
 #include "jacinthspool/routing/slot_queue.h"
 #include "src/gateway/gateway_context.h"
+#include "src/gateway/queued_place.h"
 
 namespace jacinthspool {
 
@@ -26,10 +27,9 @@
 
   explicit slot_dispatcher(gateway_context& context) : context_(context), queue_({}) {}
 
-  /// \brief Enqueues a request; its handlers may run before this returns.
-  /// \returns The number by which it is withdrawn; 0 when it has left the queue already.
-  std::uint64_t Enqueue(slot_request request, handlers callbacks);
-  void Withdraw(std::uint64_t number);
+  /// \brief Enqueues a request; one of its handlers is called in a later loop iteration, unless
+  /// its place is destroyed before.
+  [[nodiscard]] queued_place Enqueue(slot_request request, handlers callbacks);
 
   [[nodiscard]] bool HasWaiting(std::string_view service) const {
     return queue_.Waiting(service) > 0;
@@ -39,7 +39,11 @@
   /// service delay it.
   [[nodiscard]] std::optional<instant> ReserveReturn(const std::string& service, instant now);
 
+  [[nodiscard]] std::size_t waiting() const { return handlers_.size(); }
+
  private:
+  void Withdraw(std::uint64_t number);
+  void DispatchAll();
   void Dispatch(const std::string& service);
   void ScheduleNext();
   [[nodiscard]] std::optional<slot_pace> Pace(std::string_view service, instant now) const;
@@ -47,6 +51,7 @@
   gateway_context& context_;
   slot_queue queue_;
   std::map<std::uint64_t, handlers> handlers_;
+  timer_subscription first_pass_;  ///< Over the requests that have just been enqueued.
   timer_subscription tick_;
 };
 
