Destroy a call before it is reported as not answered in time

Callers whose reservation got no answer within 250 ms saw their request reserved at another engine, while the first call could still be sent or answered: the engine kept memory that nobody used until it expired (1.5 s), and its reply was dropped without a line.

Both ended by their own timer and destroyed the call in a later iteration only, whose sockets come first. The call is now destroyed before its end is reported, as in background_call, which closes its socket. No other class of src/gateway ends a call by its own timer (the timers were read one by one).

late_hold_test: all three cases failed before (the request was sent after its end, twice; the connection stayed open, once) and pass now.

--- a/src/gateway/reservation_dispatcher.cc
+++ b/src/gateway/reservation_dispatcher.cc
@@ -47,6 +47,7 @@
          .max_body_bytes = kMaxReplyBytes},
         *this);
     timeout_ = context.timers.After(kReservationTimeout, [this](instant /*now*/) {
+      call_.reset();
       OnEnd(call_outcome::kLost, "no answer in time");
     });
   }
--- a/src/gateway/snapshot_query.cc
+++ b/src/gateway/snapshot_query.cc
@@ -32,8 +32,10 @@
                                   .connect_timeout = kAnswerTimeout,
                                   .max_body_bytes = kMaxSnapshotBytes},
                                  *this);
-  timeout_ = settings_.timers.After(
-      kAnswerTimeout, [this](instant /*now*/) { OnEnd(call_outcome::kLost, "no answer in time"); });
+  timeout_ = settings_.timers.After(kAnswerTimeout, [this](instant /*now*/) {
+    call_.reset();
+    OnEnd(call_outcome::kLost, "no answer in time");
+  });
 }
 
 head_action snapshot_query::OnHead(const http1_head& head) {
