Play standstills of gateways beside unanswered openings in the soak

Cause: the soak stopped gateways, but no server left an opening of a connection unanswered, so no connection was established while its gateway stood still. New faults: openings that a server does not answer for 0.3 to 1.2 s, bytes held back for as long, standstills of 0.3 to 2 s soon after connections began (once or twice in a row, with SIGHUP or SIGTERM at the end), routes' timeouts of 0.4 to 3 s. 'Not run' is now checked for 408 and 421 too, and for each answer whose head was read.

--- a/tests/process/relay.cc
+++ b/tests/process/relay.cc
@@ -5,7 +5,10 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <event2/util.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <array>
 #include <cstdint>
 #include <list>
 #include <utility>
@@ -13,6 +16,8 @@
 namespace jacinthspool::testing {
 namespace {
 
+constexpr int kBacklog = 128;
+
 sockaddr_in Parse(const std::string& address) {
   sockaddr_in parsed{};
   int length = sizeof(parsed);
@@ -37,8 +42,11 @@
   bool cut = false;
   bool requests_stalled = false;
   bool replies_stalled = false;
+  std::array<int, 2> fillers{-1, -1};  ///< They keep the queue of new connections full.
 
   void Accept(evutil_socket_t descriptor);
+  void FillQueue();
+  void EmptyQueue();
   void Close(link& closed);
   void Apply(link& each) const;
   void ApplyAll() {
@@ -92,6 +100,29 @@
   Apply(added);
 }
 
+void relay::state::FillQueue() {
+  evconnlistener_disable(listener);
+  listen(evconnlistener_get_fd(listener), 0);
+  const sockaddr_in at = Parse(address);
+  for (int& filler : fillers) {
+    if (filler < 0) {
+      filler = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+      (void)connect(filler, reinterpret_cast<const sockaddr*>(&at), sizeof(at));
+    }
+  }
+}
+
+void relay::state::EmptyQueue() {
+  if (fillers.front() < 0) {
+    return;
+  }
+  for (int& filler : fillers) {
+    close(std::exchange(filler, -1));
+  }
+  listen(evconnlistener_get_fd(listener), kBacklog);
+  evconnlistener_enable(listener);
+}
+
 void relay::state::Apply(link& each) const {
   (requests_stalled ? bufferevent_disable : bufferevent_enable)(each.caller, EV_READ);
   (replies_stalled ? bufferevent_disable : bufferevent_enable)(each.target, EV_READ);
@@ -116,6 +147,7 @@
 
 relay::~relay() {
   Cut();
+  state_->EmptyQueue();
   evconnlistener_free(state_->listener);
 }
 
@@ -146,7 +178,10 @@
   state_->ApplyAll();
 }
 
+void relay::IgnoreOpenings() { state_->FillQueue(); }
+
 void relay::Heal() {
+  state_->EmptyQueue();
   state_->cut = false;
   state_->requests_stalled = false;
   state_->replies_stalled = false;
--- a/tests/process/relay.h
+++ b/tests/process/relay.h
@@ -32,7 +32,12 @@
   /// \brief Stops forwarding from the caller; bytes of the target are forwarded.
   void StallRequests();
 
-  /// \brief Ends a cut or a stall; bytes that were held back are forwarded.
+  /// \brief Answers no opening of a connection, as a server whose queue of new connections is full.
+  ///
+  /// A caller's kernel repeats the opening after a second.
+  void IgnoreOpenings();
+
+  /// \brief Ends a cut, a stall or an ignoring; bytes that were held back are forwarded.
   void Heal();
 
  private:
--- a/tests/soak/server_standin.cc
+++ b/tests/soak/server_standin.cc
@@ -217,6 +217,8 @@
     return;
   }
   ++seen.runs;
+  const std::chrono::duration<double> at = last_arrival_ - settings_.started;
+  seen.ran_at += " " + settings_.id + " at " + std::to_string(at.count());
   if (behaviour_ == behaviour::kFailing) {
     SendWhenAwake([this, id, answer] {
       answer->Reply(http_status::kInternalServerError, ResponseHeaders(id), "failed");
--- a/tests/soak/server_standin.h
+++ b/tests/soak/server_standin.h
@@ -25,6 +25,7 @@
     int arrivals = 0;           ///< Number of times that a server received the request to run it.
     int accepted_prefills = 0;  ///< The first is not charged to the retry budget.
     int rejected_prefills = 0;
+    std::string ran_at;  ///< The server and time of each run.
   };
   std::map<std::string, entry> requests;
   std::set<std::string> kv_handles;  ///< KV caches that can be read, once each.
@@ -53,6 +54,7 @@
     run_record& record;
     std::string id;
     role kind = role::kPlain;
+    instant started{};  ///< Times of runs are told from here.
     /// \returns The gateway that sent the caller's request of that id; empty: unknown.
     std::function<std::string(const std::string& id)> gateway_of;
     /// Called when gateways that know the server's limit exceed it.
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -61,6 +61,19 @@
 constexpr milliseconds kShortestPause = milliseconds(300);
 constexpr milliseconds kLongestPause = milliseconds(2500);
 constexpr milliseconds kMeanPauseInterval = milliseconds(400);  ///< Mean time between two pauses.
+// Standstills of gateways, beside servers and links that are silent.
+constexpr milliseconds kShortestStandstill = milliseconds(300);
+constexpr milliseconds kLongestStandstill = milliseconds(2000);
+constexpr milliseconds kLongestSecondStandstill = milliseconds(1000);
+constexpr milliseconds kLongestSilence = milliseconds(1200);
+/// A standstill begins within this time after connections began, or within that of the next.
+constexpr milliseconds kSoonAfterOpening = milliseconds(50);
+constexpr milliseconds kLateAfterOpening = milliseconds(400);
+constexpr milliseconds kMeanStandstillInterval = milliseconds(1000);
+/// Callers of one gateway at once, so that new connections are opened.
+constexpr int kBurst = 6;
+constexpr milliseconds kShortestTimeout = milliseconds(400);
+constexpr milliseconds kLongestTimeout = milliseconds(3000);
 constexpr double kDisconnectShare = 0.1;  ///< Share of the callers that disconnect early.
 
 /// One gateway and the state of its process.
@@ -156,6 +169,7 @@
         fault_random_(options.seed),
         limit_random_(options.seed),
         pause_random_(options.seed),
+        standstill_random_(options.seed),
         client_({.loop = environment_.loop(), .timers = environment_.timers()}),
         store_(environment_.loop(), environment_.timers()) {}
 
@@ -206,6 +220,9 @@
   void InjectLimitChange();
   void LiftLimits();
   void InjectPause();
+  void InjectStandstill();
+  void Silence(server_slot& slot, double manner, milliseconds length);
+  void StandStill(gateway_slot& slot, milliseconds length, std::function<void()> then);
   /// \brief The limits do not bind the gateway until it has been undisturbed for a while.
   void ExcuseFromLimits(const gateway_slot& slot);
   void CheckProcesses();
@@ -224,7 +241,8 @@
   std::mt19937_64 fault_random_;
   std::mt19937_64
       limit_random_;  ///< For the servers' limits, so that the other faults stay the same.
-  std::mt19937_64 pause_random_;  ///< For the servers' pauses, likewise.
+  std::mt19937_64 pause_random_;       ///< For the servers' pauses, likewise.
+  std::mt19937_64 standstill_random_;  ///< For standstills and what is beside them, likewise.
   std::uint64_t faults_injected_ = 0;
   test_environment environment_;
   http1_client client_;
@@ -243,7 +261,8 @@
   instant started_at_ = timer_service::now();
   std::vector<std::string> routes_ = {"/once/", "/again/", "/stream/", "/brittle/"};
   std::uint64_t version_ = 3;
-  instant store_disturbed_{};   ///< End of the last fault of the store.
+  milliseconds plain_timeout_ = kPlainDeadline;  ///< Of the routes without streams.
+  instant store_disturbed_{};                    ///< End of the last fault of the store.
   instant server_disturbed_{};  ///< End of the last fault of any backend server or its link.
   bool traffic_ended_ = false;
 };
@@ -265,6 +284,7 @@
                               .record = record_,
                               .id = "i-" + std::to_string(servers_.size()),
                               .kind = kind,
+                              .started = started_at_,
                               .gateway_of =
                                   [this](const std::string& id) {
                                     const auto sender = senders_.find(id);
@@ -310,7 +330,7 @@
                                : path == "/once/" ? "non_idempotent"
                                                   : "idempotent"},
                       {"attempts", 2},
-                      {"timeoutMs", streams ? kStreamDeadline.count() : kPlainDeadline.count()},
+                      {"timeoutMs", (streams ? kStreamDeadline : plain_timeout_).count()},
                       {"goalMs", 300},
                       {"service", streams ? "model" : "plain"},
                       {"resumable", path == "/stream/"}});
@@ -729,6 +749,111 @@
            [this] { InjectPause(); });
 }
 
+void soak::StandStill(gateway_slot& slot, milliseconds length, std::function<void()> then) {
+  slot.paused = true;
+  slot.last_disturbed = timer_service::now();
+  slot.process->Signal(SIGSTOP);
+  Schedule(length, [this, &slot, then = std::move(then)] {
+    slot.last_disturbed = timer_service::now();
+    slot.paused = false;
+    ExcuseFromLimits(slot);
+    if (slot.process) {
+      slot.process->Signal(SIGCONT);
+      then();
+    }
+  });
+}
+
+void soak::Silence(server_slot& slot, double manner, milliseconds length) {
+  relay& link = *slot.link;
+  RecordFault(manner < 0.8 ? "openings unanswered" : "bytes held back",
+              slot.server->id() + " " + std::to_string(manner) + " " +
+                  std::to_string(length.count()) + " ms");
+  server_disturbed_ = std::max(server_disturbed_, timer_service::now() + length);
+  slot.server->rule().Suspend(timer_service::now() + length + kLinkSettleTime);
+  if (manner < 0.4) {
+    link.Cut();
+  } else if (manner >= 0.5) {
+    link.Stall();
+  }
+  if (manner < 0.8) {
+    link.IgnoreOpenings();
+  }
+  Schedule(length, [&link] { link.Heal(); });
+}
+
+/// A gateway stands still, once or twice in a row, soon after it has begun to open connections, of
+/// which some are to a server that answers no opening. The kernel repeats an opening after a
+/// second, so it may be answered while the gateway stands still.
+void soak::InjectStandstill() {
+  if (traffic_ended_) {
+    return;
+  }
+  std::mt19937_64& random = standstill_random_;
+  std::vector<server_slot*> chosen;
+  const bool any = Draw(random) < 0.2;
+  for (const auto& slot : servers_) {
+    if (slot->draining_since == instant{} && (any || slot->service == "plain")) {
+      chosen.push_back(slot.get());
+    }
+  }
+  gateway_slot& gateway = *gateways_[random() % gateways_.size()];
+  server_slot& server = *chosen[random() % chosen.size()];
+  const double manner = Draw(random);
+  const milliseconds silence = DrawTime(random, kShortestStandstill, kLongestSilence);
+  const milliseconds delay =
+      DrawTime(random, milliseconds(0), Draw(random) < 0.5 ? kSoonAfterOpening : kLateAfterOpening);
+  const milliseconds length = DrawTime(random, kShortestStandstill, kLongestStandstill);
+  const bool again = Draw(random) < 0.3;
+  const milliseconds awake = DrawTime(random, milliseconds(0), kSoonAfterOpening);
+  const milliseconds second = DrawTime(random, kShortestStandstill, kLongestSecondStandstill);
+  const int signal = Draw(random) < 0.2 ? SIGHUP : Draw(random) < 0.2 ? SIGTERM : 0;
+  const milliseconds timeout = DrawTime(random, kShortestTimeout, kLongestTimeout);
+  if (Draw(random) < 0.5) {
+    plain_timeout_ = timeout;
+    RecordFault("timeouts changed", std::to_string(timeout.count()) + " ms");
+    PublishConfiguration();
+  }
+  Silence(server, manner, silence);
+  const auto can_stop = [this, &gateway] {
+    return gateway.process && !gateway.process->ExitCode() && !gateway.stopping() &&
+           !gateway.paused && timer_service::now() - gateway.started > kStartTime;
+  };
+  if (can_stop()) {
+    for (int i = 0; i < kBurst; ++i) {
+      SendRequest(request_class::kNonIdempotent, gateway, PathOf(request_class::kNonIdempotent));
+    }
+  }
+  const auto end = [this, &gateway, signal] {
+    if (signal == SIGTERM) {
+      StopGateway(gateway);
+    } else if (signal != 0) {
+      gateway.process->Signal(signal);
+    }
+  };
+  Schedule(delay, [=, this, &gateway] {
+    if (!can_stop()) {
+      return;
+    }
+    RecordFault(again ? "gateway stands still twice" : "gateway stands still",
+                gateway.name + " " + std::to_string(length.count()) + " ms, signal " +
+                    std::to_string(signal));
+    StandStill(gateway, length, [=, this, &gateway] {
+      if (!again) {
+        end();
+        return;
+      }
+      Schedule(awake, [=, this, &gateway] {
+        if (can_stop()) {
+          StandStill(gateway, second, end);
+        }
+      });
+    });
+  });
+  Schedule(DrawTime(random, milliseconds(300), 2 * kMeanStandstillInterval),
+           [this] { InjectStandstill(); });
+}
+
 void soak::LiftLimits() {
   for (const auto& slot : servers_) {
     slot->server->SetLimit(std::nullopt);
@@ -823,11 +948,15 @@
         each->kind == request_class::kNonIdempotent || each->kind == request_class::kStream;
     if (once && seen.runs > 1) {
       ReportViolation("non-idempotent requests run at most once",
-                      each->id + " ran " + std::to_string(seen.runs) + " times");
+                      each->id + " at " + each->gateway.name + " ran" + seen.ran_at);
     }
-    if (whole && (each->status == 503 || each->status == 429) && seen.runs > 0) {
+    // No end of the answer and no fault excuses it: the caller has read the promise.
+    const bool refused =
+        each->status == 503 || each->status == 429 || each->status == 408 || each->status == 421;
+    if (refused && seen.runs > 0) {
       ReportViolation("a request that is answered with 'not run' has not run",
-                      each->id + " ran " + std::to_string(seen.runs) + " times");
+                      each->id + " at " + each->gateway.name + " got " +
+                          std::to_string(each->status) + " and ran" + seen.ran_at);
     }
   }
   for (const auto& slot : servers_) {
@@ -868,6 +997,7 @@
     }
   }
   routes_.push_back("/probe" + std::to_string(version_) + "/");
+  plain_timeout_ = kPlainDeadline;
   PublishConfiguration();
   environment_.Elapse(std::max(kDrainBound, kConfigurationBound));
   const instant drained_at = timer_service::now();
@@ -907,6 +1037,9 @@
   servers_.front()->server->SetLimit(kFirstLimit);
   InjectLimitChange();
   InjectPause();
+  if (options_.gateways_stand_still) {
+    InjectStandstill();
+  }
   environment_.Elapse(options_.traffic_duration);
   traffic_ended_ = true;
   LiftLimits();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -20,6 +20,9 @@
   /// Backend servers pause and go on, but neither fail nor lose their links. Nothing then excuses
   /// an answer that ends early.
   bool servers_only_pause = false;
+  /// Gateways stand still and go on while servers answer no opening of a connection or links hold
+  /// bytes back, and routes' timeouts change. Random faults go on beside them.
+  bool gateways_stand_still = false;
   std::string log_folder = {};  ///< Receives the processes' logs after a violation; empty for none.
 };
 
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -13,6 +13,8 @@
 constexpr std::uint64_t kSeeds[] = {1, 104};
 /// Seeds in which no server fails.
 constexpr std::uint64_t kPauseSeeds[] = {1};
+/// Seeds in which gateways stand still while their connections to servers are opened.
+constexpr std::uint64_t kStandstillSeeds[] = {1};
 
 void RunAndCheck(const soak_options& options) {
   const soak_report report = RunSoak(options);
@@ -44,15 +46,22 @@
   }
 }
 
+TEST_CASE("no request runs twice or after its refusal because its gateway stood still") {
+  for (const std::uint64_t seed : kStandstillSeeds) {
+    RunAndCheck({.seed = seed, .gateways_stand_still = true});
+  }
+}
+
 /// For manual runs: SOAK_SEEDS="FIRST COUNT SECONDS GATEWAYS" runs more seeds, for longer and with
 /// more gateways; SOAK_LOGS names a folder for the logs of failed seeds. With SOAK_ONLY_PAUSE no
-/// server fails.
+/// server fails, and with it or SOAK_NO_STANDSTILL no gateway stands still as connections open.
 TEST_CASE("additional seeds from SOAK_SEEDS") {
   const char* requested = std::getenv("SOAK_SEEDS");
   if (requested == nullptr) {
     return;
   }
   const char* logs = std::getenv("SOAK_LOGS");
+  const bool only_pause = std::getenv("SOAK_ONLY_PAUSE") != nullptr;
   std::istringstream text(requested);
   std::uint64_t first = 1;
   std::uint64_t count = 1;
@@ -60,11 +69,13 @@
   int gateways = 3;
   text >> first >> count >> length >> gateways;
   for (std::uint64_t seed = first; seed < first + count; ++seed) {
-    RunAndCheck({.seed = seed,
-                 .traffic_duration = seconds(length),
-                 .gateways = gateways,
-                 .servers_only_pause = std::getenv("SOAK_ONLY_PAUSE") != nullptr,
-                 .log_folder = logs == nullptr ? "" : logs});
+    RunAndCheck(
+        {.seed = seed,
+         .traffic_duration = seconds(length),
+         .gateways = gateways,
+         .servers_only_pause = only_pause,
+         .gateways_stand_still = !only_pause && std::getenv("SOAK_NO_STANDSTILL") == nullptr,
+         .log_folder = logs == nullptr ? "" : logs});
   }
 }
 
