Start timers from the present time

Cause: libevent counts a delay from the time at which the loop iteration began. After a standstill of 400 ms within an iteration, the connect timer of a request that the same iteration starts is due at once. The fix: a timer updates the loop's time when it starts. The test, a delay of 50 ms started late in an iteration, fired after 1 ms before.

--- a/src/transport/timer_service.cc
+++ b/src/transport/timer_service.cc
@@ -32,6 +32,8 @@
     timer->action = std::make_shared<timer_service::callback>(std::move(action));
     timer->source = event_new(loop.base(), -1, repeats ? EV_PERSIST : 0, &state::Fire, timer.get());
     const timeval wait = ToTimeval(delay);
+    // The loop counts a delay from its last look at the clock, which may be long ago.
+    event_base_update_cache_time(loop.base());
     event_add(timer->source, &wait);
     return timer;
   }
