Send nothing of a call of the evhttp client after it was cancelled

What callers saw: nothing yet; found by going through every place that lets go of a connection. An agent that released an order could still send its request. Cause: a cancelled call's connection is freed by an action posted for later, since evhttp can't free it within its callbacks. Sockets come first, so a call that was cancelled while connecting, or before its bytes were written to a kept connection, was still sent whole. The fix: the socket is shut down when the call is cancelled, and the connection is freed later as before. A call that is reported as never sent was already final: evhttp closes its socket before it reports the failure. Evidence: http_call_end_test, 2 of 3 sections failed before (cancelled while connecting, and on a kept connection) and pass; the third (never sent, with a connection that the kernel could establish only later) passed before too. transport_test 34 cases pass.

--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -5,6 +5,7 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <sys/queue.h>
+#include <sys/socket.h>
 
 #include <unordered_set>
 #include <utility>
@@ -156,6 +157,10 @@
 void running_call::Cancel() {
   ended = true;
   reusable = false;
+  if (connection != nullptr) {
+    // The connection is freed in a later loop iteration; nothing is sent until then.
+    shutdown(bufferevent_getfd(evhttp_connection_get_bufferevent(connection.get())), SHUT_RDWR);
+  }
   loop.Post([self = shared_from_this()] {
     self->Unwatch();
     self->connection.reset();
