Answer a request that was passed on however much its caller pipelines

Cause: the limit for reading ahead was kept by closing the connection. The fix: reading pauses at the limit and goes on once the request is answered; flow control slows the caller down. A caller that leaves meanwhile is noticed when its answer is written, or at the request's deadline. Also: a connection that is closed for its idle time with the end of an answer still queued drops that queue at once; before, it was flushed once more after the server had let go of it. With an empty queue the socket stays open, unread, until the end of the loop iteration as before: closing it at once was tried and made 'a request that arrives while its idle connection is being closed stays unread' fail, since the caller then sees an orderly close and not a reset.

--- a/src/transport/http1_server.cc
+++ b/src/transport/http1_server.cc
@@ -99,13 +99,10 @@
       BecomeIdle();
     }
     reader_.Feed({reinterpret_cast<const char*>(bytes.data()), bytes.size()});
-    if (answering_) {
-      if (reader_.buffered() > kMaxReadAheadBytes) {
-        HandleCallerGone();
-      }
-      return;
+    if (!answering_) {
+      ReadRequests();
     }
-    ReadRequests();
+    LimitReadAhead();
   }
 
   void OnDrained() override {
@@ -219,6 +216,15 @@
     stream_.Flush();
   }
 
+  /// Reads no further than the limit while a request is being answered. Closing the connection
+  /// instead would reset it, and its caller could take the request in progress as unread.
+  void LimitReadAhead() {
+    const bool full = answering_ && reader_.buffered() > kMaxReadAheadBytes;
+    if (std::exchange(reading_paused_, full) != full) {
+      stream_.PauseReading(full);
+    }
+  }
+
   void ReadRequests() {
     while (!answering_ && !closing_ && !retired_) {
       http1_event found = reader_.Read();
@@ -262,6 +268,7 @@
     if (retired_) {
       return;
     }
+    LimitReadAhead();
     if (close_) {
       closing_ = true;
       if (stream_.queued_bytes() == 0) {
@@ -293,9 +300,13 @@
       return;
     }
     retired_ = true;
-    // A request that arrives now must stay unread, so that its caller sees a reset.
+    if (stream_.queued_bytes() > 0) {
+      stream_.Close();
+    }
+    // Otherwise nothing is left to write. A request that arrives in this loop iteration must stay
+    // unread, so that its caller sees a reset instead of an orderly close.
     stream_.PauseReading(true);
-    const auto self = weak_from_this().lock();
+    const auto self = shared_from_this();
     owner_->connections.erase(self);
     owner_->settings.loop.Post([self] {});
   }
@@ -313,6 +324,7 @@
   bool head_request_ = false;
   bool close_ = false;
   bool closing_ = false;
+  bool reading_paused_ = false;
   bool retired_ = false;
 };
 
