--- a/tests/transport/http_caller_end_test.cc
+++ b/tests/transport/http_caller_end_test.cc
@@ -98,17 +98,18 @@
   edge.caller.Write(Post("/1", 0));
   REQUIRE(edge.Wait([&] { return edge.answers.size() == 1; }));
   edge.answers.front()->OnCallerDisconnected([&] { gone = true; });
-  const std::string next = Post("/2", kMuchPipelinedBytes);
+  const std::string following = Post("/2", kMuchPipelinedBytes);
+  const std::string_view next = following;
   std::size_t written = 0;
   const instant begun = timer_service::now();
   edge.Wait([&] {
-    written += edge.WriteSome(std::string_view(next).substr(written));
+    written += edge.WriteSome(next.substr(written));
     return timer_service::now() - begun > milliseconds(200);
   });
   CHECK_FALSE(gone);
   edge.answers.front()->Reply(200, {}, "first");
   CHECK(edge.Wait([&] {
-    written += edge.WriteSome(std::string_view(next).substr(written));
+    written += edge.WriteSome(next.substr(written));
     return gone || edge.answers.size() == 2;
   }));
   CHECK(edge.received.ends_with("first"));
