--- a/src/transport/http1_server.cc
+++ b/src/transport/http1_server.cc
@@ -306,7 +306,7 @@
     // Otherwise nothing is left to write. A request that arrives in this loop iteration must stay
     // unread, so that its caller sees a reset instead of an orderly close.
     stream_.PauseReading(true);
-    const auto self = shared_from_this();
+    const auto self = weak_from_this().lock();
     owner_->connections.erase(self);
     owner_->settings.loop.Post([self] {});
   }
