Send a request to one address once on a kept connection

What callers saw: a request that must run once ran at two servers, where an address was listed under an old and a new server's id, the first send was answered 421, and a late copy of that reply came on the kept connection. Cause: whether two sends of one request could share a connection was decided by the servers' ids, but connections are kept by address. It is decided by the addresses to which the request has been sent. Evidence: not_run_claims_test 'a copy of a refusal is not believed when its server is listed under a second name' saw 2 runs before, 1 now.

--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -275,8 +275,9 @@
 
  private:
   /// \returns true when an earlier reply on a kept connection could not be told from this one's.
-  [[nodiscard]] bool NeedsNewConnection() const {
-    const bool same_id = owner_.tried_.contains(backend_.id) || owner_.kv_holder_.id == backend_.id;
+  [[nodiscard]] bool NeedsNewConnection() {
+    // Connections are kept by address, which the records of several servers may have.
+    const bool same_id = !owner_.addresses_.insert(backend_.address).second;
     return same_id || owner_.settings_.request.id.empty();
   }
 
