Keep what became of the last send for the request's log line

The line of a request that was refused after an unsent send named no server and no connection, since the attempt had ended before; and a connection that carried another call by then had lost its moments.

--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -224,6 +224,7 @@
 
   void OnEnd(call_outcome end, const std::string& reason) override {
     const auto owner = owner_.shared_from_this();
+    ended_trace_ = call_->trace();
     owner->StopSeeking();
     if (end == call_outcome::kWhole) {
       OnWhole();
@@ -271,7 +272,9 @@
   }
 
   /// \returns What was sent; nothing before the call has started.
-  [[nodiscard]] send_trace trace() const { return call_ ? call_->trace() : send_trace(); }
+  [[nodiscard]] send_trace trace() const {
+    return ended_trace_ ? *ended_trace_ : call_ ? call_->trace() : send_trace();
+  }
 
  private:
   /// \returns true when an earlier reply on a kept connection could not be told from this one's.
@@ -461,6 +464,7 @@
   bool silence_reported_ = false;
   std::uint64_t event_count_ = 0;  ///< Events received in this attempt, comments excluded.
   std::unique_ptr<http1_call> call_;
+  std::optional<send_trace> ended_trace_;  ///< Kept: another call may follow on the connection.
 };
 
 forward_exchange::forward_exchange(options settings)
@@ -926,6 +930,10 @@
   silence_timer_.Cancel();
   seeking_ = false;
   place_ = {};
+  if (attempt_) {
+    last_backend_ = attempt_->backend().id;
+    last_send_ = attempt_->trace();
+  }
   attempt_.reset();
 }
 
@@ -1309,8 +1317,6 @@
   }
   const auto self = shared_from_this();
   const instant now = timer_service::now();
-  const std::string last = attempt_ ? attempt_->backend().id : "";
-  const send_trace last_send = attempt_ ? attempt_->trace() : send_trace();
   EndAttempt();
   deadline_timer_.Cancel();
   stop_timer_.Cancel();
@@ -1323,7 +1329,7 @@
       {"service", settings_.service},
       {"outcome", outcome},
       {"why", why},
-      {"backend", last},
+      {"backend", last_backend_},
       {"sends", sends_},
       {"prefills", prefills_},
       {"runs", runs_},
@@ -1342,7 +1348,7 @@
       {"events", last_event_.value_or(0)},
       {"configuration_at_start", first_configuration_},
       {"configuration", context_.routes.configuration()->version}};
-  AddTrace(fields, last_send);
+  AddTrace(fields, last_send_);
   Log(log_level::kInfo, "request", std::move(fields));
   context_.metrics.Count("gateway_requests", {{"outcome", std::string(outcome)}});
   context_.metrics.Observe("gateway_request_time", {{"outcome", std::string(outcome)}}, took);
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -165,7 +165,9 @@
   timer_subscription silence_timer_;
   timer_subscription stop_timer_;
   std::set<std::string> tried_;
-  std::set<std::string> addresses_;  ///< To which the request has been sent.
+  std::set<std::string> addresses_;      ///< To which the request has been sent.
+  std::string last_backend_;             ///< Of the attempt before the present one.
+  send_trace last_send_;                 ///< Likewise.
   std::vector<crash_suspect> suspects_;  ///< What a server could end of: its parts, and itself.
   /// Sent once to show whether the verdict on it still holds.
   std::optional<crash_suspect> trial_;
