--- a/src/transport/http1_client.cc
+++ b/src/transport/http1_client.cc
@@ -91,8 +91,10 @@
   void Drop(connection& dropped);
 };
 
-/// A connection and the call on it. A method that calls the listener may find it destroyed or
-/// closed afterwards.
+/// A connection and the call on it.
+///
+/// The listener may destroy its call and start others whenever it is called, so the state of the
+/// connection is looked up again afterwards.
 class http1_client::connection : public tcp_listener,
                                  public std::enable_shared_from_this<connection> {
  public:
