Close streams and connections without a call that may throw

clang-tidy: an assignment of an alternative to a variant may throw, and both are closed in destructors; the whole variant is assigned, which does not.

--- a/src/transport/http1_client.cc
+++ b/src/transport/http1_client.cc
@@ -44,8 +44,8 @@
 };
 /// The call on a connection, and how far its reply has come.
 struct running_call {
-  explicit running_call(http1_call_listener& the_listener) : listener(the_listener) {}
-  http1_call_listener& listener;
+  explicit running_call(http1_call_listener& the_listener) : listener(&the_listener) {}
+  http1_call_listener* listener;
   timer_subscription connect_timeout = {};
   bool reply_began = false;
   bool body_began = false;
@@ -57,6 +57,7 @@
 };
 /// Its socket is closed.
 struct closed_connection {};
+using connection_phase = std::variant<idle_connection, running_call, closed_connection>;
 
 }  // namespace
 
@@ -167,7 +168,7 @@
   /// Closes the socket; what the kernel has not taken yet is never sent.
   void Close() {
     stream_.Close();
-    phase_ = closed_connection();
+    phase_ = connection_phase(closed_connection());
   }
 
   void OnConnected() override {
@@ -265,7 +266,7 @@
       return;
     }
     const std::uint64_t number = call_number_;
-    const head_action verdict = call.listener.OnHead(head);
+    const head_action verdict = call.listener->OnHead(head);
     if (!Running(number)) {
       return;
     }
@@ -296,7 +297,7 @@
   void Take(running_call& call, const http1_body& body) {
     if (!call.skipping) {
       call.body_began = call.body_began || !body.bytes.empty();
-      call.listener.OnBody(body.bytes);
+      call.listener->OnBody(body.bytes);
     }
   }
 
@@ -312,10 +313,10 @@
       End(call_outcome::kWhole, "");
       return;
     }
-    http1_call_listener& listener = call.listener;
+    http1_call_listener* listener = call.listener;
     phase_ = idle_connection{.since = timer_service::now()};
     owner_->Keep(shared_from_this());
-    listener.OnEnd(call_outcome::kWhole, "");
+    listener->OnEnd(call_outcome::kWhole, "");
   }
 
   void Take(running_call& /*call*/, const http1_fault& /*event*/) {
@@ -325,8 +326,8 @@
   /// Closes the connection, then reports the end of its call if one is running.
   void End(call_outcome end, const std::string& reason) {
     const auto self = shared_from_this();
-    auto* call = std::get_if<running_call>(&phase_);
-    http1_call_listener* listener = call != nullptr ? &call->listener : nullptr;
+    const auto* call = std::get_if<running_call>(&phase_);
+    http1_call_listener* listener = call != nullptr ? call->listener : nullptr;
     Retire();
     if (listener != nullptr) {
       listener->OnEnd(end, reason);
@@ -344,7 +345,7 @@
   std::string address_;
   http1_reader reader_;
   tcp_stream stream_;
-  std::variant<idle_connection, running_call, closed_connection> phase_;
+  connection_phase phase_;
   std::uint64_t call_number_ = 0;
   std::string request_;  ///< Id of the newest call's request.
   send_trace trace_;     ///< Of the newest call.
--- a/src/transport/tcp_stream.cc
+++ b/src/transport/tcp_stream.cc
@@ -93,6 +93,7 @@
 struct connecting : open_socket {};
 struct connected : open_socket {};
 struct closed_socket {};
+using stream_phase = std::variant<connecting, connected, closed_socket>;
 
 }  // namespace
 
@@ -100,7 +101,7 @@
   event_loop& loop;
   tcp_listener& listener;  ///< Once the stream is closed, called at most to report its end.
   tcp_options options;
-  std::variant<connecting, connected, closed_socket> phase;
+  stream_phase phase;
   bool paused = false;
 
   state(event_loop& the_loop, tcp_listener& the_listener, const tcp_options& the_options)
@@ -120,7 +121,7 @@
                       phase);
   }
 
-  void Close() { phase = closed_socket(); }
+  void Close() { phase = stream_phase(closed_socket()); }
 
   void Fail(const std::string& reason) {
     Close();
