Take an order's fencing token from a read of the store made for it

Cause: the token was the position of the list that a random gateway had sent. Within a process it only rises; after a restart it is that of any gateway, and gateways with equal lists have different positions, since each has the store's revision at its own first read.

Now the sidecar asks a gateway to read the engine's record from the store (/jacinthspool/record) and takes the store's position at that read. The store's answers are linearizable and its revision never falls within an era, so a read that begins after an earlier order gives no lower number, whichever process and gateway ask. stage_orders decides: no order without the read, with a record that differs from the list, at a lower position than this process's last order, or within 3 s of the start. One call to the store an order is the price.

--- a/include/jacinthspool/jacinthspool.h
+++ b/include/jacinthspool/jacinthspool.h
@@ -52,6 +52,7 @@
 #include "jacinthspool/routing/route_table.h"
 #include "jacinthspool/routing/send_limiter.h"
 #include "jacinthspool/routing/slot_queue.h"
+#include "jacinthspool/routing/stage_orders.h"
 #include "jacinthspool/routing/stage_plan.h"
 #include "jacinthspool/routing/store_position.h"
 
--- a/include/jacinthspool/routing/backend_list.h
+++ b/include/jacinthspool/routing/backend_list.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "jacinthspool/impl/time.h"
@@ -14,6 +15,8 @@
 /// \brief The stage of a model request that a backend server runs.
 enum class engine_stage { kNone, kPrefill, kDecode };
 
+[[nodiscard]] std::string_view ToString(engine_stage stage);
+
 /// \brief One published backend server.
 struct backend_record {
   std::string id = {};  ///< Of one incarnation, unless the server keeps its id over restarts.
--- a/src/cli/explain_command.cc
+++ b/src/cli/explain_command.cc
@@ -17,7 +17,8 @@
 constexpr const char* kSummary =
     "Prints the decisions about one request in chronological order, with the candidate backend "
     "servers, their quotes or refusals, the choice and its reason; or, for the id of a backend "
-    "server, what each gateway knew of its request limit and sent to it.\n"
+    "server, what each gateway knew of its request limit and sent to it, and what its sidecar "
+    "ordered or withheld.\n"
     "LOGFILE holds JSON log lines, of one process or of several, concatenated; '-' is standard "
     "input.\n"
     "Exit code: 0 done, 1 unreadable file or nothing about the request in it, 2 usage.";
@@ -105,10 +106,28 @@
   }
 }
 
-/// \returns true for a line about the request, or about the request limit of the backend server.
+bool IsAboutLimit(const nlohmann::json& line) {
+  return TextOf(line, "event").starts_with("backend_limit");
+}
+
+bool IsAboutOrder(const nlohmann::json& line) {
+  return TextOf(line, "event").starts_with("stage_order");
+}
+
+/// \returns true for a line about the request, or about the backend server's request limit or the
+/// orders to it.
 bool IsAbout(const nlohmann::json& line, const std::string& id) {
   return TextOf(line, "request") == id ||
-         (TextOf(line, "backend") == id && TextOf(line, "event").starts_with("backend_limit"));
+         (TextOf(line, "backend") == id && (IsAboutLimit(line) || IsAboutOrder(line)));
+}
+
+/// \returns What the lines about a backend server tell of it.
+std::string_view MatterOf(const std::vector<nlohmann::json>& lines) {
+  const bool limit = std::any_of(lines.begin(), lines.end(), IsAboutLimit);
+  const bool order = std::any_of(lines.begin(), lines.end(), IsAboutOrder);
+  return limit && order ? "request limit of and orders to"
+         : order        ? "orders to"
+                        : "request limit of";
 }
 
 std::vector<nlohmann::json> LinesOf(std::istream& log, const std::string& id) {
@@ -166,7 +185,7 @@
   if (TextOf(lines.front(), "request") == id) {
     out << "request " << id << " of team " << FirstTeam(lines) << '\n';
   } else {
-    out << "request limit of backend server " << id << '\n';
+    out << MatterOf(lines) << " backend server " << id << '\n';
   }
   for (const nlohmann::json& line : lines) {
     PrintLine(line, out);
--- a/src/gateway/discovery.h
+++ b/src/gateway/discovery.h
@@ -2,12 +2,15 @@
 #define JACINTHSPOOL_GATEWAY_DISCOVERY_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "jacinthspool/routing/backend_list.h"
 #include "jacinthspool/routing/configuration.h"
+#include "jacinthspool/routing/stage_orders.h"
 #include "src/transport/event_loop.h"
 #include "src/transport/timer_service.h"
 
@@ -38,6 +41,12 @@
  public:
   virtual ~discovery_source() = default;
   virtual void Start(discovery_listener& listener) = 0;
+
+  /// \brief Reads what is published about one server now.
+  /// \param on_read Called once, in a later loop iteration; with nothing when the publisher has not
+  /// answered. Not called after this source is destroyed.
+  virtual void ReadBackend(const std::string& id,
+                           std::function<void(std::optional<current_record>)> on_read) = 0;
 };
 
 }  // namespace jacinthspool
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -20,18 +20,6 @@
 /// Retry-After late in a planned stop: the other gateways serve at once.
 constexpr milliseconds kStopRetryAfter = milliseconds(50);
 
-std::string_view ToString(engine_stage stage) {
-  switch (stage) {
-    case engine_stage::kNone:
-      return "none";
-    case engine_stage::kPrefill:
-      return "prefill";
-    case engine_stage::kDecode:
-      return "decode";
-  }
-  return "none";
-}
-
 }  // namespace
 
 gateway::gateway(const options& settings)
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -64,14 +64,17 @@
                              ready() ? http_status::kOk : http_status::kServiceUnavailable, {}, "");
                        }},
                   error);
-    peers_ =
-        std::make_unique<peer_exchange>(peer_exchange::options{.loop = loop_,
-                                                               .timers = timers_,
-                                                               .client = client_,
-                                                               .owner = gateway_,
-                                                               .listen = settings.snapshot_listen,
-                                                               .name = process_->name,
-                                                               .peers = process_->peers});
+    peers_ = std::make_unique<peer_exchange>(
+        peer_exchange::options{.loop = loop_,
+                               .timers = timers_,
+                               .client = client_,
+                               .owner = gateway_,
+                               .listen = settings.snapshot_listen,
+                               .name = process_->name,
+                               .peers = process_->peers,
+                               .read_backend = [this](const std::string& id, auto on_read) {
+                                 discovery_->ReadBackend(id, std::move(on_read));
+                               }});
     if (!callers_ || !ready_ || !peers_->Start(error) || !StartMetrics(settings, error)) {
       return false;
     }
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -25,6 +25,8 @@
 /// A gateway that has not queried for this time is not counted.
 constexpr milliseconds kForgetAfter = seconds(10);
 constexpr std::size_t kMaxLearned = 1024;
+/// Sidecars whose records are read at the same time.
+constexpr std::size_t kMaxRecordReads = 64;
 
 }  // namespace
 
@@ -63,7 +65,37 @@
   return true;
 }
 
+void peer_exchange::AnswerRecord(const http1_request& request, http1_responder answer) {
+  const std::string id(request.head.Find(kBackendHeader).value_or(""));
+  if (id.empty()) {
+    std::move(answer).Reply(http_status::kBadRequest, {}, "");
+    return;
+  }
+  if (!settings_.read_backend || records_read_ == kMaxRecordReads) {
+    std::move(answer).Reply(http_status::kServiceUnavailable, {}, "");
+    return;
+  }
+  ++records_read_;
+  settings_.read_backend(id, [this, alive = std::weak_ptr<bool>(alive_),
+                              held = std::make_shared<http1_responder>(std::move(answer))](
+                                 const std::optional<current_record>& current) {
+    if (alive.lock()) {
+      --records_read_;
+    }
+    if (!current) {
+      std::move(*held).Reply(http_status::kServiceUnavailable, {}, "");
+      return;
+    }
+    std::move(*held).Reply(http_status::kOk, {{"Content-Type", "application/octet-stream"}},
+                           EncodeSnapshot(SnapshotOf(*current)));
+  });
+}
+
 void peer_exchange::Answer(const http1_request& request, http1_responder answer) {
+  if (request.head.target == RecordTarget()) {
+    AnswerRecord(request, std::move(answer));
+    return;
+  }
   const auto scope = ScopeOf(request.head.target);
   if (!scope) {
     std::move(answer).Reply(http_status::kNotFound, {}, "");
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -1,8 +1,10 @@
 #ifndef JACINTHSPOOL_GATEWAY_PEER_EXCHANGE_H_
 #define JACINTHSPOOL_GATEWAY_PEER_EXCHANGE_H_
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -32,6 +34,9 @@
     std::string listen;              ///< ip:port at which snapshots are served.
     std::string name;                ///< Of this process.
     std::vector<std::string> peers;  ///< ip:port each; may include this process.
+    /// Reads the record of one server from the publisher; empty: such requests are not served.
+    std::function<void(const std::string& id, std::function<void(std::optional<current_record>)>)>
+        read_backend = {};
   };
 
   explicit peer_exchange(options settings);
@@ -48,6 +53,7 @@
   /// \brief Remembers a gateway that queries this one, which others may not know.
   void Learn(const http1_request& request, instant now);
   void Answer(const http1_request& request, http1_responder answer);
+  void AnswerRecord(const http1_request& request, http1_responder answer);
   [[nodiscard]] std::uint32_t CountGateways(instant now) const;
 
   options settings_;
@@ -60,8 +66,9 @@
   std::map<std::string, std::uint32_t> reported_gateways_;  ///< Count reported by each peer.
   instant start_;
   gateway_count_estimate members_;
-  bool was_limited_ = false;    ///< Some server's limit was in force at the last query.
-  line_limit fault_lines_{{}};  ///< By peer.
+  std::size_t records_read_ = 0;  ///< Reads of records in progress.
+  bool was_limited_ = false;      ///< Some server's limit was in force at the last query.
+  line_limit fault_lines_{{}};    ///< By peer.
   timer_subscription next_;
   timer_subscription news_check_;
   std::mt19937_64 random_;
--- a/src/gateway/snapshot.h
+++ b/src/gateway/snapshot.h
@@ -14,6 +14,7 @@
 #include "jacinthspool/routing/crash_quarantine.h"
 #include "jacinthspool/routing/gateway_fleet.h"
 #include "jacinthspool/routing/named_limits.h"
+#include "jacinthspool/routing/stage_orders.h"
 
 namespace jacinthspool {
 
@@ -33,6 +34,10 @@
 /// \returns The requested scope, or nothing when the target is another path.
 [[nodiscard]] std::optional<snapshot_scope> ScopeOf(std::string_view target);
 
+/// \returns The path of a request for the current record of one server, which the gateway reads
+/// from the publisher; its id is in a header.
+[[nodiscard]] std::string RecordTarget();
+
 /// \brief State that one gateway sends to another.
 ///
 /// Points in time are encoded as ages, since each process has its own clock.
@@ -55,6 +60,12 @@
   std::string_view fault = {};
 };
 
+/// \returns The record as a snapshot that has nothing else.
+[[nodiscard]] gateway_snapshot SnapshotOf(const current_record& current);
+
+/// \returns The current record in a snapshot that answers a request for one.
+[[nodiscard]] current_record RecordOf(const gateway_snapshot& answer);
+
 [[nodiscard]] std::string EncodeSnapshot(const gateway_snapshot& value);
 
 /// \returns Nothing when the bytes are not a snapshot.
--- a/src/gateway/snapshot_query.cc
+++ b/src/gateway/snapshot_query.cc
@@ -15,9 +15,13 @@
 }  // namespace
 
 snapshot_query::snapshot_query(options settings) : settings_(std::move(settings)) {
+  const bool wants_record = !settings_.backend.empty();
   std::string bytes = (settings_.news.empty() ? "GET " : "POST ") +
-                      SnapshotTarget(settings_.scope) + " HTTP/1.1\r\nHost: " + settings_.address +
-                      "\r\n";
+                      (wants_record ? RecordTarget() : SnapshotTarget(settings_.scope)) +
+                      " HTTP/1.1\r\nHost: " + settings_.address + "\r\n";
+  if (wants_record) {
+    bytes += std::string(kBackendHeader) + ": " + settings_.backend + "\r\n";
+  }
   if (!settings_.gateway.empty()) {
     bytes += std::string(kGatewayNameHeader) + ": " + settings_.gateway + "\r\n" +
              std::string(kGatewayAddressHeader) + ": " + settings_.listen + "\r\n";
--- a/src/gateway/snapshot_query.h
+++ b/src/gateway/snapshot_query.h
@@ -17,16 +17,22 @@
 /// Where the querying gateway serves its own snapshot.
 inline constexpr std::string_view kGatewayAddressHeader = "X-Jacinthspool-Address";
 
-/// \brief One query of one gateway for its snapshot.
+/// Id of the server whose current record is requested.
+inline constexpr std::string_view kBackendHeader = "X-Jacinthspool-Backend";
+
+/// \brief One query of one gateway, for its snapshot or for the current record of one server.
 class snapshot_query : public http1_call_listener {
  public:
   struct options {
     timer_service& timers;
     http1_client& client;
-    std::string address;      ///< ip:port
-    std::string gateway;      ///< Name of the querying gateway; empty: another process.
-    std::string listen = {};  ///< ip:port at which it serves its own snapshot.
-    snapshot_scope scope;
+    std::string address;       ///< ip:port
+    std::string gateway = {};  ///< Name of the querying gateway; empty: another process.
+    std::string listen = {};   ///< ip:port at which it serves its own snapshot.
+    snapshot_scope scope = {};
+    /// Server whose current record is requested in place of the snapshot (`RecordOf` the answer);
+    /// empty: none.
+    std::string backend = {};
     std::string news = {};  ///< Encoded snapshot that is sent with the query; empty: none.
     /// Called once, with nothing when the query failed. It must not destroy this object.
     std::function<void(std::optional<gateway_snapshot>)> on_answer;
--- a/src/gateway/wire_dialect.h
+++ b/src/gateway/wire_dialect.h
@@ -11,6 +11,7 @@
 #include "jacinthspool/routing/backend_list.h"
 #include "jacinthspool/routing/crash_suspect.h"
 #include "jacinthspool/routing/rate_statement.h"
+#include "jacinthspool/routing/stage_orders.h"
 #include "src/transport/http1_reader.h"
 
 namespace jacinthspool {
@@ -132,11 +133,8 @@
                                                              std::string_view hold) const = 0;
 
   /// \returns The bytes of an order to an engine to change its stage.
-  /// \param fence Fencing token; rises with every order to one engine.
-  [[nodiscard]] virtual std::string EncodeStageOrder(std::string_view address,
-                                                     std::string_view backend_id,
-                                                     engine_stage stage, std::string_view holder,
-                                                     std::uint64_t fence) const = 0;
+  [[nodiscard]] virtual std::string EncodeStageOrder(const stage_order& order,
+                                                     std::string_view holder) const = 0;
 
   /// \returns Headers of a rejection with Retry-After.
   [[nodiscard]] virtual http_headers RejectionHeaders(milliseconds retry_after) const = 0;
--- a/src/routing/backend_list.cc
+++ b/src/routing/backend_list.cc
@@ -5,6 +5,18 @@
 
 namespace jacinthspool {
 
+std::string_view ToString(engine_stage stage) {
+  switch (stage) {
+    case engine_stage::kNone:
+      return "none";
+    case engine_stage::kPrefill:
+      return "prefill";
+    case engine_stage::kDecode:
+      return "decode";
+  }
+  return "none";
+}
+
 void backend_list::Replace(std::vector<backend_record> records, store_position at, instant now) {
   if (at < position_) {
     return;
--- a/src/sidecar/sidecar_daemon.cc
+++ b/src/sidecar/sidecar_daemon.cc
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "jacinthspool/impl/overloaded.h"
+#include "jacinthspool/routing/stage_orders.h"
 #include "jacinthspool/routing/stage_plan.h"
 #include "src/cli/exit_code.h"
 #include "src/gateway/background_call.h"
@@ -23,8 +25,7 @@
 constexpr milliseconds kFirstQueryDelay = milliseconds(700);
 /// The list must have held the same engines for this long before an order is sent.
 constexpr milliseconds kStableTime = milliseconds(2000);
-/// Least time between two orders; the engine needs seconds to execute one.
-constexpr milliseconds kOrderInterval = seconds(20);
+constexpr milliseconds kOrderTimeout = seconds(1);
 
 class sidecar_daemon {
  public:
@@ -59,8 +60,7 @@
       query_ = std::make_unique<snapshot_query>(snapshot_query::options{
           .timers = timers_,
           .client = client_,
-          .address = process_->peers[random_() % process_->peers.size()],
-          .gateway = {},
+          .address = AnyPeer(),
           .scope = {.configuration_after = std::nullopt, .list_after = list_position_},
           .on_answer = [this](std::optional<gateway_snapshot> snapshot) {
             if (snapshot) {
@@ -118,24 +118,59 @@
                                        : plan_.Change(engines, own->id, prefill_share_);
     const bool confirmed = change && change == pending_change_;
     pending_change_ = change;
-    if (!confirmed || now - engine_ids_since_ < kStableTime ||
-        (last_order_ != instant{} && now - last_order_ < kOrderInterval)) {
+    if (confirmed && now - engine_ids_since_ >= kStableTime && orders_.MayAsk(now)) {
+      AskForRecord(*own, *change);
+    }
+  }
+
+  /// The order follows once a gateway has read the engine's record.
+  void AskForRecord(const backend_record& planned, engine_stage wanted) {
+    if (record_query_ && !record_query_->answered()) {
       return;
     }
-    last_order_ = now;
+    record_query_ = std::make_unique<snapshot_query>(snapshot_query::options{
+        .timers = timers_,
+        .client = client_,
+        .address = AnyPeer(),
+        .backend = planned.id,
+        .on_answer = [this, planned, wanted](const std::optional<gateway_snapshot>& answer) {
+          const order_decision decision =
+              answer ? orders_.Decide(planned, wanted, RecordOf(*answer), timer_service::now())
+                     : order_withheld{"no gateway has read the record"};
+          std::visit(
+              overloaded{[&](const stage_order& order) { Order(order, answer->list_position); },
+                         [&](const order_withheld& withheld) {
+                           Log(log_level::kInfo, "stage_order_withheld",
+                               {{"backend", planned.id},
+                                {"stage", ToString(wanted)},
+                                {"reason", withheld.reason},
+                                {"list_revision", list_position_.revision},
+                                {"revision", answer ? answer->list_position.revision : 0}});
+                         }},
+              decision);
+        }});
+  }
+
+  void Order(const stage_order& order, const store_position& read_at) {
     Log(log_level::kInfo, "stage_ordered",
-        {{"backend", own->id},
-         {"stage", *change == engine_stage::kPrefill ? "prefill" : "decode"},
-         {"engines", engines.size()},
+        {{"backend", order.backend},
+         {"stage", ToString(order.stage)},
+         {"engines", engine_ids_.size()},
          {"prefill_share", prefill_share_.value_or(-1)},
-         {"list_revision", list_position_.revision}});
+         {"list_revision", list_position_.revision},
+         {"era", read_at.era},
+         {"revision", read_at.revision},
+         {"fence", order.fence}});
     one_way_.Send({.loop = loop_,
                    .timers = timers_,
                    .client = client_,
-                   .address = own->address,
-                   .bytes = platform_.dialect->EncodeStageOrder(
-                       own->address, own->id, *change, process_->name, list_position_.ordinal()),
-                   .timeout = seconds(1)});
+                   .address = order.address,
+                   .bytes = platform_.dialect->EncodeStageOrder(order, process_->name),
+                   .timeout = kOrderTimeout});
+  }
+
+  [[nodiscard]] const std::string& AnyPeer() {
+    return process_->peers[random_() % process_->peers.size()];
   }
 
   std::shared_ptr<const process_settings> process_;
@@ -155,7 +190,8 @@
   instant engine_ids_since_{};
   std::optional<double> prefill_share_;         ///< From the last snapshot that had one.
   std::optional<engine_stage> pending_change_;  ///< Change that the previous query led to.
-  instant last_order_{};
+  stage_orders orders_{{}, timer_service::now()};
+  std::unique_ptr<snapshot_query> record_query_;
 };
 
 }  // namespace
--- a/tests/cli/command_line_test.cc
+++ b/tests/cli/command_line_test.cc
@@ -201,6 +201,21 @@
   CHECK(out.str().starts_with("request limit of backend server i-41ac49b1cc\n1  g1"));
 }
 
+TEST_CASE("explain prints the orders to a backend server, and those that were withheld") {
+  std::istringstream log(
+      R"({"time":"2","process":"s1","event":"stage_ordered","backend":"i-41ac49b1cc","fence":19})"
+      "\n"
+      R"({"time":"1","process":"s1","event":"stage_order_withheld","backend":"i-41ac49b1cc","reason":"leaving"})"
+      "\n"
+      R"({"time":"3","process":"g1","event":"backend_put","backend":"i-41ac49b1cc"})");
+  std::ostringstream out;
+  CHECK(ExplainById(log, "i-41ac49b1cc", out) == 2);
+  CHECK(
+      out.str().starts_with("orders to backend server i-41ac49b1cc\n"
+                            "1  s1  stage_order_withheld because leaving\n"));
+  CHECK(out.str().find("fence = 19") != std::string::npos);
+}
+
 TEST_CASE("status prints values and lists") {
   std::ostringstream out;
   PrintStatus(
