State in one place when a caller may be told that its request has not run

exchange_model_test now also reads what callers were told: 'not run' is only told to a caller without a send whose fate is open.

--- a/include/jacinthspool/routing/next_step.h
+++ b/include/jacinthspool/routing/next_step.h
@@ -28,6 +28,19 @@
   bool may_retry = false;     ///< Time, retry budget and another backend server are available.
 };
 
+/// \brief The attempts of a request that were sent, or may have been.
+struct sent_attempts {
+  std::uint32_t runs = 0;  ///< Ended ones that ran or may have run.
+  bool under_way = false;  ///< One has not ended.
+};
+
+/// \brief The condition for every answer with a status that promises "not run, and never will be":
+/// each attempt has ended, and each ended either without a byte sent on a connection that is closed
+/// or with a backend server's statement that it has not run the request.
+[[nodiscard]] constexpr bool ProvedNotRun(const sent_attempts& sent) {
+  return sent.runs == 0 && !sent.under_way;
+}
+
 /// \brief What follows a failed attempt.
 enum class next_step {
   kSendAgain,  ///< Retry at another backend server; a begun stream is resumed.
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -156,6 +156,8 @@
   void Report(attempt_result result) {
     if (std::exchange(reported_, true)) {
       return;
+  /// \returns true until the end of the call: its request may have been sent and may run.
+  [[nodiscard]] bool under_way() const { return !ended_trace_; }
     }
     const instant heard = head_ ? first_heard_ : timer_service::now();
     owner_.context_.selector.OnEnded(backend_.id, owner_.Cost(), result, heard - started_,
@@ -1219,12 +1221,23 @@
   }
   // Jitter of up to a quarter of the wait, so that callers rejected together do not retry
   // together.
+bool forward_exchange::MayHaveRun() const {
+  return !ProvedNotRun({.runs = runs_,
+                        .under_way = attempt_ != nullptr &&
+                                     attempt_->kind() == attempt_kind::kServe &&
+                                     attempt_->under_way()});
+}
+
   const auto jitter = milliseconds(
       static_cast<std::int64_t>(context_.random() % static_cast<std::uint64_t>(wait.count())) / 4);
   Reply(http_status::kServiceUnavailable,
         context_.dialect.RejectionHeaders(retry_after.value_or(wait + jitter)), "not run\n");
   Finish("refused", why);
 }
+  if (MayHaveRun()) {
+    Fail(http_status::kBadGateway, why);
+    return;
+  }
 
 void forward_exchange::Fail(int status, std::string_view why) {
   const auto self = shared_from_this();
@@ -1279,10 +1292,9 @@
 
 void forward_exchange::EndUnanswered(int status, std::string_view why,
                                      std::optional<milliseconds> retry_after) {
-  const bool may_have_run = runs_ > 0 || (attempt_ && attempt_->kind() == attempt_kind::kServe);
   if (AnswerBegun()) {
     Cut(why);
-  } else if (may_have_run) {
+  } else if (MayHaveRun()) {
     Fail(status, why);
   } else {
     Reject(why, retry_after);
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -123,6 +123,9 @@
   /// \returns false when a stream has begun, which a body cannot continue.
   [[nodiscard]] bool BeginBody(const http1_head& head);
   void EndAnswer();
+  /// \returns true when a server may have run the request, or may still.
+  [[nodiscard]] bool MayHaveRun() const;
+  /// \brief Answers "not run"; a request that may have run fails instead.
   /// \param retry_after Nothing: chosen by the load and the time that the caller has left.
   void Reject(std::string_view why, std::optional<milliseconds> retry_after = std::nullopt);
   void Fail(int status, std::string_view why);
--- a/src/routing/next_step.cc
+++ b/src/routing/next_step.cc
@@ -37,7 +37,7 @@
 }
 
 next_step DecideNextStep(const forward_route& route, const attempt_record& record) {
-  const bool proved_not_run = record.runs == 0;
+  const bool proved_not_run = ProvedNotRun({.runs = record.runs, .under_way = false});
   const bool may_run_again =
       proved_not_run || (route.repeatable() && record.runs < route.max_attempts);
   if (record.may_retry && may_run_again) {
--- a/tests/gateway/exchange_model_test.cc
+++ b/tests/gateway/exchange_model_test.cc
@@ -69,6 +69,7 @@
   std::size_t reserved = 0;
   std::size_t replaced = 0;
   std::size_t refused = 0;
+  std::size_t promised = 0;  ///< Callers that were told that their request has not run.
 };
 
 /// Callers, one gateway whose timers and sockets are driven one step at a time, and its servers.
@@ -97,6 +98,7 @@
                                 }},
                            error);
   std::vector<raw_socket> callers;
+  std::vector<std::string> received;        ///< By each caller.
   std::map<std::string, int> may_have_run;  ///< By id: arrivals without a proof of "not run".
   std::map<std::string, int> arrived;
   std::set<std::string> ran_twice;
@@ -213,6 +215,7 @@
     const std::string path = kPaths.at(AnyOf(kPaths.size()));
     const bool model = path == "/once-model/" || path == "/stream/";
     callers.push_back(raw_socket::Connect(edge->port()));
+    received.emplace_back();
     callers.back().Write("POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: r" +
                          std::to_string(callers.size()) + "\r\n" +
                          (model ? "X-Token-Count: 30,10\r\n" : "") +
@@ -449,8 +452,26 @@
       RC_ASSERT(each->id.empty());
     }
     RC_ASSERT(ran_twice.empty());
+    CheckPromises();
     RC_ASSERT(client.bytes_after_end() == std::uint64_t{0});
   }
+
+  /// A caller that was told "not run" has had no send whose fate was open.
+  void CheckPromises() {
+    for (std::size_t i = 0; i < callers.size(); ++i) {
+      if (!callers[i].is_open()) {
+        continue;
+      }
+      callers[i].Read(received[i]);
+      for (const char* status : {"408", "421", "429", "503"}) {
+        if (received[i].starts_with(std::string("HTTP/1.1 ") + status)) {
+          ++totals.promised;
+          const auto found = may_have_run.find("r" + std::to_string(i + 1));
+          RC_ASSERT(found == may_have_run.end() || found->second == 0);
+        }
+      }
+    }
+  }
   [[nodiscard]] std::size_t SendsOfCallers() const {
     std::size_t sends = 0;
     for (const auto& [id, count] : arrived) {
@@ -460,6 +481,7 @@
   }
 };
 
+// Guards also against "not run" for a request that a server may run.
 TEST_CASE("in any order of events a request has one attempt under way and none after its end") {
   model_totals totals;
   const bool held = rc::check("exchanges", [&] {
@@ -476,13 +498,14 @@
   CHECK(held);
   MESSAGE("sent again: " << totals.sent_again << ", sends in place of a silent or failed one: "
                          << totals.replaced << ", waiting for a place: " << totals.waited_for_slot
-                         << ", reserved: " << totals.reserved
-                         << ", refused by servers: " << totals.refused);
+                         << ", reserved: " << totals.reserved << ", refused by servers: "
+                         << totals.refused << ", callers told 'not run': " << totals.promised);
   // Otherwise the checks above would have nothing to look at.
   CHECK(totals.sent_again > 0);
   CHECK(totals.replaced > 0);
   CHECK(totals.waited_for_slot > 0);
   CHECK(totals.reserved > 0);
+  CHECK(totals.promised > 0);
 }
 
 }  // namespace
