End the beginning of a long answer when its caller has reset

Cause: BeginBody writes the head; if the caller's reset has arrived, the write fails within the call, which ends the request and destroys the attempt that is on the stack and the exchange that owns it. OnBody went on to use both.

Now OnBody holds the exchange and looks whether the attempt is still its own.

--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -214,7 +214,12 @@
       End(attempt_result::kFailed, attempt_failure::kUnsound);
       return;
     }
-    if (!owner_.BeginBody(*head_)) {
+    const auto owner = owner_.shared_from_this();
+    const bool begins = owner->BeginBody(*head_);
+    if (owner->attempt_.get() != this) {
+      return;  // The caller's reset was found by the write, and has ended the attempt.
+    }
+    if (!begins) {
       LogFailure(kNotTheRest, "");
       End(attempt_result::kFailed, attempt_failure::kUnsound);
       return;
