Give up an engine's stream whose event does not end

What an engine streams is split into events, and neither a line nor the data of one event had a limit; an error in the stream was told only at its end, which a stream without end never reaches. JSON of engines and services is read 64 levels deep.

Red before: completion_stream_test, 4 MB in one line and in lines of data were kept.

--- a/src/agent/completion_stream.cc
+++ b/src/agent/completion_stream.cc
@@ -20,6 +20,9 @@
   for (const std::string& data : events_.Read(bytes)) {
     ParseEvent(data, pieces);
   }
+  if (events_.overflowed()) {
+    error_ = "an event is too long";
+  }
   return pieces;
 }
 
--- a/src/agent/engine_client.cc
+++ b/src/agent/engine_client.cc
@@ -177,6 +177,10 @@
     }
   }
   order_state& order = orders_.at(id);
+  if (!order.answer.error().empty()) {
+    Fail(id, run_state::kRunning, order.answer.error());
+    return;
+  }
   if (order.answer.complete()) {
     order.end_reported = true;
     ReportDecodeFinished(id, order);
--- a/src/agent/json_fields.h
+++ b/src/agent/json_fields.h
@@ -8,9 +8,16 @@
 
 namespace jacinthspool {
 
-/// \returns The parsed JSON, or a discarded value if the text is not valid JSON.
+/// \returns The parsed JSON, or a discarded value if the text is not valid JSON. Values that are
+/// nested more deeply than any that engines and services send are left out.
 inline nlohmann::json ParseJson(std::string_view text) {
-  return nlohmann::json::parse(text.begin(), text.end(), nullptr, false);
+  constexpr int kMaxDepth = 64;
+  return nlohmann::json::parse(
+      text.begin(), text.end(),
+      [](int depth, nlohmann::json::parse_event_t /*event*/, nlohmann::json& /*value*/) {
+        return depth <= kMaxDepth;
+      },
+      false);
 }
 
 /// \returns The member, or a JSON null if `value` is not an object or has no such member.
--- a/src/agent/sse_reader.cc
+++ b/src/agent/sse_reader.cc
@@ -11,14 +11,20 @@
 
 std::vector<std::string> sse_reader::Read(std::string_view bytes) {
   std::vector<std::string> events;
+  if (overflowed_) {
+    return events;
+  }
+  // What was there before has no line end.
+  std::size_t end = partial_line_.size();
   partial_line_.append(bytes);
   std::size_t begin = 0;
-  for (std::size_t end = partial_line_.find('\n'); end != std::string::npos;
+  for (end = partial_line_.find('\n', end); end != std::string::npos;
        end = partial_line_.find('\n', begin)) {
     ParseLine(std::string_view{partial_line_}.substr(begin, end - begin), events);
     begin = end + 1;
   }
   partial_line_.erase(0, begin);
+  overflowed_ = partial_line_.size() > kMaxEventBytes || data_.size() > kMaxEventBytes;
   return events;
 }
 
--- a/tests/agent/completion_stream_test.cc
+++ b/tests/agent/completion_stream_test.cc
@@ -42,6 +42,20 @@
     CHECK(other.Read("data: nonsense\n\n") == pieces{});
     CHECK_FALSE(other.error().empty());
   }
+  SUBCASE("an event without end sets the error, and nothing more is kept") {
+    const std::string bytes(4096, 'x');
+    std::size_t sent = 0;
+    const auto send = [&](const std::string& piece) {
+      for (sent = 0; answer.error().empty() && sent < (4U << 20U); sent += piece.size()) {
+        CHECK(answer.Read(piece) == pieces{});
+      }
+    };
+    SUBCASE("in one line") { send(bytes); }
+    SUBCASE("in many lines of data") { send("data: " + bytes + "\n"); }
+    CHECK(answer.error() == "an event is too long");
+    CHECK(answer.Read("\n\ndata: [DONE]\n\n") == pieces{});
+    CHECK_FALSE(answer.complete());
+  }
 }
 
 }  // namespace
