Split streams in linear time

The search for the end of an event began at the start of the event with each piece, and for "\r\n\r\n" it went to the end of all that had arrived for every short event. A server that sends very many short events, or one event in very many pieces, held the loop up for the other requests.

The search now goes on where it ended, and for the second kind of end no further than the first.

--- a/src/routing/event_splitter.cc
+++ b/src/routing/event_splitter.cc
@@ -1,15 +1,20 @@
 #include "jacinthspool/routing/event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
 namespace jacinthspool {
 namespace {
 
+/// \param from No end of an event is before it.
 /// \returns The end of the event at the start of `text`, or npos.
-std::size_t EndOfEvent(std::string_view text) {
-  const std::size_t plain = text.find("\n\n");
-  const std::size_t carriage = text.find("\r\n\r\n");
+std::size_t EndOfEvent(std::string_view text, std::size_t from = 0) {
+  const std::size_t plain = text.find("\n\n", from);
+  // Not beyond the first, so that the time is linear in the length of the event; the two may share
+  // a line feed.
+  const std::size_t limit = plain == std::string_view::npos ? plain : plain + 1;
+  const std::size_t carriage = text.substr(0, limit).find("\r\n\r\n", from);
   if (plain == std::string_view::npos && carriage == std::string_view::npos) {
     return std::string_view::npos;
   }
@@ -36,10 +41,13 @@
 }  // namespace
 
 std::vector<stream_event> event_splitter::Split(std::string_view bytes) {
+  constexpr std::size_t kLongestEnd = 4;
+  const std::size_t searched = rest_.size() - std::min(rest_.size(), kLongestEnd - 1);
   rest_.append(bytes);
   std::vector<stream_event> events;
   std::string_view text = rest_;
-  for (std::size_t end = EndOfEvent(text); end != std::string_view::npos; end = EndOfEvent(text)) {
+  for (std::size_t end = EndOfEvent(text, searched); end != std::string_view::npos;
+       end = EndOfEvent(text)) {
     const std::string_view event = text.substr(0, end);
     events.push_back({.bytes = std::string(event), .id = IdOf(event)});
     text.remove_prefix(end);
