Bound what a gateway holds of incomplete answers over all requests

Each request may hold 64 KiB of a body or 256 KiB of an event, and nothing bounded the sum: some hundred faulty answers at once take more than the process may have. Above 16 MB bodies are forwarded as they arrive, and a stream within an event of over 8 KiB is cut. The metric gateway_held_answer_bytes tells the sum.

--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -48,6 +48,10 @@
 /// An answer up to this size is buffered until it is complete, so that a truncated one can be
 /// retried; a longer one is forwarded as it arrives.
 constexpr std::size_t kMaxBufferedAnswerBytes = 64U << 10U;
+/// Above this sum over all requests, answers are forwarded as they arrive, and no incomplete event
+/// may be longer than `kMaxCrowdedEventBytes`.
+constexpr std::size_t kMaxHeldBytes = 16U << 20U;
+constexpr std::size_t kMaxCrowdedEventBytes = 8U << 10U;
 /// The reply to a prefill is a short JSON object.
 constexpr std::size_t kMaxPrefillReplyBytes = 16U << 10U;
 /// No valid event of a stream is longer; a stream with a longer one counts as truncated.
@@ -120,6 +124,7 @@
   ~attempt() override {
     // An attempt that is ended early is no evidence about the backend server.
     Report(attempt_result::kUnknown);
+    Hold(0);
   }
   attempt(const attempt&) = delete;
   attempt& operator=(const attempt&) = delete;
@@ -151,13 +156,13 @@
   [[nodiscard]] bool paused() const { return paused_; }
   /// \returns true when part of an answer has arrived.
   [[nodiscard]] bool answering() const { return event_count_ > 0 || forwarding_body_; }
+  /// \returns true until the end of the call: its request may have been sent and may run.
+  [[nodiscard]] bool under_way() const { return !ended_trace_; }
 
   /// Reports the result to the selector; only the first call counts.
   void Report(attempt_result result) {
     if (std::exchange(reported_, true)) {
       return;
-  /// \returns true until the end of the call: its request may have been sent and may run.
-  [[nodiscard]] bool under_way() const { return !ended_trace_; }
     }
     const instant heard = head_ ? first_heard_ : timer_service::now();
     owner_.context_.selector.OnEnded(backend_.id, owner_.Cost(), result, heard - started_,
@@ -206,7 +211,8 @@
       return;
     }
     body_ += bytes;
-    if (body_.size() <= kMaxBufferedAnswerBytes) {
+    Hold(body_.size());
+    if (body_.size() <= kMaxBufferedAnswerBytes && !crowded()) {
       return;
     }
     if (!facts_.sound || facts_.not_run || !IsDelivered(head_->status)) {
@@ -226,6 +232,7 @@
     }
     forwarding_body_ = true;
     const std::string begun = std::exchange(body_, {});
+    Hold(0);
     owner_.SendToCaller(begun);
   }
 
@@ -353,6 +360,13 @@
     }
   }
 
+  /// Counts the bytes of the answer that this attempt holds.
+  void Hold(std::size_t bytes) {
+    owner_.context_.held_answer_bytes += bytes - std::exchange(held_bytes_, bytes);
+  }
+  /// \returns true when the answers of all requests together take too much memory.
+  [[nodiscard]] bool crowded() const { return owner_.context_.held_answer_bytes > kMaxHeldBytes; }
+
   void OnStreamBytes(std::string_view bytes) {
     const std::vector<stream_event> events = events_.Split(bytes);
     // Neither an incomplete event nor a comment proves that the engine makes progress.
@@ -367,7 +381,8 @@
     if (event_count_ > 1) {
       Vouch();
     }
-    if (events_.pending_bytes() > kMaxEventBytes) {
+    Hold(events_.pending_bytes());
+    if (events_.pending_bytes() > (crowded() ? kMaxCrowdedEventBytes : kMaxEventBytes)) {
       LogFailure("event too long", "");
       End(attempt_result::kFailed, attempt_failure::kBrokeOff);
       return;
@@ -462,6 +477,7 @@
   reply_facts facts_;
   std::string body_;
   event_splitter events_;
+  std::size_t held_bytes_ = 0;  ///< Of `body_` or of an incomplete event.
   bool streaming_ = false;
   bool prefilling_in_place_ = false;  ///< The engine prefills the prompt; no event yet.
   bool forwarding_body_ = false;      ///< The body is forwarded as it arrives.
@@ -1205,12 +1221,23 @@
   Finish("served", "");
 }
 
+bool forward_exchange::MayHaveRun() const {
+  return !ProvedNotRun({.runs = runs_,
+                        .under_way = attempt_ != nullptr &&
+                                     attempt_->kind() == attempt_kind::kServe &&
+                                     attempt_->under_way()});
+}
+
 void forward_exchange::Reject(std::string_view why, std::optional<milliseconds> retry_after) {
   const auto self = shared_from_this();
   if (AnswerBegun()) {
     Cut(why);
     return;
   }
+  if (MayHaveRun()) {
+    Fail(http_status::kBadGateway, why);
+    return;
+  }
   const instant now = timer_service::now();
   // Another gateway may have room at once.
   const milliseconds share = context_.stop ? kMinRetryAfter : TimeLeft(now) / kRetryAfterDivisor;
@@ -1226,23 +1253,12 @@
   }
   // Jitter of up to a quarter of the wait, so that callers rejected together do not retry
   // together.
-bool forward_exchange::MayHaveRun() const {
-  return !ProvedNotRun({.runs = runs_,
-                        .under_way = attempt_ != nullptr &&
-                                     attempt_->kind() == attempt_kind::kServe &&
-                                     attempt_->under_way()});
-}
-
   const auto jitter = milliseconds(
       static_cast<std::int64_t>(context_.random() % static_cast<std::uint64_t>(wait.count())) / 4);
   Reply(http_status::kServiceUnavailable,
         context_.dialect.RejectionHeaders(retry_after.value_or(wait + jitter)), "not run\n");
   Finish("refused", why);
 }
-  if (MayHaveRun()) {
-    Fail(http_status::kBadGateway, why);
-    return;
-  }
 
 void forward_exchange::Fail(int status, std::string_view why) {
   const auto self = shared_from_this();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -91,6 +91,8 @@
   [[nodiscard]] bool can_route() const;
   [[nodiscard]] bool publisher_lost() const { return publisher_lost_; }
   [[nodiscard]] std::size_t in_progress() const { return exchanges_.size(); }
+  /// \returns Bytes of answers that have arrived and are not forwarded yet.
+  [[nodiscard]] std::size_t held_answer_bytes() const { return context_.held_answer_bytes; }
   /// \returns Number of requests that wait for a reservation or a request slot.
   [[nodiscard]] std::size_t waiting() const { return reservations_.waiting() + slots_.waiting(); }
   [[nodiscard]] metrics_registry& metrics() { return context_.metrics; }
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -48,6 +48,7 @@
   background_calls background;
   metrics_registry metrics;
   std::mt19937_64 random;
+  std::size_t held_answer_bytes = 0;      ///< Of answers that are not forwarded yet.
   std::uint32_t gateways = 1;             ///< That serve the callers, this one included.
   std::optional<planned_stop> stop = {};  ///< Set once this process has been told to stop.
 };
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -107,6 +107,8 @@
              [this](const http1_request& /*request*/, http1_responder answer) {
                gateway_.metrics().Set("gateway_requests_in_progress", {},
                                       static_cast<double>(gateway_.in_progress()));
+               gateway_.metrics().Set("gateway_held_answer_bytes", {},
+                                      static_cast<double>(gateway_.held_answer_bytes()));
                gateway_.metrics().Set("gateway_bytes_after_end", {},
                                       static_cast<double>(client_.bytes_after_end()));
                std::move(answer).Reply(http_status::kOk,
