--- a/src/agent/engine_client.cc
+++ b/src/agent/engine_client.cc
@@ -213,9 +213,9 @@
   Fail(id, RunStateOf(response, streamed), detail);
 }
 
-void engine_client::Fail(attempt_id id, run_state ran, const std::string& detail) {
+void engine_client::Fail(attempt_id id, run_state ran, std::string detail) {
   orders_.erase(id);
-  options_.on_event(engine_failed{.id = id, .ran = ran, .detail = detail});
+  options_.on_event(engine_failed{.id = id, .ran = ran, .detail = std::move(detail)});
 }
 
 void engine_client::PostFailure(attempt_id id, const std::string& detail) {
--- a/src/agent/engine_client.h
+++ b/src/agent/engine_client.h
@@ -56,7 +56,7 @@
   void OnDecodeChunk(attempt_id id, int status, std::string_view bytes);
   void OnDecodeReply(attempt_id id, const http_response& response);
   void ReportDecodeFinished(attempt_id id, const order_state& order);
-  void Fail(attempt_id id, run_state ran, const std::string& detail);
+  void Fail(attempt_id id, run_state ran, std::string detail);
   void PostFailure(attempt_id id, const std::string& detail);
   void OnAbortReply(attempt_id id, const http_response& response);
 
