--- a/tests/platform/endless_list_test.cc
+++ b/tests/platform/endless_list_test.cc
@@ -6,24 +6,12 @@
 #include "platform/store_records.h"
 #include "platform/store_watch.h"
 #include "src/transport/http1_server.h"
+#include "tests/platform/counting_listener.h"
 #include "tests/transport/loop_until.h"
 
 namespace jacinthspool::platform {
 namespace {
 
-struct counting_listener : discovery_listener {
-  int lists = 0;
-  int lost = 0;
-  void OnConfiguration(std::shared_ptr<const forward_configuration> /*next*/) override {}
-  void OnBackends(std::vector<backend_record> /*records*/, store_position /*at*/) override {
-    ++lists;
-  }
-  void OnBackendPut(backend_record /*record*/) override {}
-  void OnBackendRemoved(const std::string& /*id*/, store_position /*at*/) override {}
-  void OnPublisherLost(const std::string& /*reason*/) override { ++lost; }
-  void OnPublisherRegained() override {}
-};
-
 // Guards against a list that grows page by page until the process has no memory left.
 TEST_CASE("a list whose pages never end is given up") {
   std::size_t items_on_page = 1;
--- a/tests/platform/late_read_test.cc
+++ b/tests/platform/late_read_test.cc
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "platform/store_watch.h"
+#include "tests/platform/counting_listener.h"
 #include "tests/transport/loop_step.h"
 #include "tests/transport/loop_until.h"
 #include "tests/transport/raw_socket.h"
@@ -10,21 +11,11 @@
 namespace jacinthspool::platform {
 namespace {
 
-struct idle_listener : discovery_listener {
-  int lost = 0;
-  void OnConfiguration(std::shared_ptr<const forward_configuration> /*next*/) override {}
-  void OnBackends(std::vector<backend_record> /*records*/, store_position /*at*/) override {}
-  void OnBackendPut(backend_record /*record*/) override {}
-  void OnBackendRemoved(const std::string& /*id*/, store_position /*at*/) override {}
-  void OnPublisherLost(const std::string& /*reason*/) override { ++lost; }
-  void OnPublisherRegained() override {}
-};
-
 TEST_CASE("a read of the store that was given up while connecting is not sent later") {
   event_loop loop;
   stepped_timers clock;
   const raw_socket store = raw_socket::Listen();
-  idle_listener listener;
+  counting_listener listener;
   store_watch watch({.loop = loop,
                      .timers = clock.timers,
                      .publisher = "127.0.0.1:" + std::to_string(store.port()),
