Drop what the end of a failed stream made dead in the agent

An order whose stream has an error is gone before the stream ends, so the end's handler never finds one. A service call's silence is computed once, and the search in sse_reader names what it passes over.

--- a/src/agent/engine_client.cc
+++ b/src/agent/engine_client.cc
@@ -205,12 +205,8 @@
     orders_.erase(position);
     return;
   }
-  const bool streamed = position->second.streamed;
-  const std::string error = position->second.answer.error();
-  const bool ended_early = response.status == kOk && error.empty();
-  const std::string detail = ended_early ? "the answer ended before its proper end"
-                                         : (error.empty() ? DetailOf(response) : error);
-  Fail(id, RunStateOf(response, streamed), detail);
+  Fail(id, RunStateOf(response, position->second.streamed),
+       response.status == kOk ? "the answer ended before its proper end" : DetailOf(response));
 }
 
 void engine_client::Fail(attempt_id id, run_state ran, std::string detail) {
--- a/src/agent/service_client.cc
+++ b/src/agent/service_client.cc
@@ -56,15 +56,15 @@
     }
   }
   const bool limited = order.deadline_in > microseconds::zero();
-  http_request request{
-      .address = options_.address,
-      .method = order.call.method,
-      .target = order.call.target,
-      .headers = std::move(headers),
-      .body = std::string(order.call.body.begin(), order.call.body.end()),
-      .timeout = limited ? std::max(order.deadline_in, options_.timeout) : options_.timeout,
-      .time_limit = limited ? std::max(order.deadline_in, options_.timeout) : kLongestCall,
-      .max_body_bytes = kMaxAnswerBytes};
+  const microseconds silence = std::max(order.deadline_in, options_.timeout);
+  http_request request{.address = options_.address,
+                       .method = order.call.method,
+                       .target = order.call.target,
+                       .headers = std::move(headers),
+                       .body = std::string(order.call.body.begin(), order.call.body.end()),
+                       .timeout = silence,
+                       .time_limit = limited ? silence : kLongestCall,
+                       .max_body_bytes = kMaxAnswerBytes};
   calls_[order.id] = options_.client.Fetch(
       std::move(request), {.on_done = [this, id = order.id](http_response response) {
         OnAnswer(id, std::move(response));
--- a/src/agent/sse_reader.cc
+++ b/src/agent/sse_reader.cc
@@ -14,11 +14,10 @@
   if (overflowed_) {
     return events;
   }
-  // What was there before has no line end.
-  std::size_t end = partial_line_.size();
+  const std::size_t searched = partial_line_.size();
   partial_line_.append(bytes);
   std::size_t begin = 0;
-  for (end = partial_line_.find('\n', end); end != std::string::npos;
+  for (std::size_t end = partial_line_.find('\n', searched); end != std::string::npos;
        end = partial_line_.find('\n', begin)) {
     ParseLine(std::string_view{partial_line_}.substr(begin, end - begin), events);
     begin = end + 1;
