Say where a record is asked for as a constant, and who uses which HTTP client

The path of the record was built as a string for each request of a peer. The comments of http1_client and of the libevent handles still spoke of the client on evhttp.

--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -92,7 +92,7 @@
 }
 
 void peer_exchange::Answer(const http1_request& request, http1_responder answer) {
-  if (request.head.target == RecordTarget()) {
+  if (request.head.target == kRecordTarget) {
     AnswerRecord(request, std::move(answer));
     return;
   }
--- a/src/gateway/snapshot.cc
+++ b/src/gateway/snapshot.cc
@@ -266,8 +266,6 @@
 
 /// Path at which a gateway serves its snapshot.
 constexpr std::string_view kSnapshotPath = "/jacinthspool/snapshot";
-/// Path at which a gateway reads and serves the record of one server.
-constexpr std::string_view kRecordPath = "/jacinthspool/record";
 constexpr std::string_view kConfigurationAfter = "configuration=";
 constexpr std::string_view kListAfter = "list=";
 constexpr std::string_view kListEra = "era=";
@@ -288,8 +286,6 @@
 
 }  // namespace
 
-std::string RecordTarget() { return std::string(kRecordPath); }
-
 gateway_snapshot SnapshotOf(const current_record& current) {
   gateway_snapshot answer{.configuration = nullptr,
                           .backends = {},
--- a/src/gateway/snapshot.h
+++ b/src/gateway/snapshot.h
@@ -34,9 +34,9 @@
 /// \returns The requested scope, or nothing when the target is another path.
 [[nodiscard]] std::optional<snapshot_scope> ScopeOf(std::string_view target);
 
-/// \returns The path of a request for the current record of one server, which the gateway reads
-/// from the publisher; its id is in a header.
-[[nodiscard]] std::string RecordTarget();
+/// Path of a request for the current record of one server, which the gateway reads from the
+/// publisher; its id is in a header.
+inline constexpr std::string_view kRecordTarget = "/jacinthspool/record";
 
 /// \brief State that one gateway sends to another.
 ///
--- a/src/gateway/snapshot_query.cc
+++ b/src/gateway/snapshot_query.cc
@@ -16,9 +16,10 @@
 
 snapshot_query::snapshot_query(options settings) : settings_(std::move(settings)) {
   const bool wants_record = !settings_.backend.empty();
-  std::string bytes = (settings_.news.empty() ? "GET " : "POST ") +
-                      (wants_record ? RecordTarget() : SnapshotTarget(settings_.scope)) +
-                      " HTTP/1.1\r\nHost: " + settings_.address + "\r\n";
+  std::string bytes =
+      (settings_.news.empty() ? "GET " : "POST ") +
+      (wants_record ? std::string(kRecordTarget) : SnapshotTarget(settings_.scope)) +
+      " HTTP/1.1\r\nHost: " + settings_.address + "\r\n";
   if (wants_record) {
     bytes += std::string(kBackendHeader) + ": " + settings_.backend + "\r\n";
   }
--- a/src/transport/evhttp_handles.h
+++ b/src/transport/evhttp_handles.h
@@ -12,7 +12,7 @@
 #include "src/transport/http_server.h"
 
 /// \file
-/// \brief Owning handles and conversions for libevent types, shared by server and client.
+/// \brief Owning handles and conversions for the libevent types of the HTTP server.
 
 namespace jacinthspool {
 
--- a/src/transport/http1_client.h
+++ b/src/transport/http1_client.h
@@ -73,9 +73,9 @@
 
 /// \brief HTTP/1.1 client with persistent connections and strict parsing of replies.
 ///
-/// Unlike `http_client`, it distinguishes a request that was never sent from one
-/// that the server may have read, streams bodies to the listener as they arrive,
-/// and lets the listener discard replies that belong to another request.
+/// It distinguishes a request that was never sent from one that the server may have
+/// read, streams bodies to the listener as they arrive, and lets the listener discard
+/// replies that belong to another request. `http_client` collects its answers.
 class http1_client {
  public:
   struct options {
