--- a/src/gateway/discovery.h
+++ b/src/gateway/discovery.h
@@ -27,6 +27,10 @@
   virtual void OnBackendRemoved(const std::string& id, store_position at) = 0;
   virtual void OnPublisherLost(const std::string& reason) = 0;
   virtual void OnPublisherRegained() = 0;
+  /// \brief Changes of the configuration are not reported until OnConfigurationConfirmed.
+  virtual void OnConfigurationLost() = 0;
+  /// \brief The newest configuration has been reported; called again with each answer.
+  virtual void OnConfigurationConfirmed() = 0;
 };
 
 struct discovery_options {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -45,7 +45,8 @@
                .random = std::mt19937_64(std::random_device{}())},
       reservations_(context_),
       slots_(context_),
-      on_limits_(settings.on_limits) {
+      on_limits_(settings.on_limits),
+      configuration_confirmed_(settings.started) {
   // The publisher may have been unavailable before this process started.
   context_.backends.PublisherLost();
   expiry_ = settings.timers.Every(kExpiryPeriod, [this](instant now) {
@@ -229,6 +230,11 @@
 }
 
 void gateway::OnConfiguration(std::shared_ptr<const forward_configuration> next) {
+  ApplyConfiguration(std::move(next), configuration_source::kPublisher);
+}
+
+void gateway::ApplyConfiguration(std::shared_ptr<const forward_configuration> next,
+                                 configuration_source source) {
   const std::uint64_t version = next->version;
   const std::uint64_t before =
       context_.routes.configuration() ? context_.routes.configuration()->version : 0;
@@ -236,7 +242,9 @@
     Log(log_level::kInfo, "configuration_applied",
         {{"version", version},
          {"before", before},
+         {"source", source == configuration_source::kPeer ? "peer" : "publisher"},
          {"routes", context_.routes.configuration()->routes.size()}});
+    context_.metrics.Set("gateway_configuration_version", {}, static_cast<double>(version));
     if (on_limits_) {
       on_limits_(context_.routes.configuration()->limits);
     }
@@ -298,9 +306,17 @@
   }
 }
 
+void gateway::OnConfigurationLost() {
+  Log(log_level::kWarning, "configuration_lost",
+      {{"version", context_.routes.configuration() ? context_.routes.configuration()->version : 0},
+       {"age_ms", configuration_age(timer_service::now()) / milliseconds(1)}});
+}
+
+void gateway::OnConfigurationConfirmed() { configuration_confirmed_ = timer_service::now(); }
+
 void gateway::ApplySnapshot(gateway_snapshot other) {
   if (other.configuration) {
-    OnConfiguration(std::move(other.configuration));
+    ApplyConfiguration(std::move(other.configuration), configuration_source::kPeer);
   }
   for (const backend_record& record : other.backends) {
     if (record.leaving && MarkBackendLeaving(context_, record)) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -55,6 +55,8 @@
   void OnBackendRemoved(const std::string& id, store_position at) override;
   void OnPublisherLost(const std::string& reason) override;
   void OnPublisherRegained() override;
+  void OnConfigurationLost() override;
+  void OnConfigurationConfirmed() override;
 
   /// \brief Applies another gateway's snapshot, where it is newer.
   void ApplySnapshot(gateway_snapshot other);
@@ -90,6 +92,10 @@
   /// \returns true once a configuration and a list are known.
   [[nodiscard]] bool can_route() const;
   [[nodiscard]] bool publisher_lost() const { return publisher_lost_; }
+  /// \returns Time since the publisher last confirmed that the configuration is the newest.
+  [[nodiscard]] microseconds configuration_age(instant now) const {
+    return now - configuration_confirmed_;
+  }
   [[nodiscard]] std::size_t in_progress() const { return exchanges_.size(); }
   /// \returns Bytes of answers that have arrived and are not forwarded yet.
   [[nodiscard]] std::size_t held_answer_bytes() const { return context_.held_answer_bytes; }
@@ -98,6 +104,9 @@
   [[nodiscard]] metrics_registry& metrics() { return context_.metrics; }
 
  private:
+  enum class configuration_source { kPublisher, kPeer };
+  void ApplyConfiguration(std::shared_ptr<const forward_configuration> next,
+                          configuration_source source);
   void UpdateSelector();
   /// \brief Logs what is held and released, and applies it to the requests in progress.
   void ApplyVerdicts(instant now);
@@ -117,6 +126,7 @@
   bool list_known_ = false;
   bool rejecting_ = false;
   bool publisher_lost_ = true;
+  instant configuration_confirmed_;  ///< By the publisher; before the first time, the start.
 };
 
 }  // namespace jacinthspool
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -111,6 +111,10 @@
                                       static_cast<double>(gateway_.held_answer_bytes()));
                gateway_.metrics().Set("gateway_bytes_after_end", {},
                                       static_cast<double>(client_.bytes_after_end()));
+               gateway_.metrics().Set(
+                   "gateway_configuration_age_seconds", {},
+                   std::chrono::duration<double>(gateway_.configuration_age(timer_service::now()))
+                       .count());
                std::move(answer).Reply(http_status::kOk,
                                        {{"Content-Type", "text/plain; version=0.0.4"}},
                                        gateway_.metrics().Render());
--- a/tests/platform/counting_listener.h
+++ b/tests/platform/counting_listener.h
@@ -22,6 +22,8 @@
   void OnBackendRemoved(const std::string& /*id*/, store_position /*at*/) override {}
   void OnPublisherLost(const std::string& /*reason*/) override { ++lost; }
   void OnPublisherRegained() override {}
+  void OnConfigurationLost() override {}
+  void OnConfigurationConfirmed() override {}
 };
 
 }  // namespace jacinthspool
--- a/tests/platform/store_watch_test.cc
+++ b/tests/platform/store_watch_test.cc
@@ -82,6 +82,8 @@
   }
   void OnPublisherLost(const std::string& /*reason*/) override { ++lost; }
   void OnPublisherRegained() override {}
+  void OnConfigurationLost() override {}
+  void OnConfigurationConfirmed() override {}
 };
 
 struct watch_rig {
