--- a/tests/process/relay.cc
+++ b/tests/process/relay.cc
@@ -1,10 +1,8 @@
 #include "tests/process/relay.h"
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
-#include <event2/util.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -13,15 +11,18 @@
 #include <list>
 #include <utility>
 
+#include "src/transport/socket_address.h"
+
 namespace jacinthspool::testing {
 namespace {
 
 constexpr int kBacklog = 128;
+/// A paced link forwards its bytes in this many portions a second.
+constexpr int kPortionsPerSecond = 50;
 
-sockaddr_in Parse(const std::string& address) {
-  sockaddr_in parsed{};
-  int length = sizeof(parsed);
-  evutil_parse_sockaddr_port(address.c_str(), reinterpret_cast<sockaddr*>(&parsed), &length);
+socket_address Parse(const std::string& address) {
+  socket_address parsed;
+  ParseSocketAddress(address, parsed);
   return parsed;
 }
 
@@ -42,6 +43,8 @@
   bool cut = false;
   bool requests_stalled = false;
   bool replies_stalled = false;
+  ev_token_bucket_cfg* pace = nullptr;  ///< Null: unlimited.
+  bufferevent_rate_limit_group* paced = nullptr;
   std::array<int, 2> fillers{-1, -1};  ///< They keep the queue of new connections full.
 
   void Accept(evutil_socket_t descriptor);
@@ -49,6 +52,7 @@
   void EmptyQueue();
   void Close(link& closed);
   void Apply(link& each) const;
+  void Pace(std::size_t bytes_per_second);
   void ApplyAll() {
     for (link& each : links) {
       Apply(each);
@@ -95,19 +99,42 @@
   added.target = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
   bufferevent_setcb(added.caller, OnRead, nullptr, OnEvent, &added);
   bufferevent_setcb(added.target, OnRead, nullptr, OnEvent, &added);
-  sockaddr_in to = Parse(target);
-  bufferevent_socket_connect(added.target, reinterpret_cast<sockaddr*>(&to), sizeof(to));
+  const socket_address to = Parse(target);
+  bufferevent_socket_connect(added.target, to.get(), to.length);
+  if (paced != nullptr) {
+    bufferevent_add_to_rate_limit_group(added.target, paced);
+  }
   Apply(added);
 }
 
+void relay::state::Pace(std::size_t bytes_per_second) {
+  for (link& each : links) {
+    bufferevent_remove_from_rate_limit_group(each.target);
+  }
+  if (paced != nullptr) {
+    bufferevent_rate_limit_group_free(std::exchange(paced, nullptr));
+    ev_token_bucket_cfg_free(std::exchange(pace, nullptr));
+  }
+  if (bytes_per_second == 0) {
+    return;
+  }
+  const std::size_t portion = bytes_per_second / kPortionsPerSecond;
+  const timeval tick{.tv_sec = 0, .tv_usec = microseconds(seconds(1)).count() / kPortionsPerSecond};
+  pace = ev_token_bucket_cfg_new(portion, portion, EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX, &tick);
+  paced = bufferevent_rate_limit_group_new(base, pace);
+  for (link& each : links) {
+    bufferevent_add_to_rate_limit_group(each.target, paced);
+  }
+}
+
 void relay::state::FillQueue() {
   evconnlistener_disable(listener);
   listen(evconnlistener_get_fd(listener), 0);
-  const sockaddr_in at = Parse(address);
+  const socket_address at = Parse(address);
   for (int& filler : fillers) {
     if (filler < 0) {
       filler = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-      (void)connect(filler, reinterpret_cast<const sockaddr*>(&at), sizeof(at));
+      (void)connect(filler, at.get(), static_cast<socklen_t>(at.length));
     }
   }
 }
@@ -129,24 +156,33 @@
 }
 
 void relay::state::Close(link& closed) {
+  bufferevent_remove_from_rate_limit_group(closed.target);
   bufferevent_free(closed.caller);
   bufferevent_free(closed.target);
   links.remove_if([&closed](const link& each) { return &each == &closed; });
 }
 
 relay::relay(test_environment& environment, std::string target)
+    : relay(environment.loop(), environment.FreeAddress(), std::move(target)) {}
+
+relay::relay(event_loop& loop, const std::string& address, std::string target)
     : state_(std::make_unique<state>()) {
-  state_->base = environment.loop().base();
+  state_->base = loop.base();
   state_->target = std::move(target);
-  state_->address = environment.FreeAddress();
-  sockaddr_in at = Parse(state_->address);
-  state_->listener = evconnlistener_new_bind(state_->base, state::OnAccept, state_.get(),
-                                             LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
-                                             reinterpret_cast<sockaddr*>(&at), sizeof(at));
+  state_->address = address;
+  const socket_address at = Parse(address);
+  state_->listener =
+      evconnlistener_new_bind(state_->base, state::OnAccept, state_.get(),
+                              LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1, at.get(), at.length);
+  if (at.port() == 0) {
+    state_->address =
+        "127.0.0.1:" + std::to_string(LocalPort(evconnlistener_get_fd(state_->listener)));
+  }
 }
 
 relay::~relay() {
   Cut();
+  state_->Pace(0);
   state_->EmptyQueue();
   evconnlistener_free(state_->listener);
 }
@@ -178,6 +214,8 @@
   state_->ApplyAll();
 }
 
+void relay::PaceReplies(std::size_t bytes_per_second) { state_->Pace(bytes_per_second); }
+
 void relay::IgnoreOpenings() { state_->FillQueue(); }
 
 void relay::Heal() {
--- a/tests/process/relay.h
+++ b/tests/process/relay.h
@@ -1,9 +1,11 @@
 #ifndef JACINTHSPOOL_TESTS_PROCESS_RELAY_H_
 #define JACINTHSPOOL_TESTS_PROCESS_RELAY_H_
 
+#include <cstddef>
 #include <memory>
 #include <string>
 
+#include "src/transport/event_loop.h"
 #include "tests/process/test_environment.h"
 
 namespace jacinthspool::testing {
@@ -13,6 +15,9 @@
  public:
   /// \param target ip:port to which connections are forwarded.
   relay(test_environment& environment, std::string target);
+
+  /// \param address ip:port at which it listens; port 0 selects a free one.
+  relay(event_loop& loop, const std::string& address, std::string target);
   ~relay();
   relay(const relay&) = delete;
   relay& operator=(const relay&) = delete;
@@ -37,6 +42,9 @@
   /// A caller's kernel repeats the opening after a second.
   void IgnoreOpenings();
 
+  /// \brief Forwards the replies of all connections together at no more than this rate; 0: at any.
+  void PaceReplies(std::size_t bytes_per_second);
+
   /// \brief Ends a cut, a stall or an ignoring; bytes that were held back are forwarded.
   void Heal();
 
