--- a/tests/platform/store_watch_test.cc
+++ b/tests/platform/store_watch_test.cc
@@ -120,6 +120,16 @@
   CHECK(rig.listener.lists[0].era == 1);
 }
 
+TEST_CASE("each configuration that is read has a line with the size of its reply") {
+  const log_capture log;
+  watch_rig rig;
+  rig.store.Put("op/config", Configuration(2));
+  rig.Elapse(milliseconds(200));
+  const std::string text = log.Text();
+  CHECK(log_capture::Count(text, "\"event\":\"configuration_read\"") == 2);
+  CHECK(log_capture::Count(text, "\"bytes\":0,") == 0);
+}
+
 TEST_CASE("a change is learned in time although the answers of all watches are lost") {
   watch_rig rig(seconds(2));
   rig.Elapse(milliseconds(700));
