--- a/src/gateway/snapshot_query.cc
+++ b/src/gateway/snapshot_query.cc
@@ -8,13 +8,16 @@
 namespace jacinthspool {
 namespace {
 
+/// Until the answer begins, and between two pieces of it.
 constexpr milliseconds kAnswerTimeout = milliseconds(600);
 /// Enough for several thousand routes and servers.
 constexpr std::size_t kMaxSnapshotBytes = 16U << 20U;
 
 }  // namespace
 
-snapshot_query::snapshot_query(options settings) : settings_(std::move(settings)) {
+snapshot_query::snapshot_query(options settings)
+    : settings_(std::move(settings)),
+      watchdog_({.timers = settings_.timers, .silence = kAnswerTimeout}) {
   const bool wants_record = !settings_.backend.empty();
   std::string bytes =
       (settings_.news.empty() ? "GET " : "POST ") +
@@ -37,9 +40,9 @@
                                   .connect_timeout = kAnswerTimeout,
                                   .max_body_bytes = kMaxSnapshotBytes},
                                  *this);
-  timeout_ = settings_.timers.After(kAnswerTimeout, [this](instant /*now*/) {
+  watchdog_.Start(kAnswerTimeout, [this](const std::string& reason) {
     call_.reset();
-    OnEnd(call_outcome::kLost, "no answer in time");
+    OnEnd(call_outcome::kLost, reason);
   });
 }
 
@@ -52,7 +55,7 @@
   if (std::exchange(answered_, true)) {
     return;
   }
-  timeout_.Cancel();
+  watchdog_.Cancel();
   std::optional<gateway_snapshot> snapshot;
   if (end == call_outcome::kWhole && status_ == http_status::kOk) {
     snapshot = DecodeSnapshot(body_);
--- a/src/gateway/snapshot_query.h
+++ b/src/gateway/snapshot_query.h
@@ -9,6 +9,7 @@
 
 #include "src/gateway/snapshot.h"
 #include "src/transport/http1_client.h"
+#include "src/transport/reply_watchdog.h"
 
 namespace jacinthspool {
 
@@ -41,7 +42,10 @@
   explicit snapshot_query(options settings);
 
   head_action OnHead(const http1_head& head) override;
-  void OnBody(std::string_view bytes) override { body_ += bytes; }
+  void OnBody(std::string_view bytes) override {
+    body_ += bytes;
+    watchdog_.OnBytes(bytes.size());
+  }
   void OnEnd(call_outcome end, const std::string& reason) override;
 
   /// \returns true when `on_answer` has been called.
@@ -50,7 +54,7 @@
  private:
   options settings_;
   std::unique_ptr<http1_call> call_;
-  timer_subscription timeout_;
+  reply_watchdog watchdog_;
   int status_ = 0;
   std::string body_;
   bool answered_ = false;
