Ask the peers at once while the configuration's watch is lost

A gateway whose watch of the configuration had failed told nobody: it went on asking one peer every two seconds, and only the loss of the servers' watch made it ask all of them every 0.4 s, after the question that was due. Either loss counts now, and the first round goes out at once.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -307,12 +307,16 @@
 }
 
 void gateway::OnConfigurationLost() {
+  configuration_lost_ = true;
   Log(log_level::kWarning, "configuration_lost",
       {{"version", context_.routes.configuration() ? context_.routes.configuration()->version : 0},
        {"age_ms", configuration_age(timer_service::now()) / milliseconds(1)}});
 }
 
-void gateway::OnConfigurationConfirmed() { configuration_confirmed_ = timer_service::now(); }
+void gateway::OnConfigurationConfirmed() {
+  configuration_lost_ = false;
+  configuration_confirmed_ = timer_service::now();
+}
 
 void gateway::ApplySnapshot(gateway_snapshot other) {
   if (other.configuration) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -92,6 +92,8 @@
   /// \returns true once a configuration and a list are known.
   [[nodiscard]] bool can_route() const;
   [[nodiscard]] bool publisher_lost() const { return publisher_lost_; }
+  /// \returns true while changes of the configuration or of the servers are not reported.
+  [[nodiscard]] bool lacks_news() const { return publisher_lost_ || configuration_lost_; }
   /// \returns Time since the publisher last confirmed that the configuration is the newest.
   [[nodiscard]] microseconds configuration_age(instant now) const {
     return now - configuration_confirmed_;
@@ -126,6 +128,7 @@
   bool list_known_ = false;
   bool rejecting_ = false;
   bool publisher_lost_ = true;
+  bool configuration_lost_ = false;
   instant configuration_confirmed_;  ///< By the publisher; before the first time, the start.
 };
 
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -12,7 +12,7 @@
 
 /// Between two queries while the publisher is available.
 constexpr milliseconds kQueryPeriod = milliseconds(2000);
-/// Between two rounds of queries to all peers while it is not.
+/// Between two rounds of queries to all peers while it is not, of which the first is at once.
 constexpr milliseconds kFastQueryPeriod = milliseconds(400);
 /// Between two queries while some server's limit is in force, whose shares follow the traffic, and
 /// while servers that ended are remembered.
@@ -53,7 +53,8 @@
   }
   QueryPeers();
   news_check_ = settings_.timers.Every(kNewsCheckPeriod, [this](instant /*now*/) {
-    if (settings_.owner.limited() && !was_limited_) {
+    if ((settings_.owner.limited() && !was_limited_) ||
+        (settings_.owner.lacks_news() && !lacked_news_)) {
       QueryPeers();
     }
     // The peers may know gateways that do not know each other, so they pass reports on.
@@ -220,7 +221,8 @@
       gateways, !reported_gateways_.empty() || settings_.peers.empty(), timer_service::now()));
   // At first all peers are queried, so that each soon knows the number of gateways.
   const bool settled = timer_service::now() - start_ > kSettleTime;
-  const bool regular = settled && settings_.owner.can_route() && !settings_.owner.publisher_lost();
+  lacked_news_ = settings_.owner.lacks_news();
+  const bool regular = settled && settings_.owner.can_route() && !lacked_news_;
   const bool limited = settings_.owner.limited();
   if (regular && limited == was_limited_ && !settings_.peers.empty()) {
     QueryPeer(settings_.peers[random_() % settings_.peers.size()]);
