--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -76,6 +76,11 @@
 constexpr int kBurst = 8;
 constexpr milliseconds kShortestTimeout = milliseconds(400);
 constexpr milliseconds kLongestTimeout = milliseconds(3000);
+/// Rate at which each gateway reads the store while the configuration grows: 10 Mbit/s.
+constexpr std::size_t kSlowLink = 1'250'000;
+constexpr int kAddedRoutes = 700;
+constexpr int kFirstAddedRoutes = 2800;
+constexpr int kMostAddedRoutes = 4900;
 constexpr double kDisconnectShare = 0.1;  ///< Share of the callers that disconnect early.
 
 /// One gateway and the state of its process.
@@ -262,6 +267,7 @@
   std::ofstream fault_log_{environment_.PathOf("faults.log")};
   instant started_at_ = timer_service::now();
   std::vector<std::string> routes_ = {"/once/", "/again/", "/stream/", "/brittle/"};
+  int added_routes_ = 0;  ///< Routes of the configuration that nobody calls.
   std::uint64_t version_ = 3;
   milliseconds plain_timeout_ = kPlainDeadline;  ///< Of the routes without streams.
   instant store_disturbed_{};                    ///< End of the last fault of the store.
@@ -337,6 +343,19 @@
                       {"service", streams ? "model" : "plain"},
                       {"resumable", path == "/stream/"}});
   }
+  for (int i = 0; i < added_routes_; ++i) {
+    const std::string name = "added-" + std::to_string(i);
+    routes.push_back({{"name", name},
+                      {"host", "h"},
+                      {"prefix", "/" + name + "/"},
+                      {"kind", "idempotent"},
+                      {"timeoutMs", plain_timeout_.count()},
+                      {"goalMs", 300},
+                      {"priority", 1},
+                      {"service", "plain"},
+                      {"attempts", 1},
+                      {"sticky", false}});
+  }
   const json engine = {{"kvTokens", server_standin::kMemoryTokens},
                        {"kvHoldS", 0.5},
                        {"holdMs", 2000.0},
@@ -358,6 +377,10 @@
 
 void soak::SetUp() {
   store_link_ = std::make_unique<relay>(environment_, store_.address());
+  if (options_.configuration_grows) {
+    store_link_->PaceReplies(kSlowLink * options_.gateways);
+    added_routes_ = kFirstAddedRoutes;
+  }
   PublishConfiguration();
   for (std::size_t i = 0; i < kPlainServers; ++i) {
     AddServer(server_standin::role::kPlain);
@@ -668,6 +691,9 @@
   if (drawn < 0.6) {
     RecordFault("configuration changed", std::to_string(version_));
     routes_.push_back("/probe" + std::to_string(version_) + "/");
+    if (options_.configuration_grows) {
+      added_routes_ = std::min(added_routes_ + kAddedRoutes, kMostAddedRoutes);
+    }
     PublishConfiguration();
     Schedule(kConfigurationBound,
              [this, route = routes_.back(), now] { ProbeConfiguration(route, now); });
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -23,6 +23,9 @@
   /// Gateways stand still and go on while servers answer no opening of a connection or links hold
   /// bytes back, and routes' timeouts change. Random faults go on beside them.
   bool gateways_stand_still = false;
+  /// The gateways read the store over slow links, and each change adds many routes to the
+  /// configuration.
+  bool configuration_grows = false;
   std::string log_folder = {};  ///< Receives the processes' logs after a violation; empty for none.
 };
 
--- a/tests/soak/soak_test.cc
+++ b/tests/soak/soak_test.cc
@@ -15,6 +15,8 @@
 constexpr std::uint64_t kPauseSeeds[] = {1};
 /// Seeds in which gateways stand still while their connections to servers are opened.
 constexpr std::uint64_t kStandstillSeeds[] = {9};
+/// Seeds in which the configuration grows, behind slow links.
+constexpr std::uint64_t kGrowthSeeds[] = {1};
 
 void RunAndCheck(const soak_options& options) {
   const soak_report report = RunSoak(options);
@@ -52,9 +54,16 @@
   }
 }
 
+TEST_CASE("a configuration that grows is in force in time at gateways with slow links") {
+  for (const std::uint64_t seed : kGrowthSeeds) {
+    RunAndCheck({.seed = seed, .traffic_duration = seconds(10), .configuration_grows = true});
+  }
+}
+
 /// For manual runs: SOAK_SEEDS="FIRST COUNT SECONDS GATEWAYS" runs more seeds, for longer and with
 /// more gateways; SOAK_LOGS names a folder for the logs of failed seeds. With SOAK_ONLY_PAUSE no
 /// server fails, and with it or SOAK_NO_STANDSTILL no gateway stands still as connections open.
+/// With SOAK_GROWTH the configuration grows.
 TEST_CASE("additional seeds from SOAK_SEEDS") {
   const char* requested = std::getenv("SOAK_SEEDS");
   if (requested == nullptr) {
@@ -75,6 +84,7 @@
          .gateways = gateways,
          .servers_only_pause = only_pause,
          .gateways_stand_still = !only_pause && std::getenv("SOAK_NO_STANDSTILL") == nullptr,
+         .configuration_grows = std::getenv("SOAK_GROWTH") != nullptr,
          .log_folder = logs == nullptr ? "" : logs});
   }
 }
