--- a/tests/platform/large_configuration_test.cc
+++ b/tests/platform/large_configuration_test.cc
@@ -70,6 +70,11 @@
     link.PaceReplies(bytes_per_second);
     store.Put("op/config", Configuration(1, routes));
   }
+  /// \brief Starts the watch and waits for the first version.
+  void ReadFirst() {
+    watch.Start(listener);
+    REQUIRE(TimeUntil(1) < kBound);
+  }
   void Elapse(milliseconds time) {
     const timer_subscription end = timers.After(time, [this](instant /*now*/) { loop.Stop(); });
     loop.Run();
@@ -101,8 +106,7 @@
   }
   SUBCASE("one that is published as a watch has nearly waited out its time") {
     slow_link_rig rig(40);
-    rig.watch.Start(rig.listener);
-    REQUIRE(rig.TimeUntil(1) < kBound);
+    rig.ReadFirst();
     rig.Elapse(kBound - milliseconds(100));
     rig.store.Put("op/config", Configuration(2, MostRoutes()));
     CHECK(rig.TimeUntil(2) < kBound);
@@ -111,8 +115,7 @@
 
 TEST_CASE("the last of a series of large configurations is in force within the bound") {
   slow_link_rig rig(kManyRoutes);
-  rig.watch.Start(rig.listener);
-  REQUIRE(rig.TimeUntil(1) < kBound);
+  rig.ReadFirst();
   rig.Elapse(milliseconds(500));
   for (int version = 2; version <= 6; ++version) {
     rig.store.Put("op/config", Configuration(version, kManyRoutes));
@@ -123,8 +126,7 @@
 
 TEST_CASE("versions that a newer one of the same reply replaces are not applied") {
   slow_link_rig rig(40);
-  rig.watch.Start(rig.listener);
-  REQUIRE(rig.TimeUntil(1) < kBound);
+  rig.ReadFirst();
   rig.Elapse(milliseconds(200));
   for (int version = 2; version <= 6; ++version) {
     rig.store.Put("op/config", Configuration(version, 40));
@@ -146,8 +148,7 @@
 
 TEST_CASE("a reply of the store that falls silent is given up") {
   slow_link_rig rig(kManyRoutes);
-  rig.watch.Start(rig.listener);
-  REQUIRE(rig.TimeUntil(1) < kBound);
+  rig.ReadFirst();
   rig.Elapse(milliseconds(100));
   rig.store.Put("op/config", Configuration(2, kManyRoutes));
   rig.Elapse(milliseconds(100));
