Identify callers by their tenant's key, and the interfaces of the parts to come

Cause: nothing knows tenants, so on deployments that have them requests run without a check of their key, the key is passed on, and no tenant is named.

--- a/include/jacinthspool/jacinthspool.h
+++ b/include/jacinthspool/jacinthspool.h
@@ -55,5 +55,6 @@
 #include "jacinthspool/routing/stage_orders.h"
 #include "jacinthspool/routing/stage_plan.h"
 #include "jacinthspool/routing/store_position.h"
+#include "jacinthspool/routing/tenants.h"
 
 #endif  // JACINTHSPOOL_JACINTHSPOOL_H_
--- a/include/jacinthspool/routing/configuration.h
+++ b/include/jacinthspool/routing/configuration.h
@@ -3,12 +3,14 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "jacinthspool/impl/time.h"
 #include "jacinthspool/routing/edge_limits.h"
+#include "jacinthspool/routing/tenants.h"
 
 /// \file
 /// \brief Configuration of requests that are forwarded by host and path.
@@ -40,6 +42,7 @@
   std::uint32_t priority = 0;  ///< 0 is the highest.
   std::vector<route_target> targets = {};
   bool resumable = false;  ///< A broken stream may be resumed at another backend server.
+  bool is_public = false;  ///< Needs no key, also where tenants are configured.
 
   /// \returns true when a request may run a second time after it may have run once.
   [[nodiscard]] bool repeatable() const {
@@ -65,6 +68,9 @@
   std::vector<forward_route> routes = {};
   std::map<std::string, forward_service> services = {};
   edge_limits limits = {};
+  std::shared_ptr<const tenant_list> tenants = {};  ///< Null: none are configured.
+  /// From a process of an earlier version, which may have left its tenants out.
+  bool tenants_unknown = false;
 
   /// \returns The configured properties of the service's engines, or null.
   [[nodiscard]] const engine_profile* FindEngine(const std::string& service) const {
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -9,6 +9,7 @@
 #include "jacinthspool/impl/overloaded.h"
 #include "src/gateway/backend_notices.h"
 #include "src/gateway/background_call.h"
+#include "src/gateway/caller_check.h"
 #include "src/telemetry/log.h"
 #include "src/transport/http_status.h"
 
@@ -938,7 +939,8 @@
                           .resume_after = last_event_,
                           .prefill_only = prefill,
                           .kv_source = prefill ? std::string() : kv_source_,
-                          .hold = reservation ? reservation->hold : std::string()});
+                          .hold = reservation ? reservation->hold : std::string(),
+                          .tenant = TenantField(context_, settings_.caller)});
   attempt_->Send(bytes, reservation.has_value());
   CheckSilenceAfter(SilenceLimit(*attempt_));
 }
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -33,6 +33,8 @@
     forward_request request;
     std::shared_ptr<const forward_route> route;
     std::string service;
+    /// Nothing: the request needs no key.
+    std::optional<caller_identity> caller = {};
     http1_responder answer;
     instant received{};
     /// Called once, when the exchange has ended.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -4,6 +4,7 @@
 
 #include "jacinthspool/impl/rendezvous.h"
 #include "src/gateway/backend_notices.h"
+#include "src/gateway/caller_check.h"
 #include "src/telemetry/log.h"
 #include "src/transport/http_status.h"
 
@@ -197,6 +198,13 @@
            "route without a service", kStartRetryAfter);
     return;
   }
+  const identification caller = IdentifyCaller(context_, *decoded, *route);
+  if (std::holds_alternative<key_rejected>(caller)) {
+    Reject(std::move(answer), http_status::kUnauthorized, decoded->id,
+           decoded->key ? "no tenant holds the key" : "no key", kStartRetryAfter);
+    return;
+  }
+  const auto* identity = std::get_if<caller_identity>(&caller);
   decoded->body = std::move(request.body);
   decoded->digest = DigestOf(decoded->method, decoded->host, decoded->target, decoded->body);
   const auto exchange = std::make_shared<forward_exchange>(forward_exchange::options{
@@ -206,6 +214,7 @@
       .request = std::move(*decoded),
       .route = route,
       .service = *service,
+      .caller = identity == nullptr ? std::nullopt : std::optional(*identity),
       .answer = std::move(answer),
       .received = request.received,
       .on_ended = [this](forward_exchange& ended) { exchanges_.erase(ended.shared_from_this()); }});
@@ -239,11 +248,15 @@
   const std::uint64_t before =
       context_.routes.configuration() ? context_.routes.configuration()->version : 0;
   if (context_.routes.Apply(std::move(next))) {
+    const forward_configuration& applied = *context_.routes.configuration();
+    context_.tenants = tenant_directory(applied.tenants);
     Log(log_level::kInfo, "configuration_applied",
         {{"version", version},
          {"before", before},
          {"source", source == configuration_source::kPeer ? "peer" : "publisher"},
-         {"routes", context_.routes.configuration()->routes.size()}});
+         {"routes", applied.routes.size()},
+         {"tenants", applied.tenants ? applied.tenants->tenants.size() : 0},
+         {"unreadable_tenants", applied.tenants ? applied.tenants->unreadable : 0}});
     context_.metrics.Set("gateway_configuration_version", {}, static_cast<double>(version));
     if (on_limits_) {
       on_limits_(context_.routes.configuration()->limits);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -89,6 +89,10 @@
   /// \brief Sets the number of gateways that share the retry budget and the servers' limits.
   void SetGateways(std::uint32_t gateways);
 
+  /// \returns The configuration in force; null before the first.
+  [[nodiscard]] const std::shared_ptr<const forward_configuration>& configuration() const {
+    return context_.routes.configuration();
+  }
   /// \returns true once a configuration and a list are known.
   [[nodiscard]] bool can_route() const;
   [[nodiscard]] bool publisher_lost() const { return publisher_lost_; }
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -18,6 +18,7 @@
 #include "jacinthspool/routing/retry_detector.h"
 #include "jacinthspool/routing/route_table.h"
 #include "jacinthspool/routing/send_limiter.h"
+#include "jacinthspool/routing/tenants.h"
 #include "src/gateway/background_call.h"
 #include "src/gateway/wire_dialect.h"
 #include "src/telemetry/metrics.h"
@@ -34,6 +35,7 @@
   http1_client& client;
   const wire_dialect& dialect;
   route_table routes;
+  tenant_directory tenants = tenant_directory();  ///< Of the configuration in force.
   backend_list backends;
   backend_selector selector;
   forward_retry_budget budget;
--- a/src/gateway/record_check.cc
+++ b/src/gateway/record_check.cc
@@ -1,6 +1,7 @@
 #include "src/gateway/record_check.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <string>
 
@@ -59,6 +60,12 @@
 
 }  // namespace
 
+bool IsUsable(const tenant& value) {
+  const auto in_range = [](double number) { return number >= 0 && std::isfinite(number); };
+  return IsValidId(value.name) && in_range(value.limit.per_second) && in_range(value.limit.burst) &&
+         (value.limit.unit == limit_unit::kRequests || value.limit.unit == limit_unit::kTokens);
+}
+
 std::string_view FaultOf(const backend_record& record) {
   if (!IsValidId(record.id)) {
     return "the id is empty, too long or not printable";
@@ -86,6 +93,10 @@
       return "a time of a service is out of range";
     }
   }
+  if (configuration.tenants && !std::all_of(configuration.tenants->tenants.begin(),
+                                            configuration.tenants->tenants.end(), IsUsable)) {
+    return "a tenant's name, unit or limit is not valid";
+  }
   const edge_limits& limits = configuration.limits;
   constexpr std::size_t kMaxBytes = std::numeric_limits<std::uint32_t>::max();
   if (limits.max_head_bytes > kMaxBytes || limits.max_body_bytes > kMaxBytes ||
--- a/src/gateway/snapshot.cc
+++ b/src/gateway/snapshot.cc
@@ -27,6 +27,7 @@
   wire->silence_limit_ms = Ms(route.silence_limit);
   wire->priority = route.priority;
   wire->resumable = route.resumable;
+  wire->is_public = route.is_public;
   for (const route_target& target : route.targets) {
     auto each = std::make_shared<snapshot::weighted_target_value>();
     each->service = target.service;
@@ -47,7 +48,8 @@
                       .silence_limit = milliseconds(wire.silence_limit_ms),
                       .priority = wire.priority,
                       .targets = {},
-                      .resumable = wire.resumable};
+                      .resumable = wire.resumable,
+                      .is_public = wire.is_public};
   for (const auto& target : wire.targets) {
     route.targets.push_back({.service = target->service, .weight = target->weight});
   }
@@ -79,6 +81,38 @@
   return service;
 }
 
+/// Format of configurations that have the tenants.
+constexpr std::uint32_t kFormatWithTenants = 1;
+
+std::shared_ptr<snapshot::listed_tenant_value> ToWire(const tenant& value) {
+  auto wire = std::make_shared<snapshot::listed_tenant_value>();
+  wire->name = value.name;
+  for (const key_digest& key : value.keys) {
+    wire->keys.emplace_back(key.high, key.low);
+  }
+  wire->has_priority = value.priority.has_value();
+  wire->priority = value.priority.value_or(0);
+  wire->unit = static_cast<snapshot::limit_unit>(value.limit.unit);
+  wire->per_second = value.limit.per_second;
+  wire->burst = value.limit.burst;
+  wire->plain_tokens = value.limit.plain_tokens;
+  return wire;
+}
+
+tenant FromWire(const snapshot::listed_tenant_value& wire) {
+  tenant value{.name = wire.name,
+               .keys = {},
+               .priority = wire.has_priority ? std::optional(wire.priority) : std::nullopt,
+               .limit = {.per_second = wire.per_second,
+                         .burst = wire.burst,
+                         .unit = static_cast<limit_unit>(wire.unit),
+                         .plain_tokens = wire.plain_tokens}};
+  for (const snapshot::listed_key& key : wire.keys) {
+    value.keys.push_back({.high = key.high(), .low = key.low()});
+  }
+  return value;
+}
+
 std::shared_ptr<snapshot::listed_configuration_value> ToWire(const forward_configuration& value) {
   auto wire = std::make_shared<snapshot::listed_configuration_value>();
   wire->version = value.version;
@@ -92,6 +126,14 @@
   wire->max_body_bytes = value.limits.max_body_bytes;
   wire->head_timeout_ms = Ms(value.limits.head_timeout);
   wire->idle_timeout_ms = Ms(value.limits.idle_timeout);
+  wire->format = kFormatWithTenants;
+  wire->has_tenants = value.tenants != nullptr;
+  if (value.tenants) {
+    wire->unreadable_tenants = value.tenants->unreadable;
+    for (const tenant& each : value.tenants->tenants) {
+      wire->tenants.push_back(ToWire(each));
+    }
+  }
   return wire;
 }
 
@@ -109,6 +151,14 @@
                    .max_body_bytes = wire.max_body_bytes,
                    .head_timeout = milliseconds(wire.head_timeout_ms),
                    .idle_timeout = milliseconds(wire.idle_timeout_ms)};
+  if (wire.has_tenants) {
+    tenant_list list{.tenants = {}, .unreadable = wire.unreadable_tenants};
+    for (const auto& each : wire.tenants) {
+      list.tenants.push_back(FromWire(*each));
+    }
+    value->tenants = std::make_shared<const tenant_list>(std::move(list));
+  }
+  value->tenants_unknown = wire.format < kFormatWithTenants;
   return value;
 }
 
@@ -376,6 +426,11 @@
   for (const suspect_trial& trial : value.trials) {
     wire.trials.push_back(ToWire(trial, now));
   }
+  if (value.confirmed) {
+    wire.confirmed = std::make_shared<snapshot::configuration_state_value>();
+    wire.confirmed->version = value.confirmed->version;
+    wire.confirmed->age = AgeOf(value.confirmed->as_of, now);
+  }
   flatbuffers::FlatBufferBuilder builder;
   builder.Finish(snapshot::gateway_snapshot::Pack(builder, &wire));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
@@ -433,6 +488,10 @@
       value.fault = "a crash report out of range";
     }
   }
+  if (wire.confirmed) {
+    value.confirmed = configuration_confirmation{.version = wire.confirmed->version,
+                                                 .as_of = TimeOf(wire.confirmed->age, now)};
+  }
   for (const auto& each : wire.trials) {
     if (each->suspect) {
       value.trials.push_back({.suspect = FromWire(*each->suspect),
--- a/src/gateway/snapshot.h
+++ b/src/gateway/snapshot.h
@@ -38,6 +38,14 @@
 /// publisher; its id is in a header.
 inline constexpr std::string_view kRecordTarget = "/jacinthspool/record";
 
+/// \brief How fresh a gateway's configuration is.
+struct configuration_confirmation {
+  std::uint64_t version = 0;
+  /// When the call was sent whose answer showed that this version is the newest; on the clock of
+  /// this process.
+  instant as_of{};
+};
+
 /// \brief State that one gateway sends to another.
 ///
 /// Points in time are encoded as ages, since each process has its own clock.
@@ -56,6 +64,8 @@
   /// Servers that have ended, with the requests and parts of prompts that they may have ended of.
   std::vector<crash_report> crashes = {};
   std::vector<suspect_trial> trials = {};
+  /// Of the sender's configuration, where tenants are configured.
+  std::optional<configuration_confirmation> confirmed = {};
   /// Why part of a decoded snapshot cannot be used and was left out; empty: nothing was.
   std::string_view fault = {};
 };
--- a/src/gateway/wire_dialect.h
+++ b/src/gateway/wire_dialect.h
@@ -12,6 +12,7 @@
 #include "jacinthspool/routing/crash_suspect.h"
 #include "jacinthspool/routing/rate_statement.h"
 #include "jacinthspool/routing/stage_orders.h"
+#include "jacinthspool/routing/tenants.h"
 #include "src/transport/http1_reader.h"
 
 namespace jacinthspool {
@@ -37,6 +38,10 @@
   std::vector<std::uint64_t> shared_parts = {};
   bool parts_unreadable = false;  ///< The parts are stated, but in no valid form.
   http_headers passed = {};       ///< Headers that are forwarded unchanged.
+  /// Digest of the caller's API key; nothing: none, or not a single one.
+  std::optional<key_digest> key = {};
+  /// Headers about the caller, which are forwarded only where no tenants are configured.
+  http_headers credentials = {};
   std::string body = {};
   request_digest digest = {};  ///< Of what stays the same when its caller sends it again.
 };
@@ -49,6 +54,8 @@
   bool prefill_only = false;   ///< Only prefill the prompt and keep its KV cache.
   std::string kv_source = {};  ///< Location of the prompt's KV cache; empty: none.
   std::string hold = {};       ///< Reservation at the backend server; empty: none.
+  /// Name of the caller's tenant; empty on a public route; nothing: no tenants are configured.
+  std::optional<std::string> tenant = {};
 };
 
 /// \brief Which request a reply states that it answers.
--- a/src/transport/http_status.h
+++ b/src/transport/http_status.h
@@ -11,6 +11,7 @@
 inline constexpr int kMultipleChoices = 300;
 inline constexpr int kNotModified = 304;
 inline constexpr int kBadRequest = 400;
+inline constexpr int kUnauthorized = 401;
 inline constexpr int kNotFound = 404;
 inline constexpr int kRequestTimeout = 408;
 inline constexpr int kMisdirectedRequest = 421;
--- a/tests/gateway/forwarding_test.cc
+++ b/tests/gateway/forwarding_test.cc
@@ -379,5 +379,42 @@
   }
 }
 
+TEST_CASE("a request whose key no tenant holds is rejected before any server sees it") {
+  fake_platform platform;
+  platform.Configure();
+  scripted_backend& server = platform.AddBackend("plain");
+  server.script = scripted_backend::Serve;
+  auto with_tenants = std::make_shared<forward_configuration>(*platform.router.configuration());
+  with_tenants->version = 2;
+  with_tenants->routes[1].is_public = true;
+  with_tenants->tenants = std::make_shared<const tenant_list>(
+      tenant_list{.tenants = {{.name = "t1", .keys = {DigestOfKey("good")}}}});
+  platform.router.OnConfiguration(std::move(with_tenants));
+  fake_caller caller(platform);
+
+  SUBCASE("no key") {
+    caller.Send("/once/a");
+    CHECK(caller.Receives("HTTP/1.1 401"));
+    CHECK(server.requests.empty());
+  }
+  SUBCASE("an unknown key") {
+    caller.Send("/once/a", "X-Key: bad\r\n");
+    CHECK(caller.Receives("HTTP/1.1 401"));
+    CHECK(server.requests.empty());
+  }
+  SUBCASE("a tenant's key: the server is told the tenant") {
+    caller.Send("/once/a", "X-Key: good\r\nX-Tenant: forged\r\n");
+    REQUIRE(caller.Receives("HTTP/1.1 200"));
+    CHECK(server.requests.front().head.Find("X-Tenant") == "t1");
+    CHECK_FALSE(server.requests.front().head.Find("X-Key"));
+  }
+  SUBCASE("a public route needs none, and passes none on") {
+    caller.Send("/again/a", "X-Key: bad\r\nX-Tenant: forged\r\n");
+    REQUIRE(caller.Receives("HTTP/1.1 200"));
+    CHECK_FALSE(server.requests.front().head.Find("X-Tenant"));
+    CHECK_FALSE(server.requests.front().head.Find("X-Key"));
+  }
+}
+
 }  // namespace
 }  // namespace jacinthspool
--- a/tests/gateway/snapshot_test.cc
+++ b/tests/gateway/snapshot_test.cc
@@ -33,6 +33,42 @@
   }
 }
 
+TEST_CASE("a snapshot holds the tenants of the configuration and its confirmation") {
+  const instant now = timer_service::now();
+  auto configuration = std::make_shared<forward_configuration>();
+  configuration->version = 7;
+  configuration->tenants = std::make_shared<const tenant_list>(
+      tenant_list{.tenants = {{.name = "t1",
+                               .keys = {DigestOfKey("k1"), DigestOfKey("k2")},
+                               .priority = 2,
+                               .limit = {.per_second = 10.5,
+                                         .burst = 7,
+                                         .unit = limit_unit::kTokens,
+                                         .plain_tokens = 200}},
+                              {.name = "t2", .keys = {DigestOfKey("k3")}}},
+                  .unreadable = 3});
+  gateway_snapshot sent;
+  sent.configuration = configuration;
+  sent.confirmed = configuration_confirmation{.version = 7, .as_of = now - seconds(2)};
+  const std::string bytes = EncodeSnapshot(sent);
+  const auto received = DecodeSnapshot(bytes);
+  REQUIRE(received);
+  REQUIRE(received->configuration);
+  const tenant_list& tenants = *received->configuration->tenants;
+  REQUIRE(tenants.tenants.size() == 2);
+  CHECK(tenants.unreadable == 3);
+  CHECK(tenants.tenants[0].keys == configuration->tenants->tenants[0].keys);
+  CHECK(tenants.tenants[0].priority == 2);
+  CHECK(tenants.tenants[0].limit == configuration->tenants->tenants[0].limit);
+  CHECK_FALSE(tenants.tenants[1].priority);
+  CHECK_FALSE(received->configuration->tenants_unknown);
+  REQUIRE(received->confirmed);
+  CHECK(received->confirmed->version == 7);
+  CHECK(received->confirmed->as_of >= now - seconds(3));
+  CHECK(received->confirmed->as_of <= timer_service::now() - seconds(2));
+  CHECK(bytes.find("k1") == std::string::npos);
+}
+
 TEST_CASE("a snapshot holds the limits that servers have stated and the callers' request rates") {
   const instant now = timer_service::now();
   gateway_snapshot sent;
--- a/tests/platform/replica_dialect_test.cc
+++ b/tests/platform/replica_dialect_test.cc
@@ -45,6 +45,41 @@
   }
 }
 
+TEST_CASE("a server receives the name of the caller's tenant, and never the key") {
+  const replica_dialect dialect;
+  const auto request = dialect.DecodeRequest(
+      Head({{"Host", "h"}, {"x-key", "secret"}, {"X-Tenant", "forged"}, {"X-Other", "kept"}}));
+  REQUIRE(request);
+  CHECK(request->key == DigestOfKey("secret"));
+  const auto encode = [&](std::optional<std::string> tenant) {
+    return dialect.EncodeAttempt(*request, {.backend_id = "i-1", .tenant = std::move(tenant)});
+  };
+  const auto has = [](const std::string& bytes, const char* text) {
+    return bytes.find(text) != std::string::npos;
+  };
+
+  SUBCASE("whatever the caller states") {
+    const std::string bytes = encode("t1");
+    CHECK(has(bytes, "X-Tenant: t1\r\n"));
+    CHECK(has(bytes, "X-Other: kept\r\n"));
+    CHECK_FALSE(has(bytes, "secret"));
+    CHECK_FALSE(has(bytes, "forged"));
+  }
+  SUBCASE("neither of them on a public route") {
+    const std::string bytes = encode("");
+    CHECK_FALSE(has(bytes, "secret"));
+    CHECK_FALSE(has(bytes, "X-Tenant"));
+  }
+  SUBCASE("without tenants the headers are as any others") {
+    const std::string bytes = encode(std::nullopt);
+    CHECK(has(bytes, "x-key: secret\r\n"));
+    CHECK(has(bytes, "X-Tenant: forged\r\n"));
+  }
+  SUBCASE("two keys are none") {
+    CHECK_FALSE(dialect.DecodeRequest(Head({{"Host", "h"}, {"X-Key", "a"}, {"X-Key", "b"}}))->key);
+  }
+}
+
 TEST_CASE("a request whose deadline header is not a number is rejected") {
   const replica_dialect dialect;
   CHECK_FALSE(dialect.DecodeRequest(Head({{"Host", "h"}, {"X-Deadline-Ms", "-5"}})));
--- a/tests/platform/store_records_test.cc
+++ b/tests/platform/store_records_test.cc
@@ -51,6 +51,50 @@
   }
 }
 
+TEST_CASE("a configuration value names tenants, each with its keys and its limit") {
+  const auto decode = [](const std::string& tenants) {
+    std::string text = kConfiguration;
+    text.insert(text.size() - 1, ",\"tenants\":" + tenants);
+    std::string error;
+    return DecodeConfiguration(text, error);
+  };
+  constexpr const char* kTenant =
+      R"({"name":"t1","apiKeys":["k1","k2"],"priority":1,"unit":"token_stream","plainTokens":200,
+          "ratePerS":161288.5,"burst":1000})";
+
+  SUBCASE("the keys are kept as digests") {
+    const auto decoded = decode(std::string("[") + kTenant + "]");
+    REQUIRE(decoded);
+    REQUIRE(decoded->tenants);
+    REQUIRE(decoded->tenants->tenants.size() == 1);
+    const tenant& first = decoded->tenants->tenants.front();
+    CHECK(first.name == "t1");
+    CHECK(first.keys == std::vector{DigestOfKey("k1"), DigestOfKey("k2")});
+    CHECK(first.priority == 1);
+    CHECK(first.limit == tenant_limit{.per_second = 161288.5,
+                                      .burst = 1000,
+                                      .unit = limit_unit::kTokens,
+                                      .plain_tokens = 200});
+  }
+  SUBCASE("an entry that cannot be read costs that tenant only") {
+    for (const char* bad : {"7", "{}", R"({"name":"t2"})", R"({"name":"t2","apiKeys":[7]})",
+                            R"({"name":"t2","apiKeys":[""]})", R"({"name":"a b","apiKeys":["k3"]})",
+                            R"({"name":"t2","apiKeys":["k3"],"unit":"furlong"})",
+                            R"({"name":"t2","apiKeys":["k3"],"ratePerS":-1})",
+                            R"({"name":"t2","apiKeys":["k3"],"ratePerS":"7"})"}) {
+      const auto decoded = decode(std::string("[") + bad + "," + kTenant + "]");
+      REQUIRE(decoded);
+      CHECK(decoded->tenants->tenants.size() == 1);
+      CHECK(decoded->tenants->unreadable == 1);
+    }
+  }
+  SUBCASE("an empty list is a list, and null is none") {
+    CHECK(decode("[]")->tenants != nullptr);
+    CHECK(decode("null")->tenants == nullptr);
+    CHECK_FALSE(decode("7"));
+  }
+}
+
 TEST_CASE("a registration is accepted only when every member is valid") {
   std::string error;
   store_item item{.key = "servers/i-1",
