Keep a caller's connection open while it still reads its answer

Cause: a connection counted as idle from the end of its answer, also while bytes of it were queued for a caller that reads slowly.

Change: the idle time begins once the queue is written; a caller that takes nothing still fails the stream (TCP_USER_TIMEOUT). From the moment when a stopping process accepts no more connections, the kernel takes up to 4 MB of each caller's answer, as far as the system allows, and sends it on after the process has ended.

transport_test 'a caller that reads slowly gets an answer whole that was finished before': 3 of 3 subcases red on the code before, 2 of 3 red without the first half, green with both.

--- a/src/transport/http1_server.cc
+++ b/src/transport/http1_server.cc
@@ -20,6 +20,9 @@
 /// During a planned stop a connection is closed only after it has been idle for this long, since
 /// its caller may have sent a request that has not arrived yet.
 constexpr milliseconds kStopIdleTime = milliseconds(400);
+/// During a planned stop the kernel takes this much of a caller's answers, which it goes on sending
+/// after the process has ended.
+constexpr int kStopSendBufferBytes = 4 << 20;
 /// Limit for buffered bytes of pipelined requests while a request is being answered.
 constexpr std::size_t kMaxReadAheadBytes = 256U << 10U;
 /// TCP_USER_TIMEOUT: a caller that acknowledges no data for this long counts as disconnected.
@@ -107,6 +110,9 @@
 
   void OnDrained() override {
     const auto self = shared_from_this();
+    if (!answering_ && !reader_.inside_message()) {
+      BecomeIdle();
+    }
     if (closing_) {
       Retire();
     } else if (on_drained_) {
@@ -122,6 +128,9 @@
       return;
     }
     const bool in_message = reader_.inside_message();
+    if (!in_message && stream_.queued_bytes() > 0) {
+      return;  // The caller still reads an answer; one that reads nothing fails the stream.
+    }
     // A longer timeout that is configured meanwhile applies at once, a shorter one only to the
     // next idle time: the caller may still rely on the one before.
     milliseconds limit = std::max(idle_timeout_, owner_->limits.idle_timeout);
@@ -140,6 +149,9 @@
     }
   }
 
+  /// Leaves it to the kernel to send what the caller has not read, since this process ends soon.
+  void HandToKernel() { stream_.SetSendBuffer(kStopSendBufferBytes); }
+
   void RejectIncomplete(int status) {
     if (!answering_ && !closing_ && reader_.inside_message()) {
       Reject(status);
@@ -449,6 +461,9 @@
     state::OnAccept(nullptr, socket, nullptr, 0, state_.get());
   }
   state_->listener.reset();
+  for (const auto& each : state_->connections) {
+    each->HandToKernel();
+  }
   state_->Sweep(timer_service::now());
 }
 
--- a/src/transport/tcp_stream.cc
+++ b/src/transport/tcp_stream.cc
@@ -276,6 +276,12 @@
   }
 }
 
+void tcp_stream::SetSendBuffer(int bytes) {
+  if (const open_socket* target = state_->open()) {
+    setsockopt(target->descriptor.get(), SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
+  }
+}
+
 std::size_t tcp_stream::queued_bytes() const {
   const open_socket* target = state_->open();
   return target != nullptr ? evbuffer_get_length(target->output.get()) : 0;
--- a/src/transport/tcp_stream.h
+++ b/src/transport/tcp_stream.h
@@ -69,6 +69,10 @@
   /// While paused, a close by the remote end is not detected.
   void PauseReading(bool paused);
 
+  /// \brief Sets how many bytes the kernel takes before the remote end has received them, as far as
+  /// the system allows it. It goes on sending them after this process has ended.
+  void SetSendBuffer(int bytes);
+
   /// \brief Closes the connection at once and discards the queue; no event follows.
   void Close();
 
--- a/tests/transport/http1_test.cc
+++ b/tests/transport/http1_test.cc
@@ -256,6 +256,57 @@
   CHECK(fixture.reset);
 }
 
+TEST_CASE("a caller that reads slowly gets an answer whole that was finished before") {
+  server_fixture fixture;
+  REQUIRE(fixture.server);
+  raw_socket slow = raw_socket::ConnectOverSlowLink(fixture.server->port());
+  slow.Write(kGet);
+  REQUIRE(fixture.Wait([&] { return fixture.requests.size() == 1; }));
+  std::string body(300'000, 'b');
+  std::string received;
+  bool open = true;
+  // Some KB a second, so that the server's queue holds bytes all the time.
+  const auto read_slowly_for = [&](milliseconds time) {
+    instant next = timer_service::now();
+    const instant end = next + time;
+    RunUntil(fixture.loop, [&] {
+      if (open && timer_service::now() >= next) {
+        open = slow.Read(received);
+        next += milliseconds(500);
+      }
+      return timer_service::now() >= end;
+    });
+  };
+
+  SUBCASE("through a planned stop, also what the kernel has no room for") {
+    body.resize(12U << 20U, 'b');
+    fixture.answers[0]->Reply(200, {}, body);
+    REQUIRE(fixture.server->in_progress() == 0);
+    fixture.server->CloseAfterAnswers();
+    fixture.server->StopAccepting();
+    read_slowly_for(seconds(3));
+  }
+  SUBCASE("though the process ends meanwhile") {
+    fixture.answers[0]->Begin(200, {});
+    fixture.server->CloseAfterAnswers();
+    fixture.server->StopAccepting();
+    fixture.answers[0]->Send(body);
+    fixture.answers[0]->End();
+    read_slowly_for(seconds(2));
+    fixture.server.reset();
+  }
+  SUBCASE("though it takes longer than the idle timeout") {
+    fixture.server->SetLimits({.idle_timeout = milliseconds(300)});
+    fixture.answers[0]->Reply(200, {}, body);
+    read_slowly_for(seconds(3));
+  }
+  REQUIRE(open);
+  CHECK(received.size() < body.size() / 4);
+  // Once it is read the connection is idle, and is closed.
+  CHECK(RunUntil(fixture.loop, [&] { return !(open = open && slow.Read(received)); }));
+  CHECK(received.find(body) != std::string::npos);
+}
+
 TEST_CASE("a planned stop closes an idle connection within 2 s") {
   server_fixture fixture;
   REQUIRE(fixture.server);
--- a/tests/transport/raw_socket.h
+++ b/tests/transport/raw_socket.h
@@ -1,6 +1,8 @@
 #ifndef JACINTHSPOOL_TESTS_TRANSPORT_RAW_SOCKET_H_
 #define JACINTHSPOOL_TESTS_TRANSPORT_RAW_SOCKET_H_
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -28,9 +30,24 @@
   ~raw_socket() { Close(); }
 
   static raw_socket Connect(std::uint16_t port) {
+    return ConnectBy(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), port);
+  }
+
+  /// \brief Connects with the segment size of an Ethernet link and a small receive buffer, so that
+  /// what is not read stays with the sender.
+  static raw_socket ConnectOverSlowLink(std::uint16_t port) {
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int segment = 1460;
+    const int buffer = 8 << 10;
+    setsockopt(descriptor, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof(segment));
+    setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof(buffer));
+    return ConnectBy(descriptor, port);
+  }
+
+  /// \brief Takes ownership of an unconnected socket and connects it.
+  static raw_socket ConnectBy(int descriptor, std::uint16_t port) {
     socket_address target;
     ParseSocketAddress("127.0.0.1:" + std::to_string(port), target);
-    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     if (connect(descriptor, target.get(), static_cast<socklen_t>(target.length)) != 0) {
       close(descriptor);
       return raw_socket(-1);
