Hold answers for slow callers within one budget of the process

Cause: reading from a server paused at 128 KB unsent, so that a caller that reads slowly made its server wait, and servers cut answers that stay unread for some seconds. What all callers together held had no limit, and bodies coming in none.

Change: byte_budget, a pure part, has one limit (a quarter of memory_limit_mb) for requests coming in, bodies of requests in progress, incomplete answers and answers that callers have not read. An answer is read on while its caller has no more unsent than is left for all others; a body of over 16 KB begins to be read only if it fits. Without the setting the limits are today's.

--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -46,19 +46,8 @@
 /// From a reservation to the first event: prefill, KV transfer and first tokens.
 constexpr milliseconds kFirstEventTime = milliseconds(250);
 
-/// An answer up to this size is buffered until it is complete, so that a truncated one can be
-/// retried; a longer one is forwarded as it arrives.
-constexpr std::size_t kMaxBufferedAnswerBytes = 64U << 10U;
-/// While all requests together hold more than this, a body or an incomplete event of one of them
-/// may have no more than `kMaxCrowdedBytes`.
-constexpr std::size_t kMaxHeldBytes = 16U << 20U;
-constexpr std::size_t kMaxCrowdedBytes = 8U << 10U;
 /// The reply to a prefill is a short JSON object.
 constexpr std::size_t kMaxPrefillReplyBytes = 16U << 10U;
-/// No valid event of a stream is longer; a stream with a longer one counts as truncated.
-constexpr std::size_t kMaxEventBytes = 256U << 10U;
-/// Reading from the backend server pauses while this much is unsent to the caller.
-constexpr std::size_t kMaxUnsentBytes = 128U << 10U;
 /// Logged when a server answers the resumption of a stream with a reply of its own.
 constexpr std::string_view kNotTheRest = "not the rest of the stream";
 /// Logged when the planned stop of this process ends a request.
@@ -125,7 +114,6 @@
   ~attempt() override {
     // An attempt that is ended early is no evidence about the backend server.
     Report(attempt_result::kUnknown);
-    Hold(0);
   }
   attempt(const attempt&) = delete;
   attempt& operator=(const attempt&) = delete;
@@ -133,6 +121,7 @@
   /// \param reserved The request uses a reservation, which was counted against the server's limit.
   void Send(const std::string& bytes, bool reserved) {
     RecordSend(owner_.context_, backend_, reserved ? 0 : 1);
+    sent_.Set(bytes.size());
     call_ = owner_.context_.client.Start(
         {.address = backend_.address,
          .bytes = bytes,
@@ -187,6 +176,7 @@
       return head_action::kSkip;
     }
     RecordHeard();
+    sent_.Set(0);
     first_heard_ = last_heard_;
     head_ = head;
     streaming_ = kind_ == attempt_kind::kServe &&
@@ -212,8 +202,8 @@
       return;
     }
     body_ += bytes;
-    Hold(body_.size());
-    if (body_.size() <= (crowded() ? kMaxCrowdedBytes : kMaxBufferedAnswerBytes)) {
+    held_.Set(body_.size());
+    if (body_.size() <= owner_.context_.bytes.MaxIncompleteBody()) {
       return;
     }
     if (kind_ == attempt_kind::kPrefill || !facts_.sound || facts_.not_run ||
@@ -234,7 +224,7 @@
     }
     forwarding_body_ = true;
     const std::string begun = std::exchange(body_, {});
-    Hold(0);
+    held_.Set(0);
     owner_.SendToCaller(begun);
   }
 
@@ -362,13 +352,6 @@
     }
   }
 
-  /// Counts the bytes of the answer that this attempt holds.
-  void Hold(std::size_t bytes) {
-    owner_.context_.held_answer_bytes += bytes - std::exchange(held_bytes_, bytes);
-  }
-  /// \returns true when the answers of all requests together take too much memory.
-  [[nodiscard]] bool crowded() const { return owner_.context_.held_answer_bytes > kMaxHeldBytes; }
-
   void OnStreamBytes(std::string_view bytes) {
     const std::vector<stream_event> events = events_.Split(bytes);
     // Neither an incomplete event nor a comment proves that the engine makes progress.
@@ -383,8 +366,8 @@
     if (event_count_ > 1) {
       Vouch();
     }
-    Hold(events_.pending_bytes());
-    if (events_.pending_bytes() > (crowded() ? kMaxCrowdedBytes : kMaxEventBytes)) {
+    held_.Set(events_.pending_bytes());
+    if (events_.pending_bytes() > owner_.context_.bytes.MaxIncompleteEvent()) {
       LogFailure("event too long", "");
       End(attempt_result::kFailed, attempt_failure::kBrokeOff);
       return;
@@ -479,7 +462,10 @@
   reply_facts facts_;
   std::string body_;
   event_splitter events_;
-  std::size_t held_bytes_ = 0;  ///< Of `body_` or of an incomplete event.
+  /// What the server may not have read of the request.
+  byte_budget::holding sent_{owner_.context_.bytes, held_kind::kRequest};
+  /// Of `body_` or of an incomplete event.
+  byte_budget::holding held_{owner_.context_.bytes, held_kind::kIncomplete};
   bool streaming_ = false;
   bool prefilling_in_place_ = false;  ///< The engine prefills the prompt; no event yet.
   bool forwarding_body_ = false;      ///< The body is forwarded as it arrives.
@@ -496,7 +482,9 @@
     : settings_(std::move(settings)),
       context_(settings_.context),
       first_configuration_(context_.routes.configuration()->version),
+      request_bytes_(context_.bytes, held_kind::kRequest),
       answer_(std::move(settings_.answer)) {
+  request_bytes_.Set(settings_.request.body.size());
   last_event_ = settings_.request.resume_after;
   suspects_.assign(settings_.request.shared_parts.begin(), settings_.request.shared_parts.end());
   suspects_.emplace_back(settings_.request.digest);
@@ -1193,15 +1181,20 @@
     return;
   }
   begun->Send(bytes);
-  if (ended_ || !attempt_ || begun->unsent_bytes() <= kMaxUnsentBytes) {
+  if (ended_ || !attempt_ || context_.bytes.MayReadAnswer(begun->unsent_bytes())) {
     return;
   }
   attempt_->PauseReply(true);
-  begun->OnDrained([this] {
-    if (attempt_ && attempt_->paused()) {
-      attempt_->PauseReply(false);
-    }
-  });
+  context_.metrics.Count("gateway_answers_paused");
+  begun->OnDrained([this] { ReadOn(); });
+}
+
+void forward_exchange::ReadOn() {
+  const auto* begun = std::get_if<http1_stream>(&answer_);
+  if (begun != nullptr && attempt_ && attempt_->paused() &&
+      context_.bytes.MayReadAnswer(2 * begun->unsent_bytes())) {
+    attempt_->PauseReply(false);
+  }
 }
 
 void forward_exchange::EndForwardedBody() {
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -49,6 +49,9 @@
   /// \brief This process has been told to stop: its end is a deadline of the request.
   void OnStopping();
 
+  /// \brief Reads a paused answer on, once there is room for it.
+  void ReadOn();
+
   /// \brief Other suspects are held back from now on: ends the request if it has one of them and no
   /// answer.
   void OnVerdictsChanged();
@@ -112,7 +115,7 @@
   void ReplaceSilentAttempt();
   void Deliver(const http1_head& head, std::string_view body);
   void ForwardEvents(const http1_head& head, const std::vector<stream_event>& events);
-  /// \brief Sends part of the answer; a slow caller throttles its backend server.
+  /// \brief Sends part of the answer; its server is throttled while there is no room for more.
   void SendToCaller(std::string_view bytes);
   /// \returns true when the head of an answer was sent to the caller.
   [[nodiscard]] bool AnswerBegun() const { return std::holds_alternative<http1_stream>(answer_); }
@@ -192,7 +195,8 @@
   bool send_paid_ = false;      ///< The next send has been charged to the retry budget.
   bool limit_reached_ = false;  ///< Rejected because of the servers' request limits.
   std::optional<decode_reservation> reservation_;
-  bool is_retry_ = false;  ///< Probably a retry of a rejected request.
+  bool is_retry_ = false;               ///< Probably a retry of a rejected request.
+  byte_budget::holding request_bytes_;  ///< Of the request's body.
   /// Not begun, begun, or ended; each state has only what may follow in it.
   std::variant<http1_responder, http1_stream, std::monostate> answer_;
   bool may_resume_ = true;  ///< False after part of a plain answer: only events can be resumed.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -60,6 +60,11 @@
     UpdateShares(context_);
     context_.quarantine.Expire(now);
     ApplyVerdicts(now);
+    if (context_.bytes.limit()) {
+      for (const auto& exchange : exchanges_) {
+        exchange->ReadOn();
+      }
+    }
   });
   share_report_ = settings.timers.Every(kShareReportPeriod,
                                         [this](instant /*now*/) { ReportShares(context_); });
@@ -70,6 +75,7 @@
 void gateway::ApplySettings(const gateway_settings& settings) {
   context_.budget.SetLimits(settings.repeat_ratio, seconds(settings.repeat_window_s),
                             settings.repeat_extra);
+  context_.bytes.SetMemoryLimit(settings.memory_limit_mb);
 }
 
 void gateway::SetGateways(std::uint32_t gateways) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -104,7 +104,11 @@
   }
   [[nodiscard]] std::size_t in_progress() const { return exchanges_.size(); }
   /// \returns Bytes of answers that have arrived and are not forwarded yet.
-  [[nodiscard]] std::size_t held_answer_bytes() const { return context_.held_answer_bytes; }
+  [[nodiscard]] std::size_t held_answer_bytes() const {
+    return context_.bytes.held(held_kind::kIncomplete);
+  }
+  /// \returns What is held for callers and servers; the edge reports what it holds.
+  [[nodiscard]] byte_budget& bytes() { return context_.bytes; }
   /// \returns Number of requests that wait for a reservation or a request slot.
   [[nodiscard]] std::size_t waiting() const { return reservations_.waiting() + slots_.waiting(); }
   [[nodiscard]] metrics_registry& metrics() { return context_.metrics; }
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -7,6 +7,7 @@
 
 #include "jacinthspool/routing/backend_list.h"
 #include "jacinthspool/routing/backend_selector.h"
+#include "jacinthspool/routing/byte_budget.h"
 #include "jacinthspool/routing/crash_quarantine.h"
 #include "jacinthspool/routing/forward_retry_budget.h"
 #include "jacinthspool/routing/load_shedder.h"
@@ -50,7 +51,7 @@
   background_calls background;
   metrics_registry metrics;
   std::mt19937_64 random;
-  std::size_t held_answer_bytes = 0;      ///< Of answers that are not forwarded yet.
+  byte_budget bytes = {};                 ///< Held for callers and servers.
   std::uint32_t gateways = 1;             ///< That serve the callers, this one included.
   std::optional<planned_stop> stop = {};  ///< Set once this process has been told to stop.
 };
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -49,6 +49,15 @@
                               .on_request =
                                   [this](http1_request request, http1_responder answer) {
                                     gateway_.HandleRequest(std::move(request), std::move(answer));
+                                  },
+                              .on_held =
+                                  [this](const http1_server::held_bytes& held) {
+                                    gateway_.bytes().Set(held_kind::kIncoming, held.incoming);
+                                    gateway_.bytes().Set(held_kind::kUnsent, held.unsent);
+                                  },
+                              .may_begin_body =
+                                  [this](std::optional<std::uint64_t> length) {
+                                    return gateway_.bytes().MayBeginBody(length);
                                   }},
                              error);
     ready_ =
@@ -109,6 +118,14 @@
                                       static_cast<double>(gateway_.in_progress()));
                gateway_.metrics().Set("gateway_held_answer_bytes", {},
                                       static_cast<double>(gateway_.held_answer_bytes()));
+               for (const held_kind kind : {held_kind::kIncoming, held_kind::kRequest,
+                                            held_kind::kIncomplete, held_kind::kUnsent}) {
+                 gateway_.metrics().Set("gateway_held_bytes",
+                                        {{"kind", std::string(ToString(kind))}},
+                                        static_cast<double>(gateway_.bytes().held(kind)));
+               }
+               gateway_.metrics().Set("gateway_byte_budget", {},
+                                      static_cast<double>(gateway_.bytes().limit().value_or(0)));
                gateway_.metrics().Set("gateway_bytes_after_end", {},
                                       static_cast<double>(client_.bytes_after_end()));
                gateway_.metrics().Set(
--- a/src/transport/http1_server.cc
+++ b/src/transport/http1_server.cc
@@ -69,6 +69,7 @@
   timer_subscription sweep;
   std::set<std::shared_ptr<http1_server_connection>> connections;
   std::size_t in_progress = 0;
+  held_bytes held;
   bool close_after_answers = false;
   bool stopped_accepting = false;
 
@@ -106,8 +107,11 @@
       ReadRequests();
     }
     LimitReadAhead();
+    Account();
   }
 
+  void OnWritten(std::size_t /*count*/) override { Account(); }
+
   void OnDrained() override {
     const auto self = shared_from_this();
     if (!answering_ && !reader_.inside_message()) {
@@ -127,6 +131,13 @@
     if (answering_ || closing_) {
       return;
     }
+    if (body_waits_ && MayBeginBody()) {
+      body_waits_ = false;
+      LimitReadAhead();
+      ReadRequests();
+      Account();
+      return;
+    }
     const bool in_message = reader_.inside_message();
     if (!in_message && stream_.queued_bytes() > 0) {
       return;  // The caller still reads an answer; one that reads nothing fails the stream.
@@ -143,7 +154,7 @@
       return;
     }
     if (in_message) {
-      Reject(408);
+      Reject(body_waits_ ? 503 : 408);
     } else if (stream_.quiet()) {
       Retire();
     }
@@ -226,19 +237,43 @@
     }
     stream_.Write(std::span(reinterpret_cast<const std::uint8_t*>(text.data()), text.size()));
     stream_.Flush();
+    Account();
+  }
+
+  /// Counts what this connection holds now.
+  void Account() {
+    std::size_t incoming = 0;
+    if (!retired_) {
+      const std::size_t length =
+          head_ && !body_waits_ ? static_cast<std::size_t>(head_->content_length.value_or(0)) : 0;
+      incoming = std::max(length, body_.size()) + reader_.buffered();
+    }
+    const std::size_t unsent = unsent_bytes();
+    http1_server::held_bytes& all = owner_->held;
+    all.incoming += incoming - std::exchange(counted_.incoming, incoming);
+    all.unsent += unsent - std::exchange(counted_.unsent, unsent);
+    if (owner_->settings.on_held) {
+      owner_->settings.on_held(all);
+    }
+  }
+
+  [[nodiscard]] bool MayBeginBody() const {
+    const auto& may_begin = owner_->settings.may_begin_body;
+    return !may_begin || (!head_->chunked && !head_->content_length) ||
+           may_begin(head_->chunked ? std::nullopt : head_->content_length);
   }
 
   /// Reads no further than the limit while a request is being answered. Closing the connection
   /// instead would reset it, and its caller could take the request in progress as unread.
   void LimitReadAhead() {
-    const bool full = answering_ && reader_.buffered() > kMaxReadAheadBytes;
+    const bool full = body_waits_ || (answering_ && reader_.buffered() > kMaxReadAheadBytes);
     if (std::exchange(reading_paused_, full) != full) {
       stream_.PauseReading(full);
     }
   }
 
   void ReadRequests() {
-    while (!answering_ && !closing_ && !retired_) {
+    while (!answering_ && !closing_ && !retired_ && !body_waits_) {
       http1_event found = reader_.Read();
       if (std::holds_alternative<http1_need_more>(found)) {
         return;
@@ -254,6 +289,8 @@
       Write("HTTP/1.1 100 Continue\r\n\r\n");
     }
     head_ = std::move(head);
+    body_waits_ = !MayBeginBody();
+    Account();
   }
   void Take(http1_body& body) { body_ += body.bytes; }
   void Take(const http1_end& /*event*/);
@@ -263,6 +300,7 @@
   void Reject(int status) {
     close_ = true;
     answering_ = true;
+    body_waits_ = false;
     ++owner_->in_progress;
     head_request_ = false;
     SendReply(status, {}, ReasonPhrase(status));
@@ -312,6 +350,7 @@
       return;
     }
     retired_ = true;
+    Account();
     if (stream_.queued_bytes() > 0) {
       stream_.Close();
     }
@@ -337,6 +376,8 @@
   bool close_ = false;
   bool closing_ = false;
   bool reading_paused_ = false;
+  bool body_waits_ = false;  ///< Until there is room for it.
+  http1_server::held_bytes counted_;
   bool retired_ = false;
 };
 
@@ -403,7 +444,8 @@
   http1_request request{
       .head = std::move(*head_), .body = std::move(body_), .received = timer_service::now()};
   head_.reset();
-  body_.clear();
+  body_ = {};
+  Account();
   answering_ = true;
   ++owner_->in_progress;
   head_request_ = request.head.method == "HEAD";
--- a/src/transport/http1_server.h
+++ b/src/transport/http1_server.h
@@ -88,11 +88,22 @@
 class http1_server {
  public:
   using handler = std::function<void(http1_request, http1_responder)>;
+  /// \brief Bytes that the server holds for its callers.
+  struct held_bytes {
+    /// Of requests that are being read, a body of known length in full, and of what follows them.
+    std::size_t incoming = 0;
+    std::size_t unsent = 0;  ///< Of answers, that the kernel has not accepted yet.
+  };
   struct options {
     event_loop& loop;
     timer_service& timers;
     std::string address;  ///< ip:port
     handler on_request;
+    /// Called after each change; empty: nobody needs to know.
+    std::function<void(const held_bytes&)> on_held = {};
+    /// Returns true when a body of that length may be read; nothing: its length is not known. A
+    /// body that waits is rejected as not run after the idle timeout. Empty: all may.
+    std::function<bool(std::optional<std::uint64_t>)> may_begin_body = {};
   };
 
   /// \returns The server; null, with `error` set, when the address cannot be bound.
--- a/tests/gateway/fake_platform.h
+++ b/tests/gateway/fake_platform.h
@@ -81,6 +81,15 @@
                             .on_request =
                                 [this](http1_request request, http1_responder answer) {
                                   router.HandleRequest(std::move(request), std::move(answer));
+                                },
+                            .on_held =
+                                [this](const http1_server::held_bytes& held) {
+                                  router.bytes().Set(held_kind::kIncoming, held.incoming);
+                                  router.bytes().Set(held_kind::kUnsent, held.unsent);
+                                },
+                            .may_begin_body =
+                                [this](std::optional<std::uint64_t> length) {
+                                  return router.bytes().MayBeginBody(length);
                                 }},
                            error);
   std::vector<std::unique_ptr<scripted_backend>> backends;
