Decide from the age of the configuration whether its keys still admit requests

Cause: a gateway that has lost the publisher goes on admitting requests by keys that were taken away since. Change: a pure part knows when the configuration in force was last known to be the newest, from own calls (as of their sending) and peers' words (as of the question, less the stated age, for the same version). Beyond the bound less 2 % it says unconfirmed, with a Retry-After. Not used yet.

--- a/include/jacinthspool/jacinthspool.h
+++ b/include/jacinthspool/jacinthspool.h
@@ -31,6 +31,7 @@
 #include "jacinthspool/routing/backend_list.h"
 #include "jacinthspool/routing/backend_selector.h"
 #include "jacinthspool/routing/configuration.h"
+#include "jacinthspool/routing/configuration_freshness.h"
 #include "jacinthspool/routing/edge_limits.h"
 #include "jacinthspool/routing/event_splitter.h"
 #include "jacinthspool/routing/forward_retry_budget.h"
