--- a/include/jacinthspool/jacinthspool.h
+++ b/include/jacinthspool/jacinthspool.h
@@ -31,6 +31,7 @@
 #include "jacinthspool/routing/backend_list.h"
 #include "jacinthspool/routing/backend_selector.h"
 #include "jacinthspool/routing/configuration.h"
+#include "jacinthspool/routing/credit_lender.h"
 #include "jacinthspool/routing/edge_limits.h"
 #include "jacinthspool/routing/event_splitter.h"
 #include "jacinthspool/routing/forward_retry_budget.h"
@@ -55,6 +56,7 @@
 #include "jacinthspool/routing/stage_orders.h"
 #include "jacinthspool/routing/stage_plan.h"
 #include "jacinthspool/routing/store_position.h"
+#include "jacinthspool/routing/tenant_credit.h"
 #include "jacinthspool/routing/tenants.h"
 
 #endif  // JACINTHSPOOL_JACINTHSPOOL_H_
