Reject what a tenant sends beyond its limit, on all gateways together

Cause: the accounts of tenants were pure parts that nothing asked. What did not run is given back. The homes are told the gateways that were counted, since the estimate of a new process (128) would leave a tenant 1/40 of its rate for the first seconds. The whole gateway test was not run on this commit.

--- a/include/jacinthspool/routing/tenant_credit.h
+++ b/include/jacinthspool/routing/tenant_credit.h
@@ -63,9 +63,11 @@
   [[nodiscard]] payment OnAnswer(const credit_needed& asked, const credit_answer& answer,
                                  instant now);
   /// \brief The home does not answer; others decide until it does.
-  void OnNoAnswer(const std::string& home, instant now);
+  /// \returns true when it did before.
+  bool OnNoAnswer(const std::string& home, instant now);
   /// \brief The home has answered, to this or another message.
-  void OnContact(const std::string& home) { down_.erase(home); }
+  /// \returns true when it did not before.
+  bool OnContact(const std::string& home) { return down_.erase(home) > 0; }
   /// \brief Decides without the homes, by this gateway's part of the limit.
   [[nodiscard]] payment PayFromOwnShare(const stated_limit& of, double price, instant now);
   /// \brief Gives back the price of a request that did not run.
@@ -88,7 +90,7 @@
     instant refused_until{};
     instant next_return{};  ///< Retry-After times are given out up to here.
     std::uint32_t askers = 1;
-    std::vector<credit_bucket> own_share = {};  ///< Empty: not in use.
+    std::vector<credit_bucket> own_share = {};  ///< Empty: never used.
   };
   [[nodiscard]] account& AccountOf(const stated_limit& of, instant now);
   [[nodiscard]] credit_rejected Rejected(account& held, double price, microseconds available,
--- a/schema/generate.sh
+++ b/schema/generate.sh
@@ -13,6 +13,8 @@
   --reflect-types --reflect-names --bfbs-gen-embed -o "$out" settings.fbs
 flatc --cpp --cpp-std c++17 --scoped-enums --gen-object-api --object-suffix _value --cpp-ptr-type std::shared_ptr \
   -o "$out" snapshot.fbs
+flatc --cpp --cpp-std c++17 --scoped-enums --gen-object-api --object-suffix _value --cpp-ptr-type std::shared_ptr \
+  -o "$out" credit.fbs
 if [ "$out" != generated ]; then
   diff -r generated "$out" && echo "generated code is up to date"
 fi
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -1388,7 +1388,7 @@
   Log(log_level::kInfo, "request", std::move(fields));
   context_.metrics.Count("gateway_requests", {{"outcome", std::string(outcome)}});
   context_.metrics.Observe("gateway_request_time", {{"outcome", std::string(outcome)}}, took);
-  settings_.on_ended(*this);
+  settings_.on_ended(*this, sends_ == 0 || outcome == "refused");
 }
 
 }  // namespace jacinthspool
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -38,7 +38,8 @@
     http1_responder answer;
     instant received{};
     /// Called once, when the exchange has ended.
-    std::function<void(forward_exchange&)> on_ended;
+    /// \param not_run No server has run the request.
+    std::function<void(forward_exchange&, bool not_run)> on_ended;
   };
 
   explicit forward_exchange(options settings);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -46,6 +46,7 @@
                .random = std::mt19937_64(std::random_device{}())},
       reservations_(context_),
       slots_(context_),
+      payments_(context_, settings.name),
       on_limits_(settings.on_limits),
       configuration_confirmed_(settings.started) {
   // The publisher may have been unavailable before this process started.
@@ -77,6 +78,7 @@
   context_.quarantine.SetHasPeers(gateways > 1);
   context_.budget.SetEntries(gateways);
   context_.limiter.fleet().SetGateways(gateways);
+  payments_.SetGateways(gateways);
   UpdateShares(context_);
 }
 
@@ -207,17 +209,40 @@
   const auto* identity = std::get_if<caller_identity>(&caller);
   decoded->body = std::move(request.body);
   decoded->digest = DigestOf(decoded->method, decoded->host, decoded->target, decoded->body);
-  const auto exchange = std::make_shared<forward_exchange>(forward_exchange::options{
-      .context = context_,
-      .reservations = reservations_,
-      .slots = slots_,
-      .request = std::move(*decoded),
-      .route = route,
-      .service = *service,
-      .caller = identity == nullptr ? std::nullopt : std::optional(*identity),
-      .answer = std::move(answer),
-      .received = request.received,
-      .on_ended = [this](forward_exchange& ended) { exchanges_.erase(ended.shared_from_this()); }});
+  const tenant_payments::request paying{
+      .id = decoded->id,
+      .caller = identity == nullptr ? caller_identity() : *identity,
+      .arrived = request.received};
+  auto forward = [this, decoded = std::move(*decoded), route, service = *service,
+                  received = request.received,
+                  caller = identity == nullptr ? std::nullopt : std::optional(*identity)](
+                     http1_responder to) mutable {
+    Forward({.context = context_,
+             .reservations = reservations_,
+             .slots = slots_,
+             .request = std::move(decoded),
+             .route = route,
+             .service = service,
+             .caller = std::move(caller),
+             .answer = std::move(to),
+             .received = received,
+             .on_ended = {}});
+  };
+  if (identity == nullptr) {
+    forward(std::move(answer));
+  } else {
+    payments_.Pay(paying, std::move(answer), std::move(forward));
+  }
+}
+
+void gateway::Forward(forward_exchange::options settings) {
+  settings.on_ended = [this, caller = settings.caller](forward_exchange& ended, bool not_run) {
+    if (caller && not_run) {
+      payments_.Refund(*caller);
+    }
+    exchanges_.erase(ended.shared_from_this());
+  };
+  const auto exchange = std::make_shared<forward_exchange>(std::move(settings));
   exchanges_.insert(exchange);
   exchange->Start();
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include "src/gateway/gateway_context.h"
 #include "src/gateway/slot_dispatcher.h"
 #include "src/gateway/snapshot.h"
+#include "src/gateway/tenant_payments.h"
 #include "src/settings/settings.h"
 
 namespace jacinthspool {
@@ -107,6 +108,7 @@
   [[nodiscard]] std::size_t held_answer_bytes() const { return context_.held_answer_bytes; }
   /// \returns Number of requests that wait for a reservation or a request slot.
   [[nodiscard]] std::size_t waiting() const { return reservations_.waiting() + slots_.waiting(); }
+  [[nodiscard]] tenant_payments& payments() { return payments_; }
   [[nodiscard]] metrics_registry& metrics() { return context_.metrics; }
 
  private:
@@ -114,6 +116,7 @@
   void ApplyConfiguration(std::shared_ptr<const forward_configuration> next,
                           configuration_source source);
   void UpdateSelector();
+  void Forward(forward_exchange::options settings);
   /// \brief Logs what is held and released, and applies it to the requests in progress.
   void ApplyVerdicts(instant now);
   /// \brief The registration of a server has lapsed, or names another incarnation.
@@ -124,6 +127,7 @@
   gateway_context context_;
   reservation_dispatcher reservations_;
   slot_dispatcher slots_;
+  tenant_payments payments_;
   std::function<void(const edge_limits&)> on_limits_;
   std::set<std::shared_ptr<forward_exchange>> exchanges_;
   timer_subscription expiry_;
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -35,6 +35,7 @@
       start_(timer_service::now()),
       members_({.settle = kSettleTime}, start_),
       random_(std::random_device{}()) {
+  settings_.owner.payments().SetHomes(settings_.listen, settings_.peers);
   std::erase(settings_.peers, settings_.listen);
 }
 
@@ -97,6 +98,10 @@
     AnswerRecord(request, std::move(answer));
     return;
   }
+  if (request.head.target == kCreditTarget) {
+    settings_.owner.payments().Answer(request, std::move(answer));
+    return;
+  }
   const auto scope = ScopeOf(request.head.target);
   if (!scope) {
     std::move(answer).Reply(http_status::kNotFound, {}, "");
@@ -217,6 +222,7 @@
   for (const auto& [peer, count] : reported_gateways_) {
     gateways = std::max(gateways, count);
   }
+  settings_.owner.payments().SetCounted(gateways);
   settings_.owner.SetGateways(members_.Update(
       gateways, !reported_gateways_.empty() || settings_.peers.empty(), timer_service::now()));
   // At first all peers are queried, so that each soon knows the number of gateways.
--- a/src/routing/tenant_credit.cc
+++ b/src/routing/tenant_credit.cc
@@ -69,7 +69,6 @@
 }
 
 payment tenant_credit::Pay(const stated_limit& of, double price, instant now) {
-  // What was lent and not used would be lost to its home here; `TakeUnused` comes first.
   account& held = AccountOf(of, now);
   if (of.limit.per_second <= 0 || price <= 0) {
     return credit_paid{};
@@ -84,7 +83,6 @@
   if (home.empty()) {
     return PayFromOwnShare(of, price, now);
   }
-  held.own_share.clear();
   if (now < held.refused_until && price >= held.refused_price) {
     credit_rejected rejected = Rejected(held, price, held.refused_until - now, held.askers, now);
     rejected.age = now - held.refused_at;
@@ -122,7 +120,9 @@
   return rejected;
 }
 
-void tenant_credit::OnNoAnswer(const std::string& home, instant now) { down_[home] = now; }
+bool tenant_credit::OnNoAnswer(const std::string& home, instant now) {
+  return down_.try_emplace(home, now).second;
+}
 
 payment tenant_credit::PayFromOwnShare(const stated_limit& of, double price, instant now) {
   account& held = AccountOf(of, now);
@@ -151,10 +151,6 @@
     return;
   }
   account& held = found->second;
-  if (!held.own_share.empty()) {
-    held.own_share.front().Return(price);
-    return;
-  }
   held.lent =
       std::min((now < held.expires ? held.lent : 0) + price, std::max(held.of.limit.burst, price));
   held.expires = now + kLentLife;
