--- a/include/jacinthspool/routing/backend_selector.h
+++ b/include/jacinthspool/routing/backend_selector.h
@@ -36,11 +36,9 @@
   /// Excludes the servers whose request limit is reached; null: none.
   const send_limiter* limiter = nullptr;
   std::uint32_t calls = 1;  ///< Requests that will be sent to the server.
-  /// Where some server of the service is known, servers are drawn in proportion to their speed;
+  /// Where some server of the service is known, servers are drawn by their shares;
   /// null: by their score alone.
   const engine_pace* pace = nullptr;
-  double events = 0;          ///< Expected of the answer; 0: unknown.
-  microseconds ends_in = {};  ///< Time in which the answer should have ended.
 };
 
 /// \brief What the limits of a service's servers allow.
--- a/include/jacinthspool/routing/engine_pace.h
+++ b/include/jacinthspool/routing/engine_pace.h
@@ -54,16 +54,19 @@
  public:
   struct options {
     std::string reporter;                               ///< Name of this gateway.
-    microseconds sample_half_life = milliseconds(500);  ///< Of samples in a reporter's mean.
-    microseconds fresh_half_life = milliseconds(1000);  ///< Of a report's weight among reporters.
+    microseconds sample_half_life = milliseconds(400);  ///< Of samples in a reporter's mean.
+    microseconds fresh_half_life = milliseconds(700);   ///< Of a report's weight among reporters.
     microseconds doubt_half_life = seconds(30);         ///< Of the evidence against the mean.
     microseconds memory = seconds(120);                 ///< After which a report is dropped.
     double doubt_events = 2;                  ///< Evidence that the service's mean stands for.
     double most_events = 64;                  ///< Of one report.
     std::size_t most_reporters = 3;           ///< Kept for a server: the newest.
     microseconds period = milliseconds(200);  ///< In which the beliefs are calculated anew.
-    double speed_power = 1;  ///< Of the speed in the share: 1 keeps all memory in use alike.
-    double fit_power = 4;    ///< Of the part of the answer that is expected in time.
+    /// Of the speed in the share. Above 1, since an engine that is full denies by itself.
+    double speed_power = 3;
+    /// Bound of a share, and of its inverse: a slow server is still measured, and no server is
+    /// chosen by all gateways.
+    double most_share = 6;
     /// How long the reports of a server whose belief has changed by half are passed on first.
     microseconds news_life = seconds(3);
   };
@@ -93,14 +96,10 @@
   /// \returns The reports about one incarnation, by reporter.
   [[nodiscard]] std::vector<pace_report> Reports(const backend_incarnation& server) const;
 
-  /// \returns How often the server should be drawn, in relation to the others of its service.
-  ///
-  /// In proportion to a power of its speed, a server that nobody has measured like the mean, and
-  /// less where the answer is not expected to end in time.
-  /// \param events Expected of the answer; 0: unknown.
-  /// \returns Nothing when no server of the service is known.
-  [[nodiscard]] std::optional<double> Share(const backend_record& server, double events,
-                                            microseconds ends_in) const;
+  /// \returns How often the server should be drawn, in relation to the others of its service: by a
+  /// power of its speed within bounds, a server that nobody has measured like the mean; nothing
+  /// when no server of the service is known.
+  [[nodiscard]] std::optional<double> Share(const backend_record& server) const;
 
   /// \returns The time between events that is believed of the server; nothing: unknown.
   [[nodiscard]] std::optional<microseconds> EventTime(const std::string& id) const;
--- a/src/routing/backend_selector.cc
+++ b/src/routing/backend_selector.cc
@@ -42,9 +42,7 @@
 /// gateways choose from the same beliefs, and each choice is also a measurement.
 /// \returns A factor of the score with which the least score is such a draw; 1: no speed is known.
 double DrawFactor(const placement& wanted, const backend_record& record, std::uint64_t random) {
-  const auto share = wanted.pace != nullptr
-                         ? wanted.pace->Share(record, wanted.events, wanted.ends_in)
-                         : std::optional<double>();
+  const auto share = wanted.pace != nullptr ? wanted.pace->Share(record) : std::optional<double>();
   if (!share) {
     return 1;
   }
--- a/src/routing/engine_pace.cc
+++ b/src/routing/engine_pace.cc
@@ -12,10 +12,6 @@
 
 /// A belief has changed by half when it exceeds the stated one by this factor, or the reverse.
 constexpr double kChangeFactor = 1.5;
-/// Bound of a speed relative to the mean.
-constexpr double kMostRelative = 16;
-/// Bound of the part of an answer that is expected in time.
-constexpr double kLeastFit = 0.1;
 /// Servers whose reports are kept: more are not listed by any platform in use.
 constexpr std::size_t kMaxServers = 4096;
 
@@ -211,18 +207,15 @@
   return found == servers_.end() ? std::vector<pace_report>() : found->second;
 }
 
-std::optional<double> engine_pace::Share(const backend_record& server, double events,
-                                         microseconds ends_in) const {
+std::optional<double> engine_pace::Share(const backend_record& server) const {
   const auto mean = means_us_.find(server.service);
   if (mean == means_us_.end()) {
     return std::nullopt;
   }
   const auto held = beliefs_.find(server.id);
-  const double event_us = held == beliefs_.end() ? mean->second : held->second.event_us;
-  const double speed = std::clamp(mean->second / event_us, 1 / kMostRelative, kMostRelative);
-  const double left_us = static_cast<double>(ends_in.count());
-  const double fit = events > 0 ? std::clamp(left_us / (events * event_us), kLeastFit, 1.0) : 1;
-  return std::pow(speed, settings_.speed_power) * std::pow(fit, settings_.fit_power);
+  const double speed = held == beliefs_.end() ? 1 : mean->second / held->second.event_us;
+  return std::clamp(std::pow(speed, settings_.speed_power), 1 / settings_.most_share,
+                    settings_.most_share);
 }
 
 std::optional<microseconds> engine_pace::EventTime(const std::string& id) const {
