Refuse requests by keys while the configuration is not known to be recent

Cause: a gateway that has lost the store admits requests by keys that were taken away, for as long as the store is lost. Change: the store's watch reports the sending time of each answered call of the configuration, and waits for 0.3 of key_bound_ms at most; an answer whose newest item cannot be read confirms nothing. Requests that need a key get 503 with Retry-After while the configuration is unconfirmed, and are checked again before each send. With a bound, a configuration that may have lost its tenants is not applied.

--- a/src/gateway/caller_check.h
+++ b/src/gateway/caller_check.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "jacinthspool/routing/tenants.h"
 #include "src/gateway/gateway_context.h"
@@ -14,6 +15,27 @@
                                             const forward_request& request,
                                             const forward_route& route);
 
+/// \brief Why a request must not be sent for its caller.
+struct caller_refusal {
+  int status = 0;
+  std::string_view why = {};
+  milliseconds retry_after{};  ///< Where the status is 503.
+};
+
+/// \brief Decides whether a request that has just come may be admitted.
+///
+/// While the configuration is unconfirmed, also a key that nobody holds is none to reject: a newer
+/// configuration may have it.
+[[nodiscard]] std::optional<caller_refusal> RefusalOf(gateway_context& context,
+                                                      const identification& caller,
+                                                      const std::optional<key_digest>& key,
+                                                      instant now);
+
+/// \brief Decides again, just before a request is sent, by the configuration then in force.
+[[nodiscard]] std::optional<caller_refusal> RefusalBeforeSend(
+    gateway_context& context, const std::optional<caller_identity>& caller,
+    std::string_view request, instant now);
+
 /// \returns The value of `attempt_fields::tenant` for a request of that caller.
 [[nodiscard]] std::optional<std::string> TenantField(const gateway_context& context,
                                                      const std::optional<caller_identity>& caller);
--- a/src/gateway/discovery.h
+++ b/src/gateway/discovery.h
@@ -27,10 +27,13 @@
   virtual void OnBackendRemoved(const std::string& id, store_position at) = 0;
   virtual void OnPublisherLost(const std::string& reason) = 0;
   virtual void OnPublisherRegained() = 0;
-  /// \brief Changes of the configuration are not reported until OnConfigurationConfirmed.
+  /// \brief Changes of the configuration are not reported until OnConfigurationRegained.
   virtual void OnConfigurationLost() = 0;
-  /// \brief The newest configuration has been reported; called again with each answer.
-  virtual void OnConfigurationConfirmed() = 0;
+  /// \brief Changes of the configuration are reported; called again with each answer.
+  virtual void OnConfigurationRegained() = 0;
+  /// \brief The newest configuration has been reported.
+  /// \param sent When the call was sent whose answer shows it; of several pages, the first.
+  virtual void OnConfigurationConfirmed(instant sent) = 0;
 };
 
 struct discovery_options {
@@ -38,6 +41,8 @@
   timer_service& timers;
   std::string publisher;      ///< ip:port
   milliseconds change_bound;  ///< Longest time from the publication of a change to its report.
+  /// The configuration is confirmed several times within this, where the platform can; 0: no bound.
+  milliseconds confirm_bound = milliseconds(0);
 };
 
 /// \brief Watches what the platform publishes, until it is destroyed.
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -10,6 +10,7 @@
 #include "src/gateway/backend_notices.h"
 #include "src/gateway/background_call.h"
 #include "src/gateway/caller_check.h"
+#include "src/gateway/reply_head.h"
 #include "src/telemetry/log.h"
 #include "src/transport/http_status.h"
 
@@ -66,23 +67,6 @@
 /// Logged for a request that servers may have ended of.
 constexpr std::string_view kHeld = "backend servers ended under it";
 
-/// \returns true for a status by which a server states that the request has not run.
-bool PromisesNotRun(int status) {
-  return status == http_status::kRequestTimeout || status == http_status::kMisdirectedRequest ||
-         status == http_status::kTooManyRequests || status == http_status::kServiceUnavailable;
-}
-
-bool IsSuccess(int status) {
-  return status >= http_status::kOk && status < http_status::kMultipleChoices;
-}
-
-/// \returns true for a status that is forwarded to the caller, rather than counted as a failure.
-bool IsDelivered(int status) {
-  return IsSuccess(status) ||
-         (status >= http_status::kBadRequest && status < http_status::kInternalServerError &&
-          !PromisesNotRun(status));
-}
-
 /// Adds how far the bytes of a send got to a log line; -1: that moment did not come.
 void AddTrace(nlohmann::json& fields, const send_trace& trace) {
   const auto since_start = [&](const std::optional<instant>& moment) {
@@ -97,16 +81,6 @@
   fields["written"] = trace.written;
 }
 
-http_headers EndToEndHeaders(const http1_head& head) {
-  http_headers kept;
-  for (const auto& header : head.headers) {
-    if (!IsHopByHop(header.first)) {
-      kept.push_back(header);
-    }
-  }
-  return kept;
-}
-
 }  // namespace
 
 /// One attempt at one backend server.
@@ -925,6 +899,9 @@
 }
 
 void forward_exchange::StartAttempt(attempt_kind kind, const backend_record& backend) {
+  if (EndIfCallerRefused()) {
+    return;
+  }
   if (trial_) {
     context_.quarantine.OnTrial(*trial_, timer_service::now());
   }
@@ -945,6 +922,20 @@
   CheckSilenceAfter(SilenceLimit(*attempt_));
 }
 
+bool forward_exchange::EndIfCallerRefused() {
+  const auto refused = AnswerBegun()
+                           ? std::nullopt
+                           : RefusalBeforeSend(context_, settings_.caller, settings_.request.id,
+                                               timer_service::now());
+  if (refused && refused->status == http_status::kUnauthorized && !MayHaveRun()) {
+    Reply(refused->status, {}, "not run\n");
+    Finish("refused", refused->why);
+  } else if (refused) {
+    EndUnanswered(http_status::kBadGateway, refused->why, refused->retry_after);
+  }
+  return refused.has_value();
+}
+
 void forward_exchange::ReportAnswer(microseconds taken) {
   if (!settings_.request.model) {
     context_.shedder.OnAnswer(settings_.service, taken, settings_.route->latency_objective,
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -91,6 +91,9 @@
   /// \returns The stage of the backend servers that answer the request.
   [[nodiscard]] engine_stage ServingStage() const;
   [[nodiscard]] bool MayRetry() const;
+  /// \brief Ends the request if its key admits it no longer, unless its answer has begun.
+  /// \returns true when the request has ended.
+  bool EndIfCallerRefused();
   void StartAttempt(attempt_kind kind, const backend_record& backend);
   void OnPrefilled(const backend_record& backend, const std::string& handle);
   void OnPrefillFailed(attempt_failure failure);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -70,6 +70,7 @@
 void gateway::ApplySettings(const gateway_settings& settings) {
   context_.budget.SetLimits(settings.repeat_ratio, seconds(settings.repeat_window_s),
                             settings.repeat_extra);
+  context_.freshness.SetBound(milliseconds(settings.key_bound_ms));
 }
 
 void gateway::SetGateways(std::uint32_t gateways) {
@@ -199,9 +200,8 @@
     return;
   }
   const identification caller = IdentifyCaller(context_, *decoded, *route);
-  if (std::holds_alternative<key_rejected>(caller)) {
-    Reject(std::move(answer), http_status::kUnauthorized, decoded->id,
-           decoded->key ? "no tenant holds the key" : "no key", kStartRetryAfter);
+  if (const auto refused = RefusalOf(context_, caller, decoded->key, timer_service::now())) {
+    Reject(std::move(answer), refused->status, decoded->id, refused->why, refused->retry_after);
     return;
   }
   const auto* identity = std::get_if<caller_identity>(&caller);
@@ -247,9 +247,20 @@
   const std::uint64_t version = next->version;
   const std::uint64_t before =
       context_.routes.configuration() ? context_.routes.configuration()->version : 0;
+  if (next->tenants_unknown && context_.freshness.bounded()) {
+    if (refused_lines_.Permits(std::to_string(version), timer_service::now())) {
+      Log(log_level::kWarning, "configuration_refused",
+          {{"version", version},
+           {"before", before},
+           {"reason", "from a process that may have left its tenants out"},
+           {"suppressed", refused_lines_.TakeSuppressed()}});
+    }
+    return;
+  }
   if (context_.routes.Apply(std::move(next))) {
     const forward_configuration& applied = *context_.routes.configuration();
     context_.tenants = tenant_directory(applied.tenants);
+    context_.freshness.OnApplied(version, context_.tenants.configured());
     Log(log_level::kInfo, "configuration_applied",
         {{"version", version},
          {"before", before},
@@ -326,15 +337,20 @@
        {"age_ms", configuration_age(timer_service::now()) / milliseconds(1)}});
 }
 
-void gateway::OnConfigurationConfirmed() {
+void gateway::OnConfigurationRegained() {
   configuration_lost_ = false;
   configuration_confirmed_ = timer_service::now();
 }
 
+void gateway::OnConfigurationConfirmed(instant sent) { context_.freshness.OnAnswer(sent); }
+
 void gateway::ApplySnapshot(gateway_snapshot other) {
   if (other.configuration) {
     ApplyConfiguration(std::move(other.configuration), configuration_source::kPeer);
   }
+  if (other.confirmed) {
+    context_.freshness.OnPeer(other.confirmed->version, other.confirmed->as_of);
+  }
   for (const backend_record& record : other.backends) {
     if (record.leaving && MarkBackendLeaving(context_, record)) {
       Log(log_level::kInfo, "peer_says_leaving",
@@ -389,6 +405,9 @@
       }
     }
   }
+  if (configuration && configuration->tenants && context_.freshness.as_of()) {
+    own.confirmed = {.version = configuration->version, .as_of = *context_.freshness.as_of()};
+  }
   if (scope.departed_after) {
     own.departed = context_.backends.DepartedAfter(*scope.departed_after);
   }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -13,6 +14,7 @@
 #include "src/gateway/slot_dispatcher.h"
 #include "src/gateway/snapshot.h"
 #include "src/settings/settings.h"
+#include "src/telemetry/line_limit.h"
 
 namespace jacinthspool {
 
@@ -56,7 +58,8 @@
   void OnPublisherLost(const std::string& reason) override;
   void OnPublisherRegained() override;
   void OnConfigurationLost() override;
-  void OnConfigurationConfirmed() override;
+  void OnConfigurationRegained() override;
+  void OnConfigurationConfirmed(instant sent) override;
 
   /// \brief Applies another gateway's snapshot, where it is newer.
   void ApplySnapshot(gateway_snapshot other);
@@ -96,12 +99,19 @@
   /// \returns true once a configuration and a list are known.
   [[nodiscard]] bool can_route() const;
   [[nodiscard]] bool publisher_lost() const { return publisher_lost_; }
-  /// \returns true while changes of the configuration or of the servers are not reported.
-  [[nodiscard]] bool lacks_news() const { return publisher_lost_ || configuration_lost_; }
-  /// \returns Time since the publisher last confirmed that the configuration is the newest.
+  /// \returns true while changes of the configuration or of the servers are not reported, and while
+  /// the configuration's keys may soon be too old to admit requests.
+  [[nodiscard]] bool lacks_news() const {
+    return publisher_lost_ || configuration_lost_ || context_.freshness.Ages(timer_service::now());
+  }
+  /// \returns Time since the publisher last answered a call for the configuration.
   [[nodiscard]] microseconds configuration_age(instant now) const {
     return now - configuration_confirmed_;
   }
+  /// \returns When the configuration in force was known to be the newest; nothing: never.
+  [[nodiscard]] std::optional<instant> confirmed_as_of() const {
+    return context_.freshness.as_of();
+  }
   [[nodiscard]] std::size_t in_progress() const { return exchanges_.size(); }
   /// \returns Bytes of answers that have arrived and are not forwarded yet.
   [[nodiscard]] std::size_t held_answer_bytes() const { return context_.held_answer_bytes; }
@@ -134,6 +144,7 @@
   bool publisher_lost_ = true;
   bool configuration_lost_ = false;
   instant configuration_confirmed_;  ///< By the publisher; before the first time, the start.
+  line_limit refused_lines_{{}};     ///< Of configurations, by version.
 };
 
 }  // namespace jacinthspool
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -7,6 +7,7 @@
 
 #include "jacinthspool/routing/backend_list.h"
 #include "jacinthspool/routing/backend_selector.h"
+#include "jacinthspool/routing/configuration_freshness.h"
 #include "jacinthspool/routing/crash_quarantine.h"
 #include "jacinthspool/routing/forward_retry_budget.h"
 #include "jacinthspool/routing/load_shedder.h"
@@ -36,6 +37,7 @@
   const wire_dialect& dialect;
   route_table routes;
   tenant_directory tenants = tenant_directory();  ///< Of the configuration in force.
+  configuration_freshness freshness = configuration_freshness({});
   backend_list backends;
   backend_selector selector;
   forward_retry_budget budget;
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -81,7 +81,8 @@
     discovery_ = platform_.open_discovery({.loop = loop_,
                                            .timers = timers_,
                                            .publisher = settings.publisher,
-                                           .change_bound = milliseconds(settings.change_bound_ms)});
+                                           .change_bound = milliseconds(settings.change_bound_ms),
+                                           .confirm_bound = milliseconds(settings.key_bound_ms)});
     discovery_->Start(gateway_);
     loop_.OnSignal(SIGTERM, [this] { Stop(); });
     loop_.OnSignal(SIGHUP, [this] { Reload(); });
--- a/src/gateway/snapshot.h
+++ b/src/gateway/snapshot.h
@@ -64,7 +64,8 @@
   /// Servers that have ended, with the requests and parts of prompts that they may have ended of.
   std::vector<crash_report> crashes = {};
   std::vector<suspect_trial> trials = {};
-  /// Of the sender's configuration, where tenants are configured.
+  /// Of the sender's configuration, where tenants are configured. The way that it took is not in
+  /// its age: only the answer of a query, whose sending time is known, may be used.
   std::optional<configuration_confirmation> confirmed = {};
   /// Why part of a decoded snapshot cannot be used and was left out; empty: nothing was.
   std::string_view fault = {};
--- a/src/gateway/snapshot_query.cc
+++ b/src/gateway/snapshot_query.cc
@@ -60,6 +60,10 @@
   if (end == call_outcome::kWhole && status_ == http_status::kOk) {
     snapshot = DecodeSnapshot(body_);
   }
+  if (snapshot && snapshot->confirmed) {
+    // The age was stated at some time after the query was sent.
+    snapshot->confirmed->as_of -= timer_service::now() - sent_;
+  }
   if (!snapshot) {
     Log(log_level::kDebug, "no_snapshot",
         {{"peer", settings_.address}, {"status", status_}, {"reason", reason}});
--- a/src/gateway/snapshot_query.h
+++ b/src/gateway/snapshot_query.h
@@ -55,6 +55,7 @@
   options settings_;
   std::unique_ptr<http1_call> call_;
   reply_watchdog watchdog_;
+  instant sent_ = timer_service::now();
   int status_ = 0;
   std::string body_;
   bool answered_ = false;
--- a/tests/platform/counting_listener.h
+++ b/tests/platform/counting_listener.h
@@ -23,7 +23,8 @@
   void OnPublisherLost(const std::string& /*reason*/) override { ++lost; }
   void OnPublisherRegained() override {}
   void OnConfigurationLost() override {}
-  void OnConfigurationConfirmed() override {}
+  void OnConfigurationRegained() override {}
+  void OnConfigurationConfirmed(instant /*sent*/) override {}
 };
 
 }  // namespace jacinthspool
--- a/tests/platform/large_configuration_test.cc
+++ b/tests/platform/large_configuration_test.cc
@@ -53,7 +53,8 @@
   void OnPublisherLost(const std::string& /*reason*/) override {}
   void OnPublisherRegained() override {}
   void OnConfigurationLost() override {}
-  void OnConfigurationConfirmed() override {}
+  void OnConfigurationRegained() override {}
+  void OnConfigurationConfirmed(instant /*sent*/) override {}
 };
 
 /// A watch of a store behind a slow link.
--- a/tests/platform/store_watch_test.cc
+++ b/tests/platform/store_watch_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <map>
 #include <string>
@@ -17,7 +18,7 @@
 
 std::string Registration(const std::string& address) {
   return R"({"service":"s","address":")" + address +
-         R"(","zone":"z","slots":4,"state":"ready","seq":1})";
+         R"(","zone":"z","version":"v1","slots":4,"state":"ready","coldLeftMs":0,"seq":1})";
 }
 
 std::string Configuration(int version) {
@@ -65,6 +66,8 @@
   std::map<std::string, std::string> addresses;
   std::vector<store_position> lists;
   int lost = 0;
+  std::vector<instant> confirmed;            ///< Sending times.
+  std::vector<std::uint64_t> versions_then;  ///< The version known at each.
 
   void OnConfiguration(std::shared_ptr<const forward_configuration> next) override {
     version = next->version;
@@ -83,7 +86,11 @@
   void OnPublisherLost(const std::string& /*reason*/) override { ++lost; }
   void OnPublisherRegained() override {}
   void OnConfigurationLost() override {}
-  void OnConfigurationConfirmed() override {}
+  void OnConfigurationRegained() override {}
+  void OnConfigurationConfirmed(instant sent) override {
+    confirmed.push_back(sent);
+    versions_then.push_back(version);
+  }
 };
 
 struct watch_rig {
@@ -93,11 +100,13 @@
   recording_listener listener;
   store_watch watch;
 
-  explicit watch_rig(milliseconds change_bound = milliseconds(90))
+  explicit watch_rig(milliseconds change_bound = milliseconds(90),
+                     milliseconds confirm_bound = milliseconds(0))
       : watch({.loop = loop,
                .timers = timers,
                .publisher = store.address(),
-               .change_bound = change_bound}) {
+               .change_bound = change_bound,
+               .confirm_bound = confirm_bound}) {
     store.Put("op/config", Configuration(1));
     store.Put("servers/a", Registration("10.0.0.1:80"));
     watch.Start(listener);
@@ -321,5 +330,67 @@
   }
 }
 
+TEST_CASE("the configuration is confirmed as of the sending of each answered call") {
+  const instant start = timer_service::now();
+  watch_rig rig(seconds(3), seconds(1));
+  const auto longest_age = [&] {
+    return std::chrono::duration_cast<milliseconds>(timer_service::now() -
+                                                    rig.listener.confirmed.back());
+  };
+  REQUIRE(rig.listener.confirmed.size() == 1);
+  CHECK(rig.listener.confirmed[0] >= start);
+  CHECK(rig.listener.confirmed[0] < start + milliseconds(150));
+  CHECK(rig.listener.versions_then[0] == 1);
+
+  SUBCASE("watches wait for 0.3 of the bound") {
+    rig.Elapse(milliseconds(1500));
+    CHECK(rig.listener.confirmed.size() >= 4);
+    CHECK(longest_age() < milliseconds(900));
+  }
+  SUBCASE("changes of the servers do not confirm it") {
+    const std::size_t before = rig.listener.confirmed.size();
+    rig.store.Put("servers/b", Registration("10.0.0.2:80"));
+    rig.Elapse(milliseconds(20));
+    CHECK(rig.listener.addresses.size() == 2);
+    CHECK(rig.listener.confirmed.size() == before);
+  }
+  SUBCASE("a change is reported before it is confirmed") {
+    rig.store.Put("op/config", Configuration(2));
+    rig.Elapse(milliseconds(50));
+    CHECK(rig.listener.versions_then.back() == 2);
+  }
+  SUBCASE("a newest configuration that cannot be read confirms nothing") {
+    rig.store.Put("op/config", "{}");
+    rig.Elapse(milliseconds(50));
+    const std::size_t before = rig.listener.confirmed.size();
+    rig.Elapse(milliseconds(1800));
+    CHECK(rig.listener.confirmed.size() == before);
+    rig.store.Put("op/config", Configuration(3));
+    rig.Elapse(milliseconds(1200));
+    CHECK(rig.listener.confirmed.size() > before);
+    CHECK(rig.listener.versions_then.back() == 3);
+  }
+  SUBCASE("nothing is confirmed while no call is answered") {
+    rig.store.SetBehaviour(store_standin::behaviour::kSilent);
+    const instant lost = timer_service::now();
+    rig.Elapse(milliseconds(1500));
+    CHECK(rig.listener.confirmed.back() < lost);
+  }
+}
+
+TEST_CASE("a watch that hangs leaves the configuration confirmed within its bound") {
+  watch_rig rig(seconds(3), seconds(5));
+  rig.Elapse(milliseconds(1600));
+  rig.store.LoseWatches();
+  milliseconds oldest{};
+  for (int i = 0; i < 50; ++i) {
+    rig.Elapse(milliseconds(100));
+    oldest = std::max(oldest, std::chrono::duration_cast<milliseconds>(
+                                  timer_service::now() - rig.listener.confirmed.back()));
+  }
+  CHECK(oldest > seconds(2));
+  CHECK(oldest < milliseconds(4900));
+}
+
 }  // namespace
 }  // namespace jacinthspool::platform
