--- a/src/gateway/caller_check.cc
+++ b/src/gateway/caller_check.cc
@@ -1,6 +1,7 @@
 #include "src/gateway/caller_check.h"
 
 #include <limits>
+#include <utility>
 
 #include "src/telemetry/log.h"
 #include "src/transport/http_status.h"
@@ -82,6 +83,20 @@
   return refused;
 }
 
+void ReportFreshness(gateway_context& context, instant now, bool& unconfirmed) {
+  const bool refuses =
+      std::holds_alternative<configuration_unconfirmed>(context.freshness.Check(now));
+  if (refuses == std::exchange(unconfirmed, refuses)) {
+    return;
+  }
+  const auto as_of = context.freshness.as_of();
+  Log(refuses ? log_level::kWarning : log_level::kInfo,
+      refuses ? "keys_unconfirmed" : "keys_confirmed",
+      {{"version", context.routes.configuration()->version},
+       {"age_ms", as_of ? (now - *as_of) / milliseconds(1) : -1}});
+  context.metrics.Set("gateway_keys_unconfirmed", {}, refuses ? 1 : 0);
+}
+
 std::optional<std::string> TenantField(const gateway_context& context,
                                        const std::optional<caller_identity>& caller) {
   if (caller) {
--- a/src/gateway/caller_check.h
+++ b/src/gateway/caller_check.h
@@ -36,6 +36,10 @@
     gateway_context& context, const std::optional<caller_identity>& caller,
     std::string_view request, instant now);
 
+/// \brief Logs when keys cease to admit requests, and when they do so again.
+/// \param unconfirmed What was logged last; false before the first time.
+void ReportFreshness(gateway_context& context, instant now, bool& unconfirmed);
+
 /// \returns The value of `attempt_fields::tenant` for a request of that caller.
 [[nodiscard]] std::optional<std::string> TenantField(const gateway_context& context,
                                                      const std::optional<caller_identity>& caller);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -60,6 +60,7 @@
     UpdateShares(context_);
     context_.quarantine.Expire(now);
     ApplyVerdicts(now);
+    ReportFreshness(context_, now, keys_unconfirmed_);
   });
   share_report_ = settings.timers.Every(kShareReportPeriod,
                                         [this](instant /*now*/) { ReportShares(context_); });
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -144,6 +144,7 @@
   bool publisher_lost_ = true;
   bool configuration_lost_ = false;
   instant configuration_confirmed_;  ///< By the publisher; before the first time, the start.
+  bool keys_unconfirmed_ = false;    ///< As last logged.
   line_limit refused_lines_{{}};     ///< Of configurations, by version.
 };
 
