--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -66,6 +66,7 @@
         exchange->ReadOn();
       }
     }
+    ReportFreshness(context_, now, keys_unconfirmed_);
   });
   share_report_ = settings.timers.Every(kShareReportPeriod,
                                         [this](instant /*now*/) { ReportShares(context_); });
