Decide who goes first in one place, by priority and tenant

Cause: reservations were given by arrival, slots by the route's priority alone, and the load shedder drew at random, so that neither a priority nor a tenant counted in the same way everywhere.

Change: service_order ranks waiting requests (begun answers, on time, late; then the tenant's priority, the route's, returns, start-time fair queueing between tenants, arrival) with a guaranteed part for every priority and tenant. admission_queue and slot_queue use it; the shedder takes its share from the lowest priority first. A new request's expected wait counts those that go before it; displaced ones are rejected in the next pass once the pace does not reach them. Engines without memory of one service no longer hold up other services: this also holds with one priority.

Tests: slot_queue_test states the priority as the new type, its checks are unchanged.

--- a/include/jacinthspool/jacinthspool.h
+++ b/include/jacinthspool/jacinthspool.h
@@ -51,6 +51,7 @@
 #include "jacinthspool/routing/retry_detector.h"
 #include "jacinthspool/routing/route_table.h"
 #include "jacinthspool/routing/send_limiter.h"
+#include "jacinthspool/routing/service_order.h"
 #include "jacinthspool/routing/slot_queue.h"
 #include "jacinthspool/routing/stage_orders.h"
 #include "jacinthspool/routing/stage_plan.h"
--- a/include/jacinthspool/routing/admission_queue.h
+++ b/include/jacinthspool/routing/admission_queue.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "jacinthspool/impl/time.h"
+#include "jacinthspool/routing/service_order.h"
 
 namespace jacinthspool {
 
@@ -23,15 +24,16 @@
   bool resumes = false;     ///< The caller already has part of the answer.
   instant on_time_until{};  ///< Reserved by then, it still meets its latency objective.
   instant latest_start{};   ///< Reserved later, it cannot end before its deadline.
+  service_claim claim = {};
 };
 
 /// \brief Admission queue of the requests that wait for memory in decode engines.
 ///
 /// In bursts, or when engines are lost, more requests arrive than the engines have
-/// memory for. Requests that can still be answered on time are admitted first, in
-/// order of arrival; late ones get the remaining memory. A request that could not
-/// get a reservation in time at the recent pace is rejected on arrival, not after
-/// it has waited.
+/// memory for. `service_order` decides who is admitted first; late requests get the
+/// remaining memory. A request that could not get a reservation in time at the recent
+/// pace is rejected on arrival, not after it has waited, or once more urgent ones have
+/// displaced it.
 class admission_queue {
  public:
   struct options {
@@ -39,6 +41,7 @@
     double pace_reservations = 8;
     /// Fraction of the remaining time that the expected wait may take.
     double max_wait_share = 0.8;
+    microseconds max_return = seconds(4);  ///< A rejected caller is told to return within this.
   };
 
   explicit admission_queue(const options& settings) : settings_(settings) {}
@@ -49,6 +52,9 @@
 
   void Remove(std::uint64_t number);
 
+  /// \returns The requests that are not in progress at an engine, the most urgent first.
+  [[nodiscard]] std::vector<std::uint64_t> Order(instant now) const;
+
   /// \param passed_over Numbers of requests that are not returned.
   /// \returns The next request that is not in progress at an engine, or nothing.
   [[nodiscard]] std::optional<std::uint64_t> Next(
@@ -72,12 +78,27 @@
   /// \returns Their numbers.
   [[nodiscard]] std::vector<std::uint64_t> Expire(instant now);
 
+  /// \brief Removes the requests that others have displaced, and that get no reservation before
+  /// their `latest_start` at the recent pace.
+  /// \returns Their numbers.
+  [[nodiscard]] std::vector<std::uint64_t> RemoveDisplaced(instant now);
+
   [[nodiscard]] std::size_t size() const { return requests_.size(); }
   /// \returns The number of requests for the service.
   [[nodiscard]] std::size_t Waiting(std::string_view service) const;
 
-  /// \returns How long a new request of the service would wait, by the recent pace.
-  [[nodiscard]] microseconds ExpectedWait(std::string_view service) const;
+  /// \returns The number of requests that would go before a new one, those of its own priority and
+  /// tenant included.
+  [[nodiscard]] std::size_t Ahead(const reservation_request& request, instant now) const;
+
+  /// \returns How long a new request would wait, by the recent pace.
+  [[nodiscard]] microseconds ExpectedWait(const reservation_request& request, instant now) const;
+
+  /// \brief Reserves a time at which the caller of a rejected request may return, after those that
+  /// wait and those of its priority or a higher one that were rejected before it.
+  /// \returns Nothing unless requests of several priorities or tenants compete.
+  [[nodiscard]] std::optional<instant> ReserveReturn(const reservation_request& request,
+                                                     instant now);
 
  private:
   struct queued_request {
@@ -89,7 +110,12 @@
     double interval_us = 0;  ///< Mean time between reservations while requests waited; 0: unknown.
   };
 
+  [[nodiscard]] std::vector<service_order::waiting> Candidates(instant now) const;
+  [[nodiscard]] double IntervalOf(std::string_view service) const;
+
   options settings_;
+  service_order order_{{}};
+  return_times returns_;
   std::map<std::uint64_t, queued_request> requests_ = {};  ///< In order of arrival.
   std::map<std::string, service_pace, std::less<>> paces_ = {};
   std::uint64_t last_number_ = 0;
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -10,6 +10,7 @@
 #include "src/gateway/backend_notices.h"
 #include "src/gateway/background_call.h"
 #include "src/gateway/caller_check.h"
+#include "src/gateway/server_reply.h"
 #include "src/telemetry/log.h"
 #include "src/transport/http_status.h"
 
@@ -66,23 +67,6 @@
 /// Logged for a request that servers may have ended of.
 constexpr std::string_view kHeld = "backend servers ended under it";
 
-/// \returns true for a status by which a server states that the request has not run.
-bool PromisesNotRun(int status) {
-  return status == http_status::kRequestTimeout || status == http_status::kMisdirectedRequest ||
-         status == http_status::kTooManyRequests || status == http_status::kServiceUnavailable;
-}
-
-bool IsSuccess(int status) {
-  return status >= http_status::kOk && status < http_status::kMultipleChoices;
-}
-
-/// \returns true for a status that is forwarded to the caller, rather than counted as a failure.
-bool IsDelivered(int status) {
-  return IsSuccess(status) ||
-         (status >= http_status::kBadRequest && status < http_status::kInternalServerError &&
-          !PromisesNotRun(status));
-}
-
 /// Adds how far the bytes of a send got to a log line; -1: that moment did not come.
 void AddTrace(nlohmann::json& fields, const send_trace& trace) {
   const auto since_start = [&](const std::optional<instant>& moment) {
@@ -97,16 +81,6 @@
   fields["written"] = trace.written;
 }
 
-http_headers EndToEndHeaders(const http1_head& head) {
-  http_headers kept;
-  for (const auto& header : head.headers) {
-    if (!IsHopByHop(header.first)) {
-      kept.push_back(header);
-    }
-  }
-  return kept;
-}
-
 }  // namespace
 
 /// One attempt at one backend server.
@@ -520,8 +494,9 @@
       return;
     }
   }
+  claim_ = ClaimOf(settings_.caller, *settings_.route, is_retry_);
   if (settings_.request.model ||
-      context_.shedder.Admit(settings_.service, context_.random(), settings_.received)) {
+      context_.shedder.Admit(settings_.service, context_.random(), settings_.received, claim_)) {
     ReserveAndSend();
   } else {
     Reject("service overloaded");
@@ -612,7 +587,8 @@
           .excluded_backend = seeking_ ? attempt_->backend().id : std::string(),
           .resumes = AnswerBegun() || settings_.request.resume_after.has_value(),
           .on_time_until = is_retry_ ? instant{} : settings_.received + objective - kFirstEventTime,
-          .latest_start = std::max(now + kMinAttemptTime, latest_start)};
+          .latest_start = std::max(now + kMinAttemptTime, latest_start),
+          .claim = claim_};
 }
 
 void forward_exchange::OnVerdictsChanged() {
@@ -874,12 +850,13 @@
   const instant on_time_until =
       is_retry_ ? instant{} : settings_.received + settings_.route->latency_objective;
   place_ = settings_.slots.Enqueue({.service = settings_.service,
-                                    .priority = settings_.route->priority,
+                                    .claim = claim_,
                                     .resumes = AnswerBegun() || settings_.request.resume_after,
                                     .on_time_until = on_time_until,
                                     .latest_start = now + (deadline_.at - now) / kSlotWaitDivisor,
                                     .tried = tried_,
-                                    .repeatable = settings_.route->repeatable()},
+                                    .repeatable = settings_.route->repeatable(),
+                                    .enqueued = now},
                                    {.on_ready =
                                         [this] {
                                           place_ = {};
@@ -1231,6 +1208,15 @@
                                      attempt_->under_way()});
 }
 
+std::optional<instant> forward_exchange::ReserveReturn(instant now) const {
+  if (limit_reached_) {
+    return settings_.slots.ReserveReturn(settings_.service, now, claim_.priority);
+  }
+  return rejection_reason_ == kNoSeatInTime
+             ? settings_.reservations.ReserveReturn(MakeReservationRequest(now), now)
+             : std::nullopt;
+}
+
 void forward_exchange::Reject(std::string_view why, std::optional<milliseconds> retry_after) {
   const auto self = shared_from_this();
   if (AnswerBegun()) {
@@ -1245,8 +1231,7 @@
   // Another gateway may have room at once.
   const milliseconds share = context_.stop ? kMinRetryAfter : TimeLeft(now) / kRetryAfterDivisor;
   milliseconds wait = std::clamp(share, kMinRetryAfter, kMaxRetryAfter);
-  if (const auto place =
-          limit_reached_ ? settings_.slots.ReserveReturn(settings_.service, now) : std::nullopt) {
+  if (const auto place = ReserveReturn(now)) {
     wait = std::max(kMinRetryAfter, std::chrono::ceil<milliseconds>(*place - now));
   }
   if (const auto back_off_end =
@@ -1387,6 +1372,7 @@
   AddTrace(fields, last_send_);
   Log(log_level::kInfo, "request", std::move(fields));
   context_.metrics.Count("gateway_requests", {{"outcome", std::string(outcome)}});
+  CountByClaim(context_, claim_, outcome);
   context_.metrics.Observe("gateway_request_time", {{"outcome", std::string(outcome)}}, took);
   settings_.on_ended(*this);
 }
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -127,6 +127,8 @@
   void EndAnswer();
   /// \returns true when a server may have run the request, or may still.
   [[nodiscard]] bool MayHaveRun() const;
+  /// \returns When the caller of this request, which no server has room for, may return.
+  [[nodiscard]] std::optional<instant> ReserveReturn(instant now) const;
   /// \brief Answers "not run"; a request that may have run fails instead.
   /// \param retry_after Nothing: chosen by the load and the time that the caller has left.
   void Reject(std::string_view why, std::optional<milliseconds> retry_after = std::nullopt);
@@ -193,6 +195,7 @@
   bool limit_reached_ = false;  ///< Rejected because of the servers' request limits.
   std::optional<decode_reservation> reservation_;
   bool is_retry_ = false;  ///< Probably a retry of a rejected request.
+  service_claim claim_ = {};
   /// Not begun, begun, or ended; each state has only what may follow in it.
   std::variant<http1_responder, http1_stream, std::monostate> answer_;
   bool may_resume_ = true;  ///< False after part of a plain answer: only events can be resumed.
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <optional>
 #include <random>
+#include <set>
+#include <string>
 
 #include "jacinthspool/routing/backend_list.h"
 #include "jacinthspool/routing/backend_selector.h"
@@ -50,9 +52,11 @@
   background_calls background;
   metrics_registry metrics;
   std::mt19937_64 random;
-  std::size_t held_answer_bytes = 0;      ///< Of answers that are not forwarded yet.
-  std::uint32_t gateways = 1;             ///< That serve the callers, this one included.
-  std::optional<planned_stop> stop = {};  ///< Set once this process has been told to stop.
+  std::size_t held_answer_bytes = 0;              ///< Of answers that are not forwarded yet.
+  std::uint32_t gateways = 1;                     ///< That serve the callers, this one included.
+  std::set<std::string> counted_priorities = {};  ///< With a metric of their own.
+  std::set<std::string> counted_tenants = {};     ///< With a metric of their own.
+  std::optional<planned_stop> stop = {};          ///< Set once this process has been told to stop.
 };
 
 }  // namespace jacinthspool
--- a/src/gateway/reservation_dispatcher.cc
+++ b/src/gateway/reservation_dispatcher.cc
@@ -1,5 +1,9 @@
 #include "src/gateway/reservation_dispatcher.h"
 
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -108,7 +112,7 @@
   if (!capacity->ready || capacity->per_second <= 0) {
     return true;
   }
-  const std::chrono::duration<double> queued{static_cast<double>(queue_.Waiting(request.service)) /
+  const std::chrono::duration<double> queued{static_cast<double>(queue_.Ahead(request, now)) /
                                              capacity->per_second};
   return *capacity->ready + std::chrono::duration_cast<microseconds>(queued) > request.latest_start;
 }
@@ -181,7 +185,10 @@
 }
 
 void reservation_dispatcher::RejectExpired() {
-  for (const std::uint64_t number : queue_.Expire(timer_service::now())) {
+  const instant now = timer_service::now();
+  std::vector<std::uint64_t> hopeless = queue_.Expire(now);
+  std::ranges::copy(queue_.RemoveDisplaced(now), std::back_inserter(hopeless));
+  for (const std::uint64_t number : hopeless) {
     if (auto found = handlers_.extract(number)) {
       found.mapped().on_rejected(kNoSeatInTime);
     }
@@ -203,29 +210,35 @@
 }
 
 bool reservation_dispatcher::TryNext(instant now) {
-  std::set<std::uint64_t> passed_over;
-  auto number = queue_.Next(now);
+  std::set<std::string_view> full_services;
+  std::uint64_t number = 0;
   const backend_record* chosen = nullptr;
-  for (; number; number = queue_.Next(now, passed_over)) {
-    const reservation_request& first = *queue_.Find(*number);
+  for (const std::uint64_t each : queue_.Order(now)) {
+    const reservation_request& first = *queue_.Find(each);
+    if (full_services.contains(first.service)) {
+      continue;
+    }
     chosen = ChooseEngine(first, now);
-    if (chosen != nullptr || first.excluded_backend.empty()) {
+    if (chosen != nullptr) {
+      number = each;
       break;
     }
-    // An engine that this request may not use can have memory for the ones behind it.
-    passed_over.insert(*number);
+    if (first.excluded_backend.empty()) {
+      full_services.insert(first.service);
+    }
+    // Otherwise an engine that it may not use can have memory for the ones behind it.
   }
   if (chosen == nullptr) {
     return false;
   }
-  const reservation_request& request = *queue_.Find(*number);
-  queue_.SetInProgress(*number, true);
+  const reservation_request& request = *queue_.Find(number);
+  queue_.SetInProgress(number, true);
   // A probe would take two more requests of the limit of an engine, which binds before its memory.
   const double headroom =
       context_.limiter.limited(*chosen)
           ? 0
           : headroom_.RequiredHeadroom(request, EngineTokens(request.service), now);
-  StartCall(*number, *chosen, request.tokens + headroom, headroom > 0);
+  StartCall(number, *chosen, request.tokens + headroom, headroom > 0);
   return true;
 }
 
--- a/src/gateway/reservation_dispatcher.h
+++ b/src/gateway/reservation_dispatcher.h
@@ -52,6 +52,13 @@
   [[nodiscard]] std::optional<queued_place> Enqueue(reservation_request request,
                                                     handlers callbacks);
 
+  /// \returns When the caller of a rejected request may return, or nothing if requests of one
+  /// priority and tenant wait.
+  [[nodiscard]] std::optional<instant> ReserveReturn(const reservation_request& request,
+                                                     instant now) {
+    return queue_.ReserveReturn(request, now);
+  }
+
   /// \brief Releases an unused reservation at its engine.
   void Release(const decode_reservation& reservation);
 
@@ -78,7 +85,8 @@
   void ReserveAfterProbe(const reservation_call& call, const std::string& hold);
   [[nodiscard]] double EngineTokens(const std::string& service) const;
   void Tick();
-  /// \brief Rejects the requests whose `latest_start` has passed.
+  /// \brief Rejects the requests whose `latest_start` has passed, and those that others have
+  /// displaced and that get no reservation before it.
   void RejectExpired();
 
   gateway_context& context_;
--- a/src/gateway/slot_dispatcher.cc
+++ b/src/gateway/slot_dispatcher.cc
@@ -38,8 +38,9 @@
   handlers_.erase(number);
 }
 
-std::optional<instant> slot_dispatcher::ReserveReturn(const std::string& service, instant now) {
-  return queue_.ReserveReturn(service, Pace(service, now), now);
+std::optional<instant> slot_dispatcher::ReserveReturn(const std::string& service, instant now,
+                                                      request_priority priority) {
+  return queue_.ReserveReturn(service, Pace(service, now), now, priority);
 }
 
 void slot_dispatcher::Dispatch(const std::string& service) {
@@ -62,7 +63,7 @@
       // A server that this request may not use can have a slot for the ones behind it.
       continue;
     }
-    queue_.Remove(number);
+    queue_.OnSent(number, now);
     if (auto found = handlers_.extract(number)) {
       found.mapped().on_ready();
     }
--- a/src/gateway/slot_dispatcher.h
+++ b/src/gateway/slot_dispatcher.h
@@ -37,7 +37,8 @@
 
   /// \returns When a caller that is rejected now may return, if the limits of all servers of the
   /// service delay it.
-  [[nodiscard]] std::optional<instant> ReserveReturn(const std::string& service, instant now);
+  [[nodiscard]] std::optional<instant> ReserveReturn(const std::string& service, instant now,
+                                                     request_priority priority);
 
   [[nodiscard]] std::size_t waiting() const { return handlers_.size(); }
 
--- a/src/routing/slot_queue.cc
+++ b/src/routing/slot_queue.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <set>
-#include <tuple>
 #include <utility>
 
 namespace jacinthspool {
@@ -17,24 +16,37 @@
 }  // namespace
 
 std::uint64_t slot_queue::Add(slot_request request) {
+  order_.OnAsked(request.service, request.claim, 1, request.enqueued);
   requests_.emplace(++last_number_, std::move(request));
   return last_number_;
 }
 
-std::vector<std::uint64_t> slot_queue::Order(std::string_view service, instant now) const {
-  using rank = std::tuple<int, std::uint32_t, std::uint64_t>;
-  std::vector<rank> ranks;
+void slot_queue::OnSent(std::uint64_t number, instant now) {
+  if (const auto sent = requests_.extract(number)) {
+    order_.OnGranted(sent.mapped().service, sent.mapped().claim, 1, now);
+  }
+}
+
+std::vector<service_order::waiting> slot_queue::Candidates(std::string_view service,
+                                                           instant now) const {
+  std::vector<service_order::waiting> candidates;
   for (const auto& [number, request] : requests_) {
     if (request.service == service) {
-      const int urgency = request.resumes ? 0 : now <= request.on_time_until ? 1 : 2;
-      ranks.emplace_back(urgency, request.priority, number);
+      candidates.push_back({.number = number,
+                            .service = request.service,
+                            .claim = &request.claim,
+                            .urgency = request.resumes               ? request_urgency::kResumes
+                                       : now > request.on_time_until ? request_urgency::kLate
+                                                                     : request_urgency::kOnTime});
     }
   }
-  std::sort(ranks.begin(), ranks.end());
+  return candidates;
+}
+
+std::vector<std::uint64_t> slot_queue::Order(std::string_view service, instant now) const {
   std::vector<std::uint64_t> numbers;
-  numbers.reserve(ranks.size());
-  for (const rank& each : ranks) {
-    numbers.push_back(std::get<std::uint64_t>(each));
+  for (const auto& each : order_.Sort(Candidates(service, now), now)) {
+    numbers.push_back(each.number);
   }
   return numbers;
 }
@@ -67,17 +79,20 @@
 }
 
 std::optional<instant> slot_queue::ReserveReturn(const std::string& service,
-                                                 const std::optional<slot_pace>& pace,
-                                                 instant now) {
+                                                 const std::optional<slot_pace>& pace, instant now,
+                                                 request_priority priority) {
   if (!pace || pace->per_second <= 0) {
     return std::nullopt;
   }
+  const auto ahead = static_cast<std::size_t>(std::ranges::count_if(requests_, [&](const auto& e) {
+    return e.second.service == service && e.second.claim.priority <= priority;
+  }));
   const std::chrono::duration<double> interval{1 / pace->per_second};
-  instant& last = last_returns_[service];
-  last = std::max(SlotTime(*pace, Waiting(service)),
-                  last + std::chrono::duration_cast<microseconds>(interval));
-  last = std::min(last, now + settings_.max_return);
-  return last;
+  return returns_.Reserve({.service = service,
+                           .priority = priority,
+                           .earliest = SlotTime(*pace, ahead),
+                           .interval = std::chrono::duration_cast<microseconds>(interval),
+                           .latest = now + settings_.max_return});
 }
 
 std::size_t slot_queue::Waiting(std::string_view service) const {
--- a/tests/routing/slot_queue_test.cc
+++ b/tests/routing/slot_queue_test.cc
@@ -10,7 +10,7 @@
 slot_request Request(std::uint32_t priority, milliseconds on_time = milliseconds(500),
                      milliseconds latest = seconds(2)) {
   return {.service = "plain",
-          .priority = priority,
+          .claim = {.priority = {.tenant = priority, .route = priority}},
           .on_time_until = kStart + on_time,
           .latest_start = kStart + latest};
 }
