--- a/src/gateway/caller_check.cc
+++ b/src/gateway/caller_check.cc
@@ -1,6 +1,7 @@
 #include "src/gateway/caller_check.h"
 
 #include <limits>
+#include <set>
 #include <utility>
 
 #include "src/telemetry/log.h"
@@ -10,6 +11,8 @@
 namespace {
 
 constexpr std::string_view kNotHeld = "no tenant holds the key";
+/// Tenants, and priorities, that have a metric of their own.
+constexpr std::size_t kMaxCountedGroups = 32;
 
 /// \returns The sum, or the largest number if it exceeds that.
 std::uint64_t SaturatingSum(std::uint64_t one, std::uint64_t other) {
@@ -105,4 +108,31 @@
   return context.tenants.configured() ? std::optional(std::string()) : std::nullopt;
 }
 
+service_claim ClaimOf(const std::optional<caller_identity>& caller, const forward_route& route,
+                      bool came_back) {
+  if (caller) {
+    return {.priority = caller->priority, .tenant = caller->tenant, .came_back = came_back};
+  }
+  return {.priority = {.tenant = route.priority, .route = route.priority}, .came_back = came_back};
+}
+
+void CountByClaim(gateway_context& context, const service_claim& claim, std::string_view outcome) {
+  const auto label = [](std::set<std::string>& known, std::string name) {
+    if (known.size() < kMaxCountedGroups) {
+      known.insert(name);
+    }
+    return known.contains(name) ? std::move(name) : std::string("other");
+  };
+  context.metrics.Count(
+      "gateway_priority_requests",
+      {{"outcome", std::string(outcome)},
+       {"priority", label(context.counted_priorities, std::to_string(claim.priority.tenant) + "." +
+                                                          std::to_string(claim.priority.route))}});
+  if (!claim.tenant.empty()) {
+    context.metrics.Count("gateway_tenant_requests",
+                          {{"outcome", std::string(outcome)},
+                           {"tenant", label(context.counted_tenants, claim.tenant)}});
+  }
+}
+
 }  // namespace jacinthspool
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -482,8 +482,9 @@
       return;
     }
   }
+  claim_ = ClaimOf(settings_.caller, *settings_.route, is_retry_);
   if (settings_.request.model ||
-      context_.shedder.Admit(settings_.service, context_.random(), settings_.received)) {
+      context_.shedder.Admit(settings_.service, context_.random(), settings_.received, claim_)) {
     ReserveAndSend();
   } else {
     Reject("service overloaded");
@@ -574,7 +575,8 @@
           .excluded_backend = seeking_ ? attempt_->backend().id : std::string(),
           .resumes = AnswerBegun() || settings_.request.resume_after.has_value(),
           .on_time_until = is_retry_ ? instant{} : settings_.received + objective - kFirstEventTime,
-          .latest_start = std::max(now + kMinAttemptTime, latest_start)};
+          .latest_start = std::max(now + kMinAttemptTime, latest_start),
+          .claim = claim_};
 }
 
 void forward_exchange::OnVerdictsChanged() {
@@ -836,12 +838,13 @@
   const instant on_time_until =
       is_retry_ ? instant{} : settings_.received + settings_.route->latency_objective;
   place_ = settings_.slots.Enqueue({.service = settings_.service,
-                                    .priority = settings_.route->priority,
+                                    .claim = claim_,
                                     .resumes = AnswerBegun() || settings_.request.resume_after,
                                     .on_time_until = on_time_until,
                                     .latest_start = now + (deadline_.at - now) / kSlotWaitDivisor,
                                     .tried = tried_,
-                                    .repeatable = settings_.route->repeatable()},
+                                    .repeatable = settings_.route->repeatable(),
+                                    .enqueued = now},
                                    {.on_ready =
                                         [this] {
                                           place_ = {};
@@ -1215,6 +1218,15 @@
                                      attempt_->under_way()});
 }
 
+std::optional<instant> forward_exchange::ReserveReturn(instant now) const {
+  if (limit_reached_) {
+    return settings_.slots.ReserveReturn(settings_.service, now, claim_.priority);
+  }
+  return rejection_reason_ == kNoSeatInTime
+             ? settings_.reservations.ReserveReturn(MakeReservationRequest(now), now)
+             : std::nullopt;
+}
+
 void forward_exchange::Reject(std::string_view why, std::optional<milliseconds> retry_after) {
   const auto self = shared_from_this();
   if (AnswerBegun()) {
@@ -1229,8 +1241,7 @@
   // Another gateway may have room at once.
   const milliseconds share = context_.stop ? kMinRetryAfter : TimeLeft(now) / kRetryAfterDivisor;
   milliseconds wait = std::clamp(share, kMinRetryAfter, kMaxRetryAfter);
-  if (const auto place =
-          limit_reached_ ? settings_.slots.ReserveReturn(settings_.service, now) : std::nullopt) {
+  if (const auto place = ReserveReturn(now)) {
     wait = std::max(kMinRetryAfter, std::chrono::ceil<milliseconds>(*place - now));
   }
   if (const auto back_off_end =
@@ -1371,6 +1382,7 @@
   AddTrace(fields, last_send_);
   Log(log_level::kInfo, "request", std::move(fields));
   context_.metrics.Count("gateway_requests", {{"outcome", std::string(outcome)}});
+  CountByClaim(context_, claim_, outcome);
   context_.metrics.Observe("gateway_request_time", {{"outcome", std::string(outcome)}}, took);
   settings_.on_ended(*this, sends_ == 0 || outcome == "refused");
 }
