Send a large body to the server that holds the fewest unfinished bytes

Cause: a server ends when the requests that it holds exceed its memory, and nobody kept what each had been sent and not finished.

Change: unfinished_bytes counts bodies by incarnation of their server, from the send to the end of the attempt. Among servers whose score is at most 1.25 times the best, a body of 64 KB or more goes to the one with the fewest. Smaller requests are placed as before.

Tests on sockets: a server that reads slowly (the body and its copy are counted, others are served), and the choice.

--- a/include/jacinthspool/jacinthspool.h
+++ b/include/jacinthspool/jacinthspool.h
@@ -30,6 +30,7 @@
 #include "jacinthspool/routing/admission_queue.h"
 #include "jacinthspool/routing/backend_list.h"
 #include "jacinthspool/routing/backend_selector.h"
+#include "jacinthspool/routing/byte_budget.h"
 #include "jacinthspool/routing/configuration.h"
 #include "jacinthspool/routing/edge_limits.h"
 #include "jacinthspool/routing/event_splitter.h"
@@ -56,5 +57,6 @@
 #include "jacinthspool/routing/stage_plan.h"
 #include "jacinthspool/routing/store_position.h"
 #include "jacinthspool/routing/tenants.h"
+#include "jacinthspool/routing/unfinished_bytes.h"
 
 #endif  // JACINTHSPOOL_JACINTHSPOOL_H_
--- a/include/jacinthspool/routing/backend_selector.h
+++ b/include/jacinthspool/routing/backend_selector.h
@@ -12,6 +12,7 @@
 #include "jacinthspool/impl/time.h"
 #include "jacinthspool/routing/backend_list.h"
 #include "jacinthspool/routing/send_limiter.h"
+#include "jacinthspool/routing/unfinished_bytes.h"
 
 namespace jacinthspool {
 
@@ -35,6 +36,10 @@
   /// Excludes the servers whose request limit is reached; null: none.
   const send_limiter* limiter = nullptr;
   std::uint32_t calls = 1;  ///< Requests that will be sent to the server.
+  std::size_t body_bytes = 0;
+  /// What the servers hold; decides between servers of about equal score for a large body. Null:
+  /// not considered.
+  const unfinished_bytes* unfinished = nullptr;
 };
 
 /// \brief What the limits of a service's servers allow.
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -462,6 +462,8 @@
   reply_facts facts_;
   std::string body_;
   event_splitter events_;
+  unfinished_bytes::sending unfinished_{owner_.context_.unfinished, backend_,
+                                        owner_.settings_.request.body.size()};
   /// What the server may not have read of the request.
   byte_budget::holding sent_{owner_.context_.bytes, held_kind::kRequest};
   /// Of `body_` or of an incomplete event.
@@ -854,7 +856,9 @@
           .cost = Cost(),
           .repeatable = prefill || settings_.route->repeatable(),
           .tried = &tried_,
-          .limiter = &context_.limiter};
+          .limiter = &context_.limiter,
+          .body_bytes = settings_.request.body.size(),
+          .unfinished = &context_.unfinished};
 }
 
 void forward_exchange::WaitForSlot() {
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -20,6 +20,7 @@
 #include "jacinthspool/routing/route_table.h"
 #include "jacinthspool/routing/send_limiter.h"
 #include "jacinthspool/routing/tenants.h"
+#include "jacinthspool/routing/unfinished_bytes.h"
 #include "src/gateway/background_call.h"
 #include "src/gateway/wire_dialect.h"
 #include "src/telemetry/metrics.h"
@@ -52,6 +53,7 @@
   metrics_registry metrics;
   std::mt19937_64 random;
   byte_budget bytes = {};                 ///< Held for callers and servers.
+  unfinished_bytes unfinished = {};       ///< Of bodies, by server.
   std::uint32_t gateways = 1;             ///< That serve the callers, this one included.
   std::optional<planned_stop> stop = {};  ///< Set once this process has been told to stop.
 };
--- a/src/routing/backend_selector.cc
+++ b/src/routing/backend_selector.cc
@@ -30,6 +30,8 @@
 constexpr microseconds kProbation = seconds(2);
 /// At most this fraction of the servers is ejected.
 constexpr double kMaxEjectedShare = 0.5;
+/// For a large body, servers whose score is at most this multiple of the best count as equal.
+constexpr double kEqualScoreFactor = 1.25;
 
 microseconds DoubledPause(microseconds first, std::uint32_t times, microseconds last) {
   constexpr std::uint32_t kMostDoublings = 8;
@@ -140,6 +142,15 @@
       best_score = score;
     }
   }
+  if (wanted.unfinished != nullptr && unfinished_bytes::IsLarge(wanted.body_bytes)) {
+    for (const member* each : usable) {
+      if ((!some_free || each->busy_until <= now) &&
+          Score(*each, wanted, fastest_ms, now) <= kEqualScoreFactor * best_score &&
+          wanted.unfinished->at(each->record) < wanted.unfinished->at(best->record)) {
+        best = each;
+      }
+    }
+  }
   return &best->record;
 }
 
