--- a/include/jacinthspool/jacinthspool.h
+++ b/include/jacinthspool/jacinthspool.h
@@ -30,6 +30,7 @@
 #include "jacinthspool/routing/admission_queue.h"
 #include "jacinthspool/routing/backend_list.h"
 #include "jacinthspool/routing/backend_selector.h"
+#include "jacinthspool/routing/byte_budget.h"
 #include "jacinthspool/routing/configuration.h"
 #include "jacinthspool/routing/configuration_freshness.h"
 #include "jacinthspool/routing/credit_lender.h"
@@ -60,5 +61,6 @@
 #include "jacinthspool/routing/store_position.h"
 #include "jacinthspool/routing/tenant_credit.h"
 #include "jacinthspool/routing/tenants.h"
+#include "jacinthspool/routing/unfinished_bytes.h"
 
 #endif  // JACINTHSPOOL_JACINTHSPOOL_H_
--- a/include/jacinthspool/routing/backend_selector.h
+++ b/include/jacinthspool/routing/backend_selector.h
@@ -13,6 +13,7 @@
 #include "jacinthspool/routing/backend_list.h"
 #include "jacinthspool/routing/engine_pace.h"
 #include "jacinthspool/routing/send_limiter.h"
+#include "jacinthspool/routing/unfinished_bytes.h"
 
 namespace jacinthspool {
 
@@ -39,6 +40,10 @@
   /// Where some server of the service is known, servers are drawn by their shares;
   /// null: by their score alone.
   const engine_pace* pace = nullptr;
+  std::size_t body_bytes = 0;
+  /// What the servers hold; decides between servers of about equal score for a large body. Null:
+  /// not considered.
+  const unfinished_bytes* unfinished = nullptr;
 };
 
 /// \brief What the limits of a service's servers allow.
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -23,6 +23,7 @@
 #include "jacinthspool/routing/route_table.h"
 #include "jacinthspool/routing/send_limiter.h"
 #include "jacinthspool/routing/tenants.h"
+#include "jacinthspool/routing/unfinished_bytes.h"
 #include "src/gateway/background_call.h"
 #include "src/gateway/wire_dialect.h"
 #include "src/telemetry/metrics.h"
@@ -56,6 +57,7 @@
   metrics_registry metrics;
   std::mt19937_64 random;
   byte_budget bytes = {};                         ///< Held for callers and servers.
+  unfinished_bytes unfinished = {};               ///< Of bodies, by server.
   std::uint32_t gateways = 1;                     ///< That serve the callers, this one included.
   std::set<std::string> counted_priorities = {};  ///< With a metric of their own.
   std::set<std::string> counted_tenants = {};     ///< With a metric of their own.
