--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -11,6 +11,7 @@
 #include "src/gateway/background_call.h"
 #include "src/gateway/caller_check.h"
 #include "src/gateway/reply_head.h"
+#include "src/gateway/send_trace_fields.h"
 #include "src/telemetry/log.h"
 #include "src/transport/http_status.h"
 
@@ -56,20 +57,6 @@
 /// Logged for a request that servers may have ended of.
 constexpr std::string_view kHeld = "backend servers ended under it";
 
-/// Adds how far the bytes of a send got to a log line; -1: that moment did not come.
-void AddTrace(nlohmann::json& fields, const send_trace& trace) {
-  const auto since_start = [&](const std::optional<instant>& moment) {
-    return moment ? (*moment - trace.started) / milliseconds(1) : -1;
-  };
-  fields["connection"] = trace.connection;
-  fields["kept"] = trace.kept;
-  fields["connect_ms"] = trace.kept ? 0 : since_start(trace.connected);
-  fields["first_byte_ms"] = since_start(trace.first_write);
-  fields["last_byte_ms"] = since_start(trace.last_write);
-  fields["bytes"] = trace.bytes;
-  fields["written"] = trace.written;
-}
-
 }  // namespace
 
 /// One attempt at one backend server.
