--- a/src/gateway/tenant_payments.cc
+++ b/src/gateway/tenant_payments.cc
@@ -109,15 +109,15 @@
                             Reject(std::move(node.mapped()), rejected);
                           }
                         },
-                        [&](credit_needed& needed) {
+                        [&](const credit_needed& needed) {
                           if (found != waiting_.end()) {
-                            Ask(id, std::move(needed));
+                            Ask(id, needed);
                           }
                         }},
              decided);
 }
 
-void tenant_payments::Ask(std::uint64_t id, credit_needed needed) {
+void tenant_payments::Ask(std::uint64_t id, const credit_needed& needed) {
   const instant now = timer_service::now();
   if (needed.home == address_) {
     lender_.OnMember(Describe(), now);
--- a/src/gateway/tenant_payments.h
+++ b/src/gateway/tenant_payments.h
@@ -64,7 +64,7 @@
   };
   [[nodiscard]] credit_member Describe() const;
   [[nodiscard]] std::string TenantLabel(const std::string& tenant);
-  void Ask(std::uint64_t id, credit_needed needed);
+  void Ask(std::uint64_t id, const credit_needed& needed);
   void Apply(std::uint64_t id, payment decided);
   /// \brief Applies it unless the caller has left.
   void Complete(std::uint64_t id);
