--- a/src/routing/service_order.cc
+++ b/src/routing/service_order.cc
@@ -136,10 +136,10 @@
         amount->second -= each.amount;
         return lacking;
       };
+      const std::string_view tenant = claim.tenant;
       const bool priority_lacks =
           lacks(owed_to_priority, claim.priority, known.by_priority, claim.priority);
-      const bool tenant_lacks =
-          lacks(owed_to_tenant, std::string_view(claim.tenant), known.by_tenant, claim.tenant);
+      const bool tenant_lacks = lacks(owed_to_tenant, tenant, known.by_tenant, tenant);
       owed = priority_lacks || tenant_lacks;
     }
     places.emplace_back(
