--- a/include/jacinthspool/routing/backend_selector.h
+++ b/include/jacinthspool/routing/backend_selector.h
@@ -11,6 +11,7 @@
 
 #include "jacinthspool/impl/time.h"
 #include "jacinthspool/routing/backend_list.h"
+#include "jacinthspool/routing/engine_pace.h"
 #include "jacinthspool/routing/send_limiter.h"
 
 namespace jacinthspool {
@@ -35,6 +36,9 @@
   /// Excludes the servers whose request limit is reached; null: none.
   const send_limiter* limiter = nullptr;
   std::uint32_t calls = 1;  ///< Requests that will be sent to the server.
+  /// Where some server of the service is known, servers are drawn by their shares;
+  /// null: by their score alone.
+  const engine_pace* pace = nullptr;
 };
 
 /// \brief What the limits of a service's servers allow.
--- a/src/routing/backend_selector.cc
+++ b/src/routing/backend_selector.cc
@@ -5,6 +5,8 @@
 #include <limits>
 #include <utility>
 
+#include "jacinthspool/impl/rendezvous.h"
+
 namespace jacinthspool {
 namespace {
 
@@ -36,6 +38,19 @@
   return std::min(first * (1U << std::min(times, kMostDoublings)), last);
 }
 
+/// \brief Draws a server at random in proportion to its share rather than the fastest one: many
+/// gateways choose from the same beliefs, and each choice is also a measurement.
+/// \returns A factor of the score with which the least score is such a draw; 1: no speed is known.
+double DrawFactor(const placement& wanted, const backend_record& record, std::uint64_t random) {
+  const auto share = wanted.pace != nullptr ? wanted.pace->Share(record) : std::optional<double>();
+  if (!share) {
+    return 1;
+  }
+  // In (0, 1]: the hash has 53 bits of use here.
+  const double uniform = (static_cast<double>(HashKey(record.id, random) >> 11U) + 1) * 0x1p-53;
+  return -std::log(uniform) / *share;
+}
+
 }  // namespace
 
 void backend_selector::Update(const std::map<std::string, backend_record>& backends) {
@@ -134,7 +149,8 @@
     if (some_free && each->busy_until > now) {
       continue;
     }
-    const double score = Score(*each, wanted, fastest_ms, now);
+    const double score =
+        Score(*each, wanted, fastest_ms, now) * DrawFactor(wanted, each->record, random);
     if (score < best_score) {
       best = each;
       best_score = score;
