Pass the pace of engines between gateways, and reserve by it

Gateways measure streams of decode engines that give reservations piece by piece (pace_notes), send up to 16 servers in each query and answer between gateways, and query sooner after a belief has changed by half.

--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -10,6 +10,7 @@
 #include "src/gateway/backend_notices.h"
 #include "src/gateway/background_call.h"
 #include "src/gateway/caller_check.h"
+#include "src/gateway/pace_notes.h"
 #include "src/telemetry/log.h"
 #include "src/transport/http_status.h"
 
@@ -1180,6 +1181,7 @@
     last_event_ = event.id ? event.id : last_event_;
     whole += event.bytes;
   }
+  RecordPace(context_, pace_, attempt_->backend(), last_event_);
   if (!whole.empty()) {
     BeginAnswer(head);
     SendToCaller(whole);
@@ -1197,6 +1199,7 @@
     return;
   }
   attempt_->PauseReply(true);
+  pace_ = {};  // What follows is at the caller's pace.
   begun->OnDrained([this] {
     if (attempt_ && attempt_->paused()) {
       attempt_->PauseReply(false);
@@ -1215,11 +1218,8 @@
   BeginAnswer(head);
   EndAnswer();
   if (settings_.request.model && last_event_ && !settings_.request.resume_after) {
-    const std::uint64_t tokens = *last_event_ * TokensPerEvent();
-    context_.outputs.Learn(settings_.service, settings_.request.model->expected_output_tokens,
-                           tokens);
-    context_.balance.OnOutput(settings_.service, tokens,
-                              timer_service::now() - settings_.received - time_to_first_event_);
+    LearnOutput(context_, settings_.service, *settings_.request.model,
+                *last_event_ * TokensPerEvent(), settings_.received + time_to_first_event_);
   }
   Finish("served", "");
 }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -5,6 +5,7 @@
 #include "jacinthspool/impl/rendezvous.h"
 #include "src/gateway/backend_notices.h"
 #include "src/gateway/caller_check.h"
+#include "src/gateway/pace_notes.h"
 #include "src/telemetry/log.h"
 #include "src/transport/http_status.h"
 
@@ -16,6 +17,8 @@
 /// Period of the log lines about the limits in force: the window in which sent requests are
 /// counted.
 constexpr milliseconds kShareReportPeriod = seconds(4);
+/// Servers whose pace one message holds: some 2 KB.
+constexpr std::size_t kPacesInSnapshot = 16;
 /// Retry-After while no configuration or list is known.
 constexpr milliseconds kStartRetryAfter = milliseconds(400);
 /// Retry-After late in a planned stop: the other gateways serve at once.
@@ -43,7 +46,8 @@
                    crash_quarantine({.gateway = settings.name, .started = settings.started}),
                .background = {},
                .metrics = {},
-               .random = std::mt19937_64(std::random_device{}())},
+               .random = std::mt19937_64(std::random_device{}()),
+               .pace = engine_pace({.reporter = settings.name})},
       reservations_(context_),
       slots_(context_),
       on_limits_(settings.on_limits),
@@ -58,6 +62,7 @@
       UpdateSelector();
     }
     UpdateShares(context_);
+    UpdatePaces(context_, pace_lines_);
     context_.quarantine.Expire(now);
     ApplyVerdicts(now);
   });
@@ -96,6 +101,9 @@
     news.crashes.push_back(report);
   }
   news.trials = context_.quarantine.Trials();
+  const instant now = timer_service::now();
+  news.paces = context_.pace.News(kPacesInSnapshot,
+                                  static_cast<std::uint64_t>(now.time_since_epoch().count()), now);
   return news;
 }
 
@@ -107,6 +115,7 @@
   }
   ApplyPeerLimits(context_, other.limits);
   const instant now = timer_service::now();
+  context_.pace.Merge(other.paces, now);
   context_.quarantine.OnPeer(other.crashes, other.trials, now);
   ApplyVerdicts(now);
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "src/gateway/slot_dispatcher.h"
 #include "src/gateway/snapshot.h"
 #include "src/settings/settings.h"
+#include "src/telemetry/line_limit.h"
 
 namespace jacinthspool {
 
@@ -86,6 +87,9 @@
   /// \returns true while some server that has ended is remembered.
   [[nodiscard]] bool has_crash_reports() const { return !context_.quarantine.reports().empty(); }
 
+  /// \returns true while what is believed of some engine's pace has changed lately.
+  [[nodiscard]] bool has_pace_news() const { return context_.pace.HasNews(timer_service::now()); }
+
   /// \brief Sets the number of gateways that share the retry budget and the servers' limits.
   void SetGateways(std::uint32_t gateways);
 
@@ -128,7 +132,8 @@
   std::set<std::shared_ptr<forward_exchange>> exchanges_;
   timer_subscription expiry_;
   timer_subscription share_report_;
-  std::set<crash_suspect> held_;  ///< As last logged.
+  std::set<crash_suspect> held_;                                      ///< As last logged.
+  line_limit pace_lines_{{.max_lines = 100, .period = seconds(60)}};  ///< By server.
   bool list_known_ = false;
   bool rejecting_ = false;
   bool publisher_lost_ = true;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -8,6 +8,7 @@
 #include "jacinthspool/routing/backend_list.h"
 #include "jacinthspool/routing/backend_selector.h"
 #include "jacinthspool/routing/crash_quarantine.h"
+#include "jacinthspool/routing/engine_pace.h"
 #include "jacinthspool/routing/forward_retry_budget.h"
 #include "jacinthspool/routing/load_shedder.h"
 #include "jacinthspool/routing/output_length_estimate.h"
@@ -51,6 +52,7 @@
   metrics_registry metrics;
   std::mt19937_64 random;
   std::size_t held_answer_bytes = 0;      ///< Of answers that are not forwarded yet.
+  engine_pace pace = engine_pace({});     ///< Of the decode engines, as known by all gateways.
   std::uint32_t gateways = 1;             ///< That serve the callers, this one included.
   std::optional<planned_stop> stop = {};  ///< Set once this process has been told to stop.
 };
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -14,8 +14,8 @@
 constexpr milliseconds kQueryPeriod = milliseconds(2000);
 /// Between two rounds of queries to all peers while it is not, of which the first is at once.
 constexpr milliseconds kFastQueryPeriod = milliseconds(400);
-/// Between two queries while some server's limit is in force, whose shares follow the traffic, and
-/// while servers that ended are remembered.
+/// Between two queries while some server's limit is in force, whose shares follow the traffic,
+/// while servers that ended are remembered, and after an engine's pace has changed.
 constexpr milliseconds kActiveQueryPeriod = milliseconds(800);
 /// A limit that this gateway is the first to learn, and news of servers that ended, are sent to all
 /// peers within this time.
@@ -53,7 +53,8 @@
   }
   QueryPeers();
   news_check_ = settings_.timers.Every(kNewsCheckPeriod, [this](instant /*now*/) {
-    if ((settings_.owner.limited() && !was_limited_) ||
+    const bool had_pace_news = std::exchange(had_pace_news_, settings_.owner.has_pace_news());
+    if ((settings_.owner.limited() && !was_limited_) || (had_pace_news_ && !had_pace_news) ||
         (settings_.owner.lacks_news() && !lacked_news_)) {
       QueryPeers();
     }
@@ -123,6 +124,7 @@
     gateway_snapshot fleet = settings_.owner.FleetSnapshot(gateway::fleet_scope::kAll);
     snapshot.limits = std::move(fleet.limits);
     snapshot.fleet = std::move(fleet.fleet);
+    snapshot.paces = std::move(fleet.paces);
   }
   std::move(answer).Reply(http_status::kOk, {{"Content-Type", "application/octet-stream"}},
                           EncodeSnapshot(snapshot));
@@ -232,9 +234,11 @@
     }
   }
   was_limited_ = limited;
-  const milliseconds period = !regular                                         ? kFastQueryPeriod
-                              : limited || settings_.owner.has_crash_reports() ? kActiveQueryPeriod
-                                                                               : kQueryPeriod;
+  const bool active =
+      limited || settings_.owner.has_crash_reports() || settings_.owner.has_pace_news();
+  const milliseconds period = !regular ? kFastQueryPeriod
+                              : active ? kActiveQueryPeriod
+                                       : kQueryPeriod;
   const auto jitter = milliseconds(
       static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(period.count() / 4)));
   next_ = settings_.timers.After(period + jitter, [this](instant /*now*/) { QueryPeers(); });
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -69,6 +69,7 @@
   std::size_t records_read_ = 0;  ///< Reads of records in progress.
   bool was_limited_ = false;      ///< Some server's limit was in force at the last query.
   bool lacked_news_ = true;       ///< The publisher's news were missing at the last query.
+  bool had_pace_news_ = false;    ///< At the last check for news.
   line_limit fault_lines_{{}};    ///< By peer.
   timer_subscription next_;
   timer_subscription news_check_;
--- a/src/gateway/reservation_dispatcher.cc
+++ b/src/gateway/reservation_dispatcher.cc
@@ -198,7 +198,8 @@
                                    .tried = &excluded,
                                    .only_free = true,
                                    .limiter = &context_.limiter,
-                                   .calls = kReservedCalls},
+                                   .calls = kReservedCalls,
+                                   .pace = &context_.pace},
                                   now, context_.random());
 }
 
--- a/src/gateway/snapshot.cc
+++ b/src/gateway/snapshot.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 #include "jacinthspool/impl/overloaded.h"
@@ -305,6 +306,32 @@
   return report;
 }
 
+std::shared_ptr<snapshot::listed_pace_value> ToWire(const server_pace& pace, instant now) {
+  auto wire = std::make_shared<snapshot::listed_pace_value>();
+  wire->backend = pace.server.backend;
+  wire->started_ms = pace.server.started_ms;
+  for (const pace_report& report : pace.reports) {
+    wire->reports.emplace_back(
+        report.number, report.reporter, static_cast<float>(report.event_us),
+        static_cast<float>(report.events),
+        static_cast<std::uint32_t>(std::min<std::uint64_t>(
+            AgeOf(report.made, now) / 1000, std::numeric_limits<std::uint32_t>::max())));
+  }
+  return wire;
+}
+
+server_pace FromWire(const snapshot::listed_pace_value& wire, instant now) {
+  server_pace pace{.server = {wire.backend, wire.started_ms}, .reports = {}};
+  for (const snapshot::pace_measurement& each : wire.reports) {
+    pace.reports.push_back({.reporter = each.reporter(),
+                            .number = each.number(),
+                            .event_us = each.event_us(),
+                            .events = each.events(),
+                            .made = now - milliseconds(each.age_ms())});
+  }
+  return pace;
+}
+
 std::shared_ptr<snapshot::listed_trial_value> ToWire(const suspect_trial& trial, instant now) {
   auto wire = std::make_shared<snapshot::listed_trial_value>();
   wire->suspect = ToWire(trial.suspect, {});
@@ -426,6 +453,9 @@
   for (const suspect_trial& trial : value.trials) {
     wire.trials.push_back(ToWire(trial, now));
   }
+  for (const server_pace& pace : value.paces) {
+    wire.paces.push_back(ToWire(pace, now));
+  }
   if (value.confirmed) {
     wire.confirmed = std::make_shared<snapshot::configuration_state_value>();
     wire.confirmed->version = value.confirmed->version;
@@ -492,6 +522,9 @@
     value.confirmed = configuration_confirmation{.version = wire.confirmed->version,
                                                  .as_of = TimeOf(wire.confirmed->age, now)};
   }
+  for (const auto& each : wire.paces) {
+    value.paces.push_back(FromWire(*each, now));
+  }
   for (const auto& each : wire.trials) {
     if (each->suspect) {
       value.trials.push_back({.suspect = FromWire(*each->suspect),
--- a/src/gateway/snapshot.h
+++ b/src/gateway/snapshot.h
@@ -12,6 +12,7 @@
 #include "jacinthspool/routing/backend_list.h"
 #include "jacinthspool/routing/configuration.h"
 #include "jacinthspool/routing/crash_quarantine.h"
+#include "jacinthspool/routing/engine_pace.h"
 #include "jacinthspool/routing/gateway_fleet.h"
 #include "jacinthspool/routing/named_limits.h"
 #include "jacinthspool/routing/stage_orders.h"
@@ -66,6 +67,8 @@
   std::vector<suspect_trial> trials = {};
   /// Of the sender's configuration, where tenants are configured.
   std::optional<configuration_confirmation> confirmed = {};
+  /// Of some decode engines, as the gateways that have measured them report.
+  std::vector<server_pace> paces = {};
   /// Why part of a decoded snapshot cannot be used and was left out; empty: nothing was.
   std::string_view fault = {};
 };
--- a/tests/gateway/snapshot_test.cc
+++ b/tests/gateway/snapshot_test.cc
@@ -33,6 +33,36 @@
   }
 }
 
+TEST_CASE("a snapshot holds what is known of the pace of engines, in few bytes") {
+  const instant now = timer_service::now();
+  const std::size_t empty = EncodeSnapshot({}).size();
+  gateway_snapshot sent;
+  for (int i = 0; i < 16; ++i) {
+    sent.paces.push_back({.server = {"model-engine-" + std::to_string(i), 1'700'000'000'000U}});
+    for (std::uint32_t reporter = 1; reporter <= 3; ++reporter) {
+      sent.paces.back().reports.push_back({.reporter = reporter,
+                                           .number = 1'000'000U + reporter,
+                                           .event_us = 41'000,
+                                           .events = 12.5,
+                                           .made = now - seconds(reporter)});
+    }
+  }
+  const std::string bytes = EncodeSnapshot(sent);
+  MESSAGE("16 servers of 3 reporters: ", bytes.size() - empty, " bytes");
+  CHECK(bytes.size() - empty < 2500);
+  const auto received = DecodeSnapshot(bytes);
+  REQUIRE(received);
+  REQUIRE(received->paces.size() == 16);
+  CHECK(received->paces[3].server == sent.paces[3].server);
+  REQUIRE(received->paces[3].reports.size() == 3);
+  const pace_report& report = received->paces[3].reports[1];
+  CHECK(report.reporter == 2);
+  CHECK(report.number == 1'000'002);
+  CHECK(report.event_us == doctest::Approx(41'000));
+  CHECK(report.events == doctest::Approx(12.5));
+  CHECK(std::chrono::abs(report.made - (now - seconds(2))) < seconds(1));
+}
+
 TEST_CASE("a snapshot holds the tenants of the configuration and its confirmation") {
   const instant now = timer_service::now();
   auto configuration = std::make_shared<forward_configuration>();
