--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -12,6 +12,7 @@
 #include "jacinthspool/routing/byte_budget.h"
 #include "jacinthspool/routing/configuration_freshness.h"
 #include "jacinthspool/routing/crash_quarantine.h"
+#include "jacinthspool/routing/engine_pace.h"
 #include "jacinthspool/routing/forward_retry_budget.h"
 #include "jacinthspool/routing/load_shedder.h"
 #include "jacinthspool/routing/output_length_estimate.h"
@@ -56,9 +57,10 @@
   background_calls background;
   metrics_registry metrics;
   std::mt19937_64 random;
-  byte_budget bytes = {};                         ///< Held for callers and servers.
-  unfinished_bytes unfinished = {};               ///< Of bodies, by server.
-  std::uint32_t gateways = 1;                     ///< That serve the callers, this one included.
+  byte_budget bytes = {};              ///< Held for callers and servers.
+  unfinished_bytes unfinished = {};    ///< Of bodies, by server.
+  engine_pace pace = engine_pace({});  ///< Of the decode engines, as known by all gateways.
+  std::uint32_t gateways = 1;          ///< That serve the callers, this one included.
   std::set<std::string> counted_priorities = {};  ///< With a metric of their own.
   std::set<std::string> counted_tenants = {};     ///< With a metric of their own.
   std::optional<planned_stop> stop = {};          ///< Set once this process has been told to stop.
--- a/tests/routing/pace_fleet_test.cc
+++ b/tests/routing/pace_fleet_test.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdint>
 #include <deque>
+#include <map>
 #include <random>
 #include <string>
 #include <vector>
@@ -116,8 +118,8 @@
     instant next_query{};
   };
 
-  [[nodiscard]] bool SlowNow(int engine) const {
-    return engine % 10 == 4 && now_ - start_ >= kSlowFrom && now_ - start_ < kSlowUntil;
+  [[nodiscard]] bool SlowNow(int number) const {
+    return number % 10 == 4 && now_ - start_ >= kSlowFrom && now_ - start_ < kSlowUntil;
   }
   [[nodiscard]] double EventUs(int number) const {
     const engine& one = engines_[static_cast<std::size_t>(number)];
