--- a/tests/routing/service_order_test.cc
+++ b/tests/routing/service_order_test.cc
@@ -160,7 +160,7 @@
     for (const std::uint64_t number : queue.Expire(now)) {
       ++waiting.at(number).first->expired;
     }
-    if (const auto next = queue.Next(now); next && at % 25 == 0) {
+    if (const auto next = at % 25 == 0 ? queue.Next(now) : std::nullopt) {
       caller_group& group = *waiting.at(*next).first;
       ++(admission_queue::IsLate(*queue.Find(*next), now) ? group.late : group.on_time);
       queue.OnReserved(*next, now);
@@ -186,7 +186,7 @@
                         std::pair(&groups[i], now));
       }
     }
-    if (const auto next = queue.Next("s", now); next && at % 25 == 0) {
+    if (const auto next = at % 25 == 0 ? queue.Next("s", now) : std::nullopt) {
       ++(queue.Find(*next)->on_time_until < now ? waiting.at(*next).first->late
                                                 : waiting.at(*next).first->on_time);
       queue.OnSent(*next, now);
