Draw engines of the same data centre first

Cause: where speeds are known, engines were drawn by them alone, so that two of three KV caches went to another data centre. Change: an engine elsewhere is drawn with 0.15 of its share.

--- a/src/routing/backend_selector.cc
+++ b/src/routing/backend_selector.cc
@@ -26,6 +26,9 @@
 constexpr double kFailureWeight = 4;
 /// Score penalty of a server in another data centre, as a fraction of the request's cost.
 constexpr double kRemotePenalty = 0.15;
+/// A server in another data centre is drawn with this part of its share: the KV cache takes longer
+/// to get there, so it should be much faster.
+constexpr double kRemoteDrawPart = 0.15;
 /// Upper bound of a server's latency relative to the fastest one in its score.
 constexpr double kMaxSlowness = 8;
 /// After an ejection, only repeatable requests are sent to the server for this time.
@@ -42,15 +45,17 @@
 
 /// \brief Draws a server at random in proportion to its share rather than the fastest one: many
 /// gateways choose from the same beliefs, and each choice is also a measurement.
+/// \param part Of its share with which the server is drawn.
 /// \returns A factor of the score with which the least score is such a draw; 1: no speed is known.
-double DrawFactor(const placement& wanted, const backend_record& record, std::uint64_t random) {
+double DrawFactor(const placement& wanted, const backend_record& record, double part,
+                  std::uint64_t random) {
   const auto share = wanted.pace != nullptr ? wanted.pace->Share(record) : std::optional<double>();
   if (!share) {
     return 1;
   }
   // In (0, 1]: the hash has 53 bits of use here.
   const double uniform = (static_cast<double>(HashKey(record.id, random) >> 11U) + 1) * 0x1p-53;
-  return -std::log(uniform) / *share;
+  return -std::log(uniform) / (*share * part);
 }
 
 }  // namespace
@@ -151,8 +156,9 @@
     if (some_free && each->busy_until > now) {
       continue;
     }
+    const double part = each->record.data_centre == settings_.data_centre ? 1 : kRemoteDrawPart;
     const double score =
-        Score(*each, wanted, fastest_ms, now) * DrawFactor(wanted, each->record, random);
+        Score(*each, wanted, fastest_ms, now) * DrawFactor(wanted, each->record, part, random);
     if (score < best_score) {
       best = each;
       best_score = score;
