--- a/tests/gateway/slow_caller_test.cc
+++ b/tests/gateway/slow_caller_test.cc
@@ -52,7 +52,8 @@
     };
   }
   slow_caller& AddCaller() {
-    return callers.emplace_back(raw_socket::ConnectOverSlowLink(edge->port()));
+    callers.push_back({.socket = raw_socket::ConnectOverSlowLink(edge->port())});
+    return callers.back();
   }
   bool Wait(const std::function<bool()>& condition) {
     return RunUntil(loop, [&] {
--- a/tests/routing/service_order_test.cc
+++ b/tests/routing/service_order_test.cc
@@ -261,15 +261,15 @@
 }
 
 TEST_CASE("at 1.5 times what there is, urgent requests are served before others") {
-  for (const auto& [name, run, queues] : kPlaces) {
-    CAPTURE(name);
+  for (const played_place& place : kPlaces) {
+    CAPTURE(place.name);
     std::vector<caller_group> groups = {{.claim = {.priority = kUrgent}, .per_second = 25},
                                         {.claim = {.priority = kLessUrgent}, .per_second = 35}};
-    run(groups);
+    place.run(groups);
     for (const auto& each : groups) {
-      Show(name, each);
+      Show(place.name, each);
     }
-    CHECK((!queues || groups[0].timely() > kOnTimePart));
+    CHECK((!place.queues || groups[0].timely() > kOnTimePart));
     CHECK(groups[0].timely() > groups[1].timely() + 0.15);
     CHECK(groups[1].served() >= kLeastPartOfMean * MeanServed(groups));
     CHECK(groups[0].expired + groups[1].expired <= groups[1].asked / 20);
@@ -277,30 +277,30 @@
 }
 
 TEST_CASE("no priority is starved by more urgent requests than there is room for") {
-  for (const auto& [name, run, queues] : kPlaces) {
-    CAPTURE(name);
+  for (const played_place& place : kPlaces) {
+    CAPTURE(place.name);
     std::vector<caller_group> groups = {{.claim = {.priority = kUrgent}, .per_second = 60},
                                         {.claim = {.priority = kLessUrgent}, .per_second = 20}};
-    run(groups);
+    place.run(groups);
     for (const auto& each : groups) {
-      Show(name, each);
+      Show(place.name, each);
     }
     CHECK(groups[1].served() >= kLeastPartOfMean * MeanServed(groups));
     CHECK(groups[0].served() > groups[1].served());
-    CHECK((!queues || groups[0].served() > 2 * groups[1].served()));
+    CHECK((!place.queues || groups[0].served() > 2 * groups[1].served()));
   }
 }
 
 TEST_CASE("a tenant that sends much does not crowd out fifteen others") {
-  for (const auto& [name, run, queues] : kPlaces) {
-    CAPTURE(name);
+  for (const played_place& place : kPlaces) {
+    CAPTURE(place.name);
     std::vector<caller_group> groups = {
         {.claim = {.priority = kUrgent, .tenant = "loud"}, .per_second = 40}};
     for (int i = 0; i < 15; ++i) {
       groups.push_back({.claim = {.priority = kUrgent, .tenant = "t" + std::to_string(i)},
                         .per_second = 20.0 / 15});
     }
-    run(groups);
+    place.run(groups);
     int asked = 0;
     int on_time = 0;
     double least = 1;
@@ -309,10 +309,10 @@
       on_time += groups[i].on_time;
       least = std::min(least, groups[i].served());
     }
-    Show(name, groups[0]);
-    MESSAGE(name, " others: on time ", static_cast<double>(on_time) / asked, ", least served ",
-            least);
-    CHECK((!queues || on_time > asked * kOnTimePart));
+    Show(place.name, groups[0]);
+    MESSAGE(place.name, " others: on time ", static_cast<double>(on_time) / asked,
+            ", least served ", least);
+    CHECK((!place.queues || on_time > asked * kOnTimePart));
     CHECK(on_time > asked * groups[0].timely());
     CHECK(least >= kLeastPartOfMean * MeanServed(groups));
     CHECK(groups[0].served() >= kLeastPartOfMean * MeanServed(groups));
