--- a/tests/routing/credit_fleet.h
+++ b/tests/routing/credit_fleet.h
@@ -199,7 +199,9 @@
       }
     }
   }
-  [[nodiscard]] double refused_part() const { return refused / std::max(1.0, double(asked)); }
+  [[nodiscard]] double refused_part() const {
+    return refused / std::max(1.0, static_cast<double>(asked));
+  }
 };
 
 }  // namespace jacinthspool::testing
--- a/tests/routing/service_order_test.cc
+++ b/tests/routing/service_order_test.cc
@@ -65,6 +65,7 @@
     }
     std::ranges::sort(before);
     std::vector<std::uint64_t> numbers;
+    numbers.reserve(before.size());
     for (const auto& each : before) {
       numbers.push_back(std::get<1>(each));
     }
