Write the bound of labels and the urgency of a request once

Cause: two places bounded the tenants of a metric each in its own way, both queues derived a request's urgency, and a request for own credit described the gateway twice.

--- a/include/jacinthspool/routing/admission_queue.h
+++ b/include/jacinthspool/routing/admission_queue.h
@@ -65,7 +65,7 @@
   /// \returns true when the request will miss its latency objective: it should get only spare
   /// memory.
   [[nodiscard]] static bool IsLate(const reservation_request& request, instant now) {
-    return !request.resumes && request.on_time_until < now;
+    return UrgencyOf(request.resumes, request.on_time_until, now) == request_urgency::kLate;
   }
 
   /// \brief Marks whether a reservation for the request is in progress at an engine.
--- a/include/jacinthspool/routing/service_order.h
+++ b/include/jacinthspool/routing/service_order.h
@@ -38,6 +38,14 @@
   kLate,
 };
 
+/// \param on_time_until Started by then, it still meets its latency objective.
+[[nodiscard]] constexpr request_urgency UrgencyOf(bool resumes, instant on_time_until,
+                                                  instant now) {
+  return resumes               ? request_urgency::kResumes
+         : on_time_until < now ? request_urgency::kLate
+                               : request_urgency::kOnTime;
+}
+
 /// \brief Amount that fades: of recent requests or grants.
 class recent_amount {
  public:
--- a/src/gateway/caller_check.cc
+++ b/src/gateway/caller_check.cc
@@ -1,7 +1,7 @@
 #include "src/gateway/caller_check.h"
 
 #include <limits>
-#include <set>
+#include <string>
 #include <utility>
 
 #include "src/telemetry/log.h"
@@ -11,8 +11,6 @@
 namespace {
 
 constexpr std::string_view kNotHeld = "no tenant holds the key";
-/// Tenants, and priorities, that have a metric of their own.
-constexpr std::size_t kMaxCountedGroups = 32;
 
 /// \returns The sum, or the largest number if it exceeds that.
 std::uint64_t SaturatingSum(std::uint64_t one, std::uint64_t other) {
@@ -117,21 +115,15 @@
 }
 
 void CountByClaim(gateway_context& context, const service_claim& claim, std::string_view outcome) {
-  const auto label = [](std::set<std::string>& known, std::string name) {
-    if (known.size() < kMaxCountedGroups) {
-      known.insert(name);
-    }
-    return known.contains(name) ? std::move(name) : std::string("other");
-  };
+  const std::string priority =
+      std::to_string(claim.priority.tenant) + "." + std::to_string(claim.priority.route);
   context.metrics.Count(
       "gateway_priority_requests",
-      {{"outcome", std::string(outcome)},
-       {"priority", label(context.counted_priorities, std::to_string(claim.priority.tenant) + "." +
-                                                          std::to_string(claim.priority.route))}});
+      {{"outcome", std::string(outcome)}, {"priority", context.counted_priorities.Of(priority)}});
   if (!claim.tenant.empty()) {
-    context.metrics.Count("gateway_tenant_requests",
-                          {{"outcome", std::string(outcome)},
-                           {"tenant", label(context.counted_tenants, claim.tenant)}});
+    context.metrics.Count(
+        "gateway_tenant_requests",
+        {{"outcome", std::string(outcome)}, {"tenant", context.counted_tenants.Of(claim.tenant)}});
   }
 }
 
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <optional>
 #include <random>
-#include <set>
 #include <string>
 
 #include "jacinthspool/routing/backend_list.h"
@@ -27,6 +26,7 @@
 #include "jacinthspool/routing/unfinished_bytes.h"
 #include "src/gateway/background_call.h"
 #include "src/gateway/wire_dialect.h"
+#include "src/telemetry/bounded_labels.h"
 #include "src/telemetry/metrics.h"
 #include "src/transport/event_loop.h"
 #include "src/transport/http1_client.h"
@@ -61,9 +61,9 @@
   unfinished_bytes unfinished = {};    ///< Of bodies, by server.
   engine_pace pace = engine_pace({});  ///< Of the decode engines, as known by all gateways.
   std::uint32_t gateways = 1;          ///< That serve the callers, this one included.
-  std::set<std::string> counted_priorities = {};  ///< With a metric of their own.
-  std::set<std::string> counted_tenants = {};     ///< With a metric of their own.
-  std::optional<planned_stop> stop = {};          ///< Set once this process has been told to stop.
+  bounded_labels counted_priorities = bounded_labels({});
+  bounded_labels counted_tenants = bounded_labels({});
+  std::optional<planned_stop> stop = {};  ///< Set once this process has been told to stop.
 };
 
 }  // namespace jacinthspool
--- a/src/gateway/tenant_payments.cc
+++ b/src/gateway/tenant_payments.cc
@@ -18,8 +18,6 @@
 constexpr milliseconds kMaxAsking = milliseconds(200);
 /// Address of the only home while this gateway is alone.
 constexpr std::string_view kAlone = "alone";
-/// Tenants with metrics of their own; the others are counted together.
-constexpr std::size_t kMaxLabels = 64;
 
 }  // namespace
 
@@ -60,13 +58,6 @@
   return {.name = name_ + "@" + address_, .gateways = counted_, .homes = credit_.Reached()};
 }
 
-std::string tenant_payments::TenantLabel(const std::string& tenant) {
-  if (labels_.size() < kMaxLabels) {
-    labels_.insert(tenant);
-  }
-  return labels_.contains(tenant) ? tenant : "(others)";
-}
-
 void tenant_payments::Pay(request paying, http1_responder answer,
                           std::function<void(http1_responder)> then) {
   const tenant* const payer = context_.tenants.FindByName(paying.caller.tenant);
@@ -120,8 +111,9 @@
 void tenant_payments::Ask(std::uint64_t id, const credit_needed& needed) {
   const instant now = timer_service::now();
   if (needed.home == address_) {
-    lender_.OnMember(Describe(), now);
-    const credit_answer answer = lender_.Lend(Describe().name, needed.ask, now);
+    const credit_member self = Describe();
+    lender_.OnMember(self, now);
+    const credit_answer answer = lender_.Lend(self.name, needed.ask, now);
     Apply(id, credit_.OnAnswer(needed, answer, now));
     return;
   }
@@ -149,8 +141,7 @@
   auto node = waiting_.extract(id);
   waiting_request& held = node.mapped();
   held.answer.OnCallerDisconnected({});
-  context_.metrics.Count("gateway_tenant_paid",
-                         {{"tenant", TenantLabel(held.paying.caller.tenant)}},
+  context_.metrics.Count("gateway_tenant_paid", {{"tenant", labels_.Of(held.paying.caller.tenant)}},
                          static_cast<std::uint64_t>(held.paying.caller.price));
   held.then(std::move(held.answer));
 }
@@ -170,7 +161,7 @@
        {"retry_after_ms", why.retry_after / milliseconds(1)},
        {"configuration", rejected.of.version}});
   context_.metrics.Count("gateway_rejected", {{"status", std::to_string(kStatus)}});
-  context_.metrics.Count("gateway_tenant_rejected", {{"tenant", TenantLabel(caller.tenant)}});
+  context_.metrics.Count("gateway_tenant_rejected", {{"tenant", labels_.Of(caller.tenant)}});
   std::move(rejected.answer)
       .Reply(kStatus,
              context_.dialect.RejectionHeaders(std::chrono::ceil<milliseconds>(why.retry_after)),
--- a/src/gateway/tenant_payments.h
+++ b/src/gateway/tenant_payments.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -15,6 +14,7 @@
 #include "jacinthspool/routing/tenant_credit.h"
 #include "src/gateway/credit_exchange.h"
 #include "src/gateway/gateway_context.h"
+#include "src/telemetry/bounded_labels.h"
 #include "src/transport/http1_server.h"
 
 namespace jacinthspool {
@@ -63,7 +63,6 @@
     timer_subscription delay = {};
   };
   [[nodiscard]] credit_member Describe() const;
-  [[nodiscard]] std::string TenantLabel(const std::string& tenant);
   void Ask(std::uint64_t id, const credit_needed& needed);
   void Apply(std::uint64_t id, payment decided);
   /// \brief Applies it unless the caller has left.
@@ -86,7 +85,7 @@
   credit_exchange exchange_;
   std::map<std::uint64_t, waiting_request> waiting_ = {};
   std::uint64_t next_id_ = 0;
-  std::set<std::string> labels_ = {};  ///< Tenants with metrics of their own.
+  bounded_labels labels_{{.most = 64, .rest = "(others)"}};  ///< Of tenants.
   std::shared_ptr<const forward_configuration> checked_ = nullptr;
   bool limited_ = false;
   timer_subscription exchanges_;
--- a/src/routing/admission_queue.cc
+++ b/src/routing/admission_queue.cc
@@ -11,9 +11,7 @@
   return {.number = number,
           .service = request.service,
           .claim = &request.claim,
-          .urgency = request.resumes                         ? request_urgency::kResumes
-                     : admission_queue::IsLate(request, now) ? request_urgency::kLate
-                                                             : request_urgency::kOnTime,
+          .urgency = UrgencyOf(request.resumes, request.on_time_until, now),
           .amount = request.tokens};
 }
 
--- a/src/routing/slot_queue.cc
+++ b/src/routing/slot_queue.cc
@@ -35,9 +35,7 @@
       candidates.push_back({.number = number,
                             .service = request.service,
                             .claim = &request.claim,
-                            .urgency = request.resumes               ? request_urgency::kResumes
-                                       : now > request.on_time_until ? request_urgency::kLate
-                                                                     : request_urgency::kOnTime});
+                            .urgency = UrgencyOf(request.resumes, request.on_time_until, now)});
     }
   }
   return candidates;
