--- a/review/standins-2/cases.cc
+++ b/review/standins-2/cases.cc
@@ -446,9 +446,111 @@
   return cut > kMostCut ? kBroken : kHeld;
 }
 
+// The settings file changes to a grace period that is no whole number; later all processes are
+// killed.
+int FractionalGrace(setting& with) {
+  constexpr int kCallers = 8;
+  constexpr milliseconds kRestartDelay = milliseconds(500);
+  constexpr milliseconds kRecoverBound = seconds(12);
+  constexpr milliseconds kJudged = seconds(6);
+  constexpr double kLeastShare = 0.25;
+  store platform;
+  std::vector<std::unique_ptr<plain_server>> servers;
+  for (int i = 1; i <= 3; ++i) {
+    servers.push_back(std::make_unique<plain_server>("i-" + std::to_string(i), milliseconds(20)));
+    platform.Put("servers/" + servers.back()->id(),
+                 ServerEntry(kService, servers.back()->address(), "ready", 1700000000000));
+  }
+  const std::string route = Route("r", "/book/", "non_idempotent", kService, 1, 1500, 300);
+  platform.Put("op/config", Configuration(1, {route}, {kService}));
+  std::vector<gateway> gateways = Gateways(with, platform.address(), 3, 110);
+  if (!StartAll(gateways)) {
+    with.record.Write("a gateway did not become ready");
+    return kCouldNotRun;
+  }
+  with.record.Write("the gateways are ready");
+  client_log before;
+  client_log judged;
+  std::atomic<client_log*> log = &before;
+  std::atomic<bool> ends = false;
+  std::vector<std::thread> callers;
+  callers.reserve(kCallers);
+  for (int i = 0; i < kCallers; ++i) {
+    callers.emplace_back([&, i] {
+      const std::string& front = gateways[static_cast<std::size_t>(i) % 3].settings.at.front;
+      std::unique_ptr<connection> kept;
+      for (int n = 0; !ends; ++n) {
+        if (!kept) {
+          kept = connection::Open(front);
+        }
+        client_log* const counted = log;
+        const std::string id = "c" + std::to_string(i) + "-" + std::to_string(n);
+        const bool written =
+            kept && kept->Write(RequestText("POST", "/book/hall", id, 1500) + "\r\n");
+        const auto answer = written ? kept->Read(seconds(2)) : std::nullopt;
+        counted->Answered(answer ? answer->Status() : 0);
+        if (!answer) {
+          kept.reset();
+        }
+        std::this_thread::sleep_for(milliseconds(80));
+      }
+    });
+  }
+  std::this_thread::sleep_for(seconds(4));
+  if (with.disturbs) {
+    for (gateway& each : gateways) {
+      each.settings.grace_s = "7.5";
+      WriteGatewaySettings(each.file, each.settings);
+      each.running->Signal(SIGHUP);
+    }
+    with.record.Write(
+        "the settings files say graceS = 7.5 from now on, and all gateways got SIGHUP");
+  }
+  std::this_thread::sleep_for(seconds(4));
+  platform.Put("op/config", Configuration(2, {route}, {kService}));
+  int starts = 0;
+  if (with.disturbs) {
+    for (gateway& each : gateways) {
+      each.running->Kill();
+    }
+    with.record.Write("a configuration was acknowledged, and all gateways are killed");
+  }
+  const moment back = clock_type::now() + kRestartDelay;
+  std::this_thread::sleep_until(back);
+  while (clock_type::now() < back + kRecoverBound + kJudged) {
+    if (clock_type::now() >= back + kRecoverBound) {
+      log = &judged;
+    }
+    for (gateway& each : gateways) {
+      if (each.running->Ended()) {
+        each.Start();
+        ++starts;
+      }
+    }
+    std::this_thread::sleep_for(kRestartDelay);
+  }
+  ends = true;
+  for (std::thread& each : callers) {
+    each.join();
+  }
+  const int served = judged.Count(200);
+  const int sent = served + judged.Count(0) + judged.Count(502) + judged.Count(503) +
+                   judged.Count(504) + judged.Count(404);
+  with.record.Write("answers before the judged time:" + before.Statuses());
+  with.record.Write("processes started again: " + std::to_string(starts));
+  with.record.Write("answers to requests sent later than 12 s after the machines were back:" +
+                    judged.Statuses());
+  if (before.Count(200) == 0 || sent == 0) {
+    return kCouldNotRun;
+  }
+  return served < kLeastShare * sent ? kBroken : kHeld;
+}
+
 int Run(const std::string& name, setting& with) {
   const std::map<std::string, std::function<int(setting&)>> cases = {
-      {"removed-server", RemovedServer}, {"chunked-bodies", ChunkedBodies}};
+      {"removed-server", RemovedServer},
+      {"chunked-bodies", ChunkedBodies},
+      {"fractional-grace", FractionalGrace}};
   const auto found = cases.find(name);
   return found == cases.end() ? kCouldNotRun : found->second(with);
 }
--- a/review/standins-2/standins.cc
+++ b/review/standins-2/standins.cc
@@ -113,6 +113,41 @@
   return "";
 }
 
+/// \returns The template with its placeholders replaced and its sections kept or left out.
+std::string Filled(const std::string& text, const std::map<std::string, std::string>& values) {
+  std::string filled;
+  for (std::size_t at = 0; at < text.size();) {
+    const std::size_t open = text.find("{{", at);
+    const std::size_t close = text.find("}}", open);
+    if (open == std::string::npos || close == std::string::npos) {
+      return filled + text.substr(at);
+    }
+    filled += text.substr(at, open - at);
+    at = close + 2;
+    std::string name = text.substr(open + 2, close - open - 2);
+    const char kind = name.front();
+    if (kind == '#' || kind == '^') {
+      name.erase(0, 1);
+      const std::string end = "{{/" + name + "}}";
+      const std::size_t last = text.find(end, at);
+      const auto known = values.find(name);
+      if ((known != values.end() && known->second != "false") == (kind == '#')) {
+        filled += Filled(text.substr(at, last - at), values);
+      }
+      at = last + end.size();
+      continue;
+    }
+    const std::size_t bar = name.find("|json");
+    const auto value = values.find(name.substr(0, bar));
+    std::string shown = value == values.end() ? "" : value->second;
+    if (bar == std::string::npos && shown.starts_with('"')) {
+      shown = shown.substr(1, shown.size() - 2);
+    }
+    filled += shown;
+  }
+  return filled;
+}
+
 }  // namespace
 
 record_file::record_file(const std::string& path) : file_(std::fopen(path.c_str(), "w")) {
@@ -494,14 +529,32 @@
   for (const std::string& seed : settings.seeds) {
     seeds += std::string(seeds.empty() ? "" : ",") + '"' + seed + '"';
   }
-  std::ofstream file(path);
-  file << "{\"name\":\"" << settings.name << "\",\"data_centre\":\"zone-a\",\"listen\":\""
-       << settings.at.front << "\",\"peers\":[" << seeds << "],\"gateway\":{\"ready_listen\":\""
-       << settings.at.ready << "\",\"snapshot_listen\":\"" << settings.at.control
-       << "\",\"metrics_listen\":\"" << settings.at.metrics << "\",\"publisher\":\""
-       << settings.store << "\",\"repeat_ratio\":0.2,\"repeat_window_s\":10,\"repeat_extra\":52,"
-       << "\"stop_grace_s\":8,\"memory_limit_mb\":" << settings.memory_mb
-       << ",\"change_bound_ms\":2000}}\n";
+  const auto quoted = [](const std::string& text) { return '"' + text + '"'; };
+  // As JSON; the bounds are those of the site turnevo-ops.
+  const std::map<std::string, std::string> values = {
+      {"node", quoted(settings.name)},
+      {"zone", quoted("zone-a")},
+      {"ip", quoted(kHost)},
+      {"portRange.0", settings.at.metrics.substr(settings.at.metrics.rfind(':') + 1)},
+      {"seeds", "[" + seeds + "]"},
+      {"listen.front", quoted(settings.at.front)},
+      {"listen.ready", quoted(settings.at.ready)},
+      {"listen.control", quoted(settings.at.control)},
+      {"platform.address", quoted(settings.store)},
+      {"limits.memoryMb", std::to_string(settings.memory_mb)},
+      {"bounds.budgetRatio", "0.2"},
+      {"bounds.budgetWindowS", "10"},
+      {"bounds.budgetExtra", "52"},
+      {"bounds.graceS", settings.grace_s},
+      {"bounds.drainMs", "2000"},
+      {"bounds.configMs", "2000"},
+      {"bounds.touchMs", "3000"},
+      {"bounds.recoverS", "12"},
+      {"heartbeatMs", "1200"}};
+  std::ifstream source("deploy/gateway.json.tmpl");
+  std::stringstream whole;
+  whole << source.rdbuf();
+  std::ofstream(path) << Filled(whole.str(), values);
 }
 
 bool WaitReady(const std::string& ready_address, milliseconds patience) {
--- a/review/standins-2/standins.h
+++ b/review/standins-2/standins.h
@@ -195,9 +195,10 @@
   std::vector<std::string> seeds;
   std::string store;
   int memory_mb = 260;
+  std::string grace_s = "8";  ///< The bound as a number in JSON.
 };
 
-/// \brief Writes what deploy/gateway.json.tmpl makes of a machine's settings.
+/// \brief Fills in deploy/gateway.json.tmpl with the settings of a machine, as the platform does.
 void WriteGatewaySettings(const std::string& path, const gateway_settings& settings);
 
 /// \brief Waits until the gateway says that it is ready.
