--- a/review/standins-2/cases.cc
+++ b/review/standins-2/cases.cc
@@ -311,7 +311,7 @@
 /// Sends one long body at the pace of a client's link.
 /// \returns The status of the answer; 0: none.
 int Upload(const std::string& front, const std::string& id, bool chunked) {
-  constexpr std::size_t kBodyBytes = 3U << 20U;
+  constexpr std::size_t kBodyBytes = 7U << 19U;
   constexpr std::size_t kPieceBytes = 64U << 10U;
   constexpr milliseconds kPiecePause = milliseconds(20);  // some 25 Mbit/s
   const auto to = connection::Open(front);
