--- a/include/jacinthspool/routing/backend_list.h
+++ b/include/jacinthspool/routing/backend_list.h
@@ -23,6 +23,9 @@
   /// Start time in Unix milliseconds, which distinguishes incarnations of one id; 0: unknown.
   std::uint64_t started_ms = 0;
   std::string service = {};
+  /// Version of the server's software; what two versions write doesn't fit together. Empty:
+  /// unknown.
+  std::string software = {};
   std::string address = {};  ///< ip:port
   std::string data_centre = {};
   engine_stage stage = engine_stage::kNone;
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -10,9 +10,11 @@
 #include "src/gateway/backend_notices.h"
 #include "src/gateway/background_call.h"
 #include "src/gateway/caller_check.h"
+#include "src/gateway/held_request.h"
 #include "src/gateway/pace_notes.h"
 #include "src/gateway/reply_head.h"
 #include "src/gateway/send_trace_fields.h"
+#include "src/gateway/server_end.h"
 #include "src/telemetry/log.h"
 #include "src/transport/http_status.h"
 
@@ -224,6 +226,7 @@
                   std::string_view proof = {}) const {
     nlohmann::json fields{{"request", owner_.settings_.request.id},
                           {"backend", backend_.id},
+                          {"software", backend_.software},
                           {"prefill", kind_ == attempt_kind::kPrefill},
                           {"send", number_},
                           {"how", how},
@@ -278,15 +281,7 @@
     // The record of a server that crashes is listed for some time; one that is gone has left.
     const bool leaving = known == listed.end() || known->second.leaving ||
                          known->second.started_ms != backend_.started_ms;
-    const bool unframed = head_ && !head_->chunked && !head_->content_length;
-    std::optional<end_sign> sign;
-    if (end == call_outcome::kRefused) {
-      sign = end_sign::kRefused;
-    } else if (end == call_outcome::kWhole || (end == call_outcome::kCut && unframed)) {
-      sign = end_sign::kClosed;
-    } else if (end == call_outcome::kLost || end == call_outcome::kCut) {
-      sign = end_sign::kCut;
-    }
+    const std::optional<end_sign> sign = SignOfServerEnd(end, head_);
     if (leaving || !sign) {
       return;
     }
@@ -605,19 +600,7 @@
                    return false;
                  },
                  [&](const request_held& held) {
-                   Log(log_level::kWarning, "request_held",
-                       {{"request", settings_.request.id},
-                        {"suspect", ToString(held.evidence.suspect)},
-                        {"whole_request", held.evidence.suspect.is_request()},
-                        {"servers", held.evidence.servers},
-                        {"outages", held.evidence.outages},
-                        {"age_ms", held.age / milliseconds(1)},
-                        {"gateways", held.evidence.gateways},
-                        {"trials", held.trials},
-                        {"retry_after_ms", held.retry_after / milliseconds(1)}});
-                   context_.metrics.Count(
-                       "gateway_held_requests",
-                       {{"suspect", held.evidence.suspect.is_request() ? "request" : "part"}});
+                   ReportHeld(context_, settings_.request.id, held);
                    return end(held.retry_after);
                  },
                  [&](const request_unknown& unknown) { return end(unknown.retry_after); }},
@@ -932,6 +915,7 @@
   place_ = {};
   if (attempt_) {
     last_backend_ = attempt_->backend().id;
+    last_software_ = attempt_->backend().software;
     last_send_ = attempt_->trace();
   }
   attempt_.reset();
@@ -1352,6 +1336,9 @@
       {"outcome", outcome},
       {"why", why},
       {"backend", last_backend_},
+      {"software", last_software_},
+      {"stream", settings_.request.stream_id},
+      {"resumed_after", settings_.request.resume_after.value_or(0)},
       {"sends", sends_},
       {"prefills", prefills_},
       {"runs", runs_},
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -181,6 +181,7 @@
   std::set<std::string> tried_;
   std::set<std::string> addresses_;      ///< To which the request has been sent.
   std::string last_backend_;             ///< Of the attempt before the present one.
+  std::string last_software_;            ///< Likewise.
   send_trace last_send_;                 ///< Likewise.
   std::vector<crash_suspect> suspects_;  ///< What a server could end of: its parts, and itself.
   /// Sent once to show whether the verdict on it still holds.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -330,6 +330,7 @@
   Log(log_level::kInfo, "backend_put",
       {{"backend", record.id},
        {"service", record.service},
+       {"software", record.software},
        {"leaving", record.leaving},
        {"stage", ToString(record.stage)},
        {"revision", record.published.revision}});
--- a/src/gateway/record_check.cc
+++ b/src/gateway/record_check.cc
@@ -73,7 +73,8 @@
   if (!IsServerAddress(record.address)) {
     return "address is not IP:PORT";
   }
-  if (record.service.size() > kMaxNameBytes || record.data_centre.size() > kMaxNameBytes) {
+  if (record.service.size() > kMaxNameBytes || record.data_centre.size() > kMaxNameBytes ||
+      record.software.size() > kMaxNameBytes) {
     return "a name is too long";
   }
   return IsKnown(record.stage) ? "" : "unknown stage";
--- a/src/gateway/snapshot.cc
+++ b/src/gateway/snapshot.cc
@@ -168,6 +168,7 @@
   wire->id = record.id;
   wire->started_ms = record.started_ms;
   wire->service = record.service;
+  wire->software = record.software;
   wire->address = record.address;
   wire->data_centre = record.data_centre;
   wire->stage = static_cast<snapshot::engine_stage>(record.stage);
@@ -182,6 +183,7 @@
   return {.id = wire.id,
           .started_ms = wire.started_ms,
           .service = wire.service,
+          .software = wire.software,
           .address = wire.address,
           .data_centre = wire.data_centre,
           .stage = static_cast<engine_stage>(wire.stage),
--- a/src/gateway/wire_dialect.h
+++ b/src/gateway/wire_dialect.h
@@ -33,6 +33,8 @@
   std::optional<milliseconds> time_left = {};  ///< How long the caller will wait.
   std::optional<std::uint64_t> resume_after =
       {};  ///< The caller has received the stream up to this event.
+  /// Id of the attempt that brought the stream's first event; empty: not stated, or not once.
+  std::string stream_id = {};
   std::optional<model_work> model = {};
   /// Ids of the parts of the prompt that other requests may share, in order.
   std::vector<std::uint64_t> shared_parts = {};
--- a/tests/gateway/fake_platform.h
+++ b/tests/gateway/fake_platform.h
@@ -100,18 +100,19 @@
   explicit fake_platform(timer_service& client_timers)
       : client({.loop = loop, .timers = client_timers}) {}
 
-  scripted_backend& AddBackend(const std::string& service,
-                               engine_stage stage = engine_stage::kNone) {
+  scripted_backend& AddBackend(const std::string& service, engine_stage stage = engine_stage::kNone,
+                               const std::string& software = "v1") {
     const std::string id = "i-" + std::to_string(backends.size());
     backends.push_back(std::make_unique<scripted_backend>(loop, timers, id));
-    Publish(*backends.back(), service, stage, false);
+    Publish(*backends.back(), service, stage, false, software);
     return *backends.back();
   }
 
   void Publish(const scripted_backend& backend, const std::string& service, engine_stage stage,
-               bool leaving) {
+               bool leaving, const std::string& software = "v1") {
     router.OnBackendPut({.id = backend.id,
                          .service = service,
+                         .software = software,
                          .address = backend.address(),
                          .data_centre = "dc",
                          .stage = stage,
--- a/tests/gateway/snapshot_test.cc
+++ b/tests/gateway/snapshot_test.cc
@@ -24,6 +24,7 @@
   CHECK(decoded->configuration->services.at("model").engine->longest_hold == seconds(2));
   REQUIRE(decoded->backends.size() == 1);
   CHECK(decoded->backends[0].stage == engine_stage::kDecode);
+  CHECK(decoded->backends[0].software == "v1");
   CHECK(decoded->list_position == sent.list_position);
 
   SUBCASE("invalid bytes are rejected") {
--- a/tests/platform/replica_dialect_test.cc
+++ b/tests/platform/replica_dialect_test.cc
@@ -17,6 +17,7 @@
                                                    {"X-Token-Count", "1460,80"},
                                                    {"X-Length-Hint", "40"},
                                                    {"Last-Event-Id", "12"},
+                                                   {"Resumes", "r0"},
                                                    {"X-Kv-Hold", "forged"},
                                                    {"x-kv-source", "forged"},
                                                    {"X-Pin-Ms", "9"},
@@ -30,16 +31,24 @@
   CHECK(request->id == "r1");
   CHECK(request->time_left == seconds(14));
   CHECK(request->resume_after == 12);
+  CHECK(request->stream_id == "r0");
   CHECK(request->model->prompt_tokens == 1460);
   CHECK(request->model->expected_output_tokens == 40);
 
   const std::string bytes = dialect.EncodeAttempt(
       *request, {.backend_id = "i-1", .time_left = milliseconds(900), .resume_after = 15});
   CHECK(bytes.starts_with("POST /a/b?c HTTP/1.1\r\n"));
-  for (const char* wanted : {"X-Request-Id: r1\r\n", "X-Deadline-Ms: 900\r\n", "X-Other: kept\r\n",
-                             "X-Expect-Instance: i-1\r\n", "Last-Event-Id: 15\r\n"}) {
+  for (const char* wanted :
+       {"X-Request-Id: r1\r\n", "X-Deadline-Ms: 900\r\n", "X-Other: kept\r\n", "Resumes: r0\r\n",
+        "X-Expect-Instance: i-1\r\n", "Last-Event-Id: 15\r\n"}) {
     CHECK(bytes.find(wanted) != std::string::npos);
   }
+  SUBCASE("of several streams that a request names none is believed") {
+    const auto twice = dialect.DecodeRequest(
+        Head({{"Host", "h"}, {"Last-Event-Id", "12"}, {"Resumes", "r0"}, {"resumes", "r1"}}));
+    REQUIRE(twice);
+    CHECK(twice->stream_id.empty());
+  }
   for (const char* banned : {"forged", "X-Pin-Ms", "X-Stage", "X-Private", "14000"}) {
     CHECK(bytes.find(banned) == std::string::npos);
   }
--- a/tests/platform/store_records_test.cc
+++ b/tests/platform/store_records_test.cc
@@ -108,6 +108,7 @@
   CHECK(record->leaving);
   CHECK(record->stage == engine_stage::kPrefill);
   CHECK(record->published == 12);
+  CHECK(record->software == "v1");
 
   for (
       const char* text :
@@ -233,6 +234,11 @@
   }
   CHECK_FALSE(decode(Replaced(valid, R"("seq":4)", R"("seq":"4")")));
   CHECK_FALSE(decode(Replaced(valid, R"("version":"v1")", R"("version":[])")));
+  const auto numbered = decode(Replaced(valid, R"("version":"v1")", R"("version":12)"));
+  REQUIRE(numbered);
+  CHECK(numbered->software == "12");
+  CHECK_FALSE(decode(
+      Replaced(valid, R"("version":"v1")", "\"version\":\"" + std::string(999, 'v') + "\"")));
   CHECK_FALSE(decode(Replaced(valid, R"("coldLeftMs":0)", R"("coldLeftMs":-1)")));
   CHECK(decode(Replaced(valid, R"("coldLeftMs":0)", R"("coldLeftMs":12.5)")));
   for (const char* address : {"",
