--- a/tests/gateway/peered_gateways.h
+++ b/tests/gateway/peered_gateways.h
@@ -16,14 +16,17 @@
   std::map<int, int>& statuses;
   std::unique_ptr<http1_call> call = {};
   int status = 0;
+  std::size_t bytes = 0;  ///< Of the body.
+  bool ended = false;
 
   explicit counted_call(std::map<int, int>& the_statuses) : statuses(the_statuses) {}
   head_action OnHead(const http1_head& head) override {
     status = head.status;
     return head_action::kAccept;
   }
-  void OnBody(std::string_view /*bytes*/) override {}
+  void OnBody(std::string_view part) override { bytes += part.size(); }
   void OnEnd(call_outcome end, const std::string& /*reason*/) override {
+    ended = true;
     ++statuses[end == call_outcome::kWhole ? status : 0];
   }
 };
--- /dev/null
+++ b/tests/gateway/software_version_test.cc
@@ -0,0 +1,195 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "tests/gateway/fake_platform.h"
+#include "tests/gateway/peered_gateways.h"
+
+namespace jacinthspool {
+namespace {
+
+constexpr const char* kSizes = "X-Token-Count: 3000,100\r\nX-Length-Hint: 50\r\n";
+
+/// \brief Answers the calls of a decode engine that has room for every request.
+/// \param decode Called for each request to decode.
+void ServeEngine(const http1_request& request, any_answer& answer,
+                 const std::function<void(const http1_request&, any_answer&)>& decode) {
+  if (request.head.target == "/v1/hold-take") {
+    answer.Reply(200, {}, R"({"hold":"room1"})");
+  } else if (request.head.method == "DELETE") {
+    answer.Reply(200, {}, "");
+  } else {
+    decode(request, answer);
+  }
+}
+
+void SendEvents(const http1_request& request, any_answer& answer, int first, int last) {
+  answer.Begin(200, scripted_backend::Genuine(request));
+  for (int id = first; id <= last; ++id) {
+    answer.Send(scripted_backend::Event(id));
+  }
+}
+
+TEST_CASE("a broken stream goes on within its answer only at the software version that began it") {
+  fake_platform platform;
+  platform.Configure();
+  std::vector<std::string> begun;    ///< Versions that got the request from its beginning.
+  std::vector<std::string> resumed;  ///< Versions that were to go on with it.
+  const auto add = [&](engine_stage stage, const std::string& software) {
+    platform.AddBackend("model", stage, software).script =
+        [&, software](const http1_request& request, any_answer& answer) {
+          ServeEngine(request, answer, [&](const http1_request& asked, any_answer& to) {
+            if (asked.head.Find("Last-Event-Id")) {
+              resumed.push_back(software);
+              SendEvents(asked, to, 3, 4);
+              to.End();
+            } else {
+              begun.push_back(software);
+              SendEvents(asked, to, 1, 2);
+              to.Abort();
+            }
+          });
+        };
+  };
+  engine_stage stage = engine_stage::kNone;
+  SUBCASE("at servers without reservations") {}
+  SUBCASE("at engines that reserve memory") { stage = engine_stage::kDecode; }
+
+  SUBCASE("which another server has") {
+    for (const char* software : {"v1", "v1", "v2", "v2"}) {
+      add(stage, software);
+    }
+    constexpr int kStreams = 20;
+    for (int i = 0; i < kStreams; ++i) {
+      fake_caller caller(platform);
+      caller.Send("/stream/", kSizes);
+      CHECK(caller.Receives("0\r\n\r\n"));
+    }
+    CHECK(resumed == begun);
+  }
+  SUBCASE("which no other server has: it is seen as truncated at once") {
+    add(stage, "v1");
+    add(stage, "v2");
+    fake_caller caller(platform);
+    const instant start = timer_service::now();
+    caller.Send("/stream/", kSizes);
+    CHECK(caller.Wait([&] { return !caller.open; }));
+    CHECK(resumed.empty());
+    CHECK(caller.received.find(scripted_backend::Event(2)) != std::string::npos);
+    CHECK_FALSE(caller.received.ends_with("0\r\n\r\n"));
+    CHECK(timer_service::now() - start < milliseconds(500));
+  }
+}
+
+/// \brief Gateways before servers of two software versions, whose streams do not end.
+struct two_versions : peered_gateways {
+  std::vector<std::unique_ptr<scripted_backend>> servers;
+  std::vector<backend_record> records;
+  std::map<std::string, std::string> begun_at;                  ///< Version by id of the request.
+  std::vector<std::pair<std::string, std::string>> resumed_at;  ///< Stream and version.
+
+  two_versions() {
+    for (const char* software : {"v1", "v2", "v1", "v2"}) {
+      const std::string id = "i-" + std::to_string(servers.size());
+      servers.push_back(std::make_unique<scripted_backend>(loop, timers, id));
+      records.push_back({.id = id,
+                         .service = "model",
+                         .software = software,
+                         .address = servers.back()->address(),
+                         .data_centre = "dc",
+                         .slots = 64,
+                         .published = servers.size()});
+      servers.back()->script = [this, software = std::string(software)](
+                                   const http1_request& request, any_answer& answer) {
+        const std::string name(request.head.Find("X-Request-Id").value_or(""));
+        if (request.head.Find("Last-Event-Id")) {
+          resumed_at.emplace_back(request.head.Find("Resumes").value_or(""), software);
+          SendEvents(request, answer, 3, 4);
+          answer.End();
+        } else {
+          begun_at[name] = software;
+          SendEvents(request, answer, 1, 2);
+        }
+      };
+    }
+  }
+
+  void Publish(gateway& router) override {
+    auto made = std::make_shared<forward_configuration>();
+    made->version = 1;
+    made->routes.push_back({.name = "stream",
+                            .host = "h",
+                            .prefix = "/stream/",
+                            .kind = request_kind::kStreaming,
+                            .max_attempts = 2,
+                            .timeout = seconds(10),
+                            .latency_objective = seconds(1),
+                            .silence_limit = seconds(2),
+                            .targets = {{.service = "model"}},
+                            .resumable = true});
+    made->services["model"] = {.name = "model"};
+    peered_gateways::Publish(router, std::move(made), records, records.size());
+  }
+
+  /// \brief Lets the gateway begin streams, whose callers leave after the first events.
+  /// \returns The ids of the requests.
+  std::vector<std::string> Begin(std::size_t at, int streams) {
+    std::map<int, int> ended;
+    std::vector<std::string> ids;
+    for (int i = 0; i < streams; ++i) {
+      counted_call listener(ended);
+      ids.push_back(members[at]->name + "." + std::to_string(sent));
+      const auto call = Send(*members[at], "/stream/", kSizes, listener);
+      RunUntil(loop, [&] { return listener.bytes > 0; });
+    }
+    Run(milliseconds(100));
+    return ids;
+  }
+
+  /// \brief Takes streams up again at a gateway.
+  void Resume(std::size_t at, const std::vector<std::string>& streams) {
+    for (const std::string& stream : streams) {
+      counted_call listener(statuses);
+      const auto call =
+          Send(*members[at], "/stream/",
+               kSizes + ("Last-Event-Id: 2\r\nX-Deadline-Ms: 4000\r\nResumes: " + stream) + "\r\n",
+               listener);
+      RunUntil(loop, [&] { return listener.ended; });
+    }
+  }
+
+  [[nodiscard]] std::ptrdiff_t MixedStreams() const {
+    return std::count_if(resumed_at.begin(), resumed_at.end(),
+                         [&](const auto& each) { return begun_at.at(each.first) != each.second; });
+  }
+};
+
+TEST_CASE("a stream that its caller takes up again goes on only at the version that began it") {
+  constexpr int kStreams = 20;
+  two_versions fleet;
+  fleet.Start(4);
+  fleet.Run(milliseconds(500));
+
+  SUBCASE("at the gateway that began it") {
+    fleet.Resume(3, fleet.Begin(3, kStreams));
+    CHECK(fleet.MixedStreams() == 0);
+    CHECK(fleet.statuses[200] == kStreams);
+  }
+  SUBCASE("at another gateway") {
+    fleet.Resume(1, fleet.Begin(3, kStreams));
+    CHECK(fleet.MixedStreams() == 0);
+    CHECK(fleet.statuses[200] == kStreams);
+  }
+  SUBCASE("after the gateway that began it was killed") {
+    const auto streams = fleet.Begin(0, kStreams);
+    fleet.Restart(0);
+    fleet.Run(milliseconds(500));
+    fleet.Resume(0, streams);
+    fleet.Resume(2, streams);
+    CHECK(fleet.MixedStreams() == 0);
+    CHECK(fleet.statuses[200] == 2 * kStreams);
+  }
+}
+
+}  // namespace
+}  // namespace jacinthspool
