A broken stream goes on within its answer only at the version that began it

Cause: a gateway that goes on with a broken or silent stream chose any server of the service; the version was no part of the choice. Class: a choice that lacks a condition which earlier steps of the same request have set.

The version that wrote the first event now is a condition of every later choice of that request: of servers, reservations and request slots. An unknown version equals none. Where no server of that version is left, the stream is cut at once, and so are those that wait for one; a request that waits for one version holds back nobody who may take any.

--- a/include/jacinthspool/routing/admission_queue.h
+++ b/include/jacinthspool/routing/admission_queue.h
@@ -21,7 +21,8 @@
   double tokens = 0;  ///< KV cache that the request needs.
   /// Gets no reservation at this server, which runs the request and is silent; empty: none.
   std::string excluded_backend = {};
-  bool resumes = false;     ///< The caller already has part of the answer.
+  std::optional<std::string> software = {};  ///< As in `placement`.
+  bool resumes = false;                      ///< The caller already has part of the answer.
   instant on_time_until{};  ///< Reserved by then, it still meets its latency objective.
   instant latest_start{};   ///< Reserved later, it cannot end before its deadline.
   service_claim claim = {};
--- a/include/jacinthspool/routing/backend_selector.h
+++ b/include/jacinthspool/routing/backend_selector.h
@@ -30,6 +30,8 @@
 struct placement {
   std::string_view service;
   engine_stage stage = engine_stage::kNone;
+  /// Only servers that are known to run this software version; nothing: any.
+  std::optional<std::string_view> software = {};
   double cost = 1;          ///< Load that it adds: tokens of a model request, otherwise 1.
   bool repeatable = false;  ///< May probe a backend server that has failed.
   const std::set<std::string>* tried = nullptr;  ///< Excluded from the choice.
@@ -94,6 +96,10 @@
   /// \returns true when some server accepts new requests of that service and stage.
   [[nodiscard]] bool Has(std::string_view service, engine_stage stage) const;
 
+  /// \returns true when some server that `Has` counts runs that software version.
+  [[nodiscard]] bool HasSoftware(std::string_view service, engine_stage stage,
+                                 std::string_view software) const;
+
   /// \returns The stage of the service's servers that answer requests.
   [[nodiscard]] engine_stage ServingStage(std::string_view service) const {
     return Has(service, engine_stage::kDecode) ? engine_stage::kDecode : engine_stage::kNone;
--- a/include/jacinthspool/routing/slot_queue.h
+++ b/include/jacinthspool/routing/slot_queue.h
@@ -23,6 +23,7 @@
   instant latest_start{};            ///< Sent later, it is of no use to its caller.
   std::set<std::string> tried = {};  ///< Backend servers that it is not sent to.
   bool repeatable = true;            ///< As in `placement`.
+  std::optional<std::string> software = {};  ///< As in `placement`.
   instant enqueued{};
 };
 
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -558,6 +558,7 @@
   return {.service = settings_.service,
           .tokens = static_cast<double>(work.prompt_tokens + output),
           .excluded_backend = seeking_ ? attempt_->backend().id : std::string(),
+          .software = software_,
           .resumes = AnswerBegun() || settings_.request.resume_after.has_value(),
           .on_time_until = is_retry_ ? instant{} : settings_.received + objective - kFirstEventTime,
           .latest_start = std::max(now + kMinAttemptTime, latest_start),
@@ -632,6 +633,10 @@
     context_.balance.OnRequest(settings_.service, work.prompt_tokens, wanted.tokens,
                                work.expected_output_tokens);
   }
+  if (!settings_.reservations.HasVersion(wanted)) {
+    OnNoPlace(kNoServerOfVersion);
+    return;
+  }
   if (settings_.reservations.IsHopeless(wanted, now)) {
     OnNoPlace(kLimitReached);
     return;
@@ -800,6 +805,7 @@
 placement forward_exchange::MakePlacement(engine_stage stage, bool prefill) const {
   return {.service = settings_.service,
           .stage = stage,
+          .software = software_,
           .cost = Cost(),
           .repeatable = prefill || settings_.route->repeatable(),
           .tried = &tried_,
@@ -819,6 +825,7 @@
                                     .latest_start = now + (deadline_.at - now) / kSlotWaitDivisor,
                                     .tried = tried_,
                                     .repeatable = settings_.route->repeatable(),
+                                    .software = software_,
                                     .enqueued = now},
                                    {.on_ready =
                                         [this] {
@@ -1138,6 +1145,9 @@
     last_event_ = event.id ? event.id : last_event_;
     whole += event.bytes;
   }
+  if (!whole.empty() && !software_) {
+    software_ = attempt_->backend().software;
+  }
   RecordPace(context_, pace_, attempt_->backend(), last_event_);
   if (!whole.empty()) {
     BeginAnswer(head);
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -211,6 +211,7 @@
   microseconds reservation_wait_{};     ///< From the request's arrival to its last reservation.
   microseconds time_to_first_event_{};  ///< From the request's arrival to the start of the answer.
   std::optional<std::uint64_t> last_event_;
+  std::optional<std::string> software_;  ///< Version that wrote the first event.
   stream_pace pace_;
   std::optional<http1_head> failed_head_;  ///< The newest error of a backend server.
   std::string failed_body_;
--- a/src/gateway/reservation_dispatcher.cc
+++ b/src/gateway/reservation_dispatcher.cc
@@ -103,6 +103,7 @@
 bool reservation_dispatcher::IsHopeless(const reservation_request& request, instant now) const {
   const auto capacity = context_.selector.LimitedCapacity({.service = request.service,
                                                            .stage = engine_stage::kDecode,
+                                                           .software = request.software,
                                                            .limiter = &context_.limiter,
                                                            .calls = kReservedCalls},
                                                           now);
@@ -117,6 +118,11 @@
   return *capacity->ready + std::chrono::duration_cast<microseconds>(queued) > request.latest_start;
 }
 
+bool reservation_dispatcher::HasVersion(const reservation_request& request) const {
+  return !request.software ||
+         context_.selector.HasSoftware(request.service, engine_stage::kDecode, *request.software);
+}
+
 std::optional<queued_place> reservation_dispatcher::Enqueue(reservation_request request,
                                                             handlers callbacks) {
   headroom_.Learn(request);
@@ -193,6 +199,16 @@
       found.mapped().on_rejected(kNoSeatInTime);
     }
   }
+  for (const std::uint64_t number : queue_.Order(now)) {
+    const reservation_request* waiting = queue_.Find(number);
+    if (waiting == nullptr || HasVersion(*waiting)) {
+      continue;
+    }
+    queue_.Remove(number);
+    if (auto found = handlers_.extract(number)) {
+      found.mapped().on_rejected(kNoServerOfVersion);
+    }
+  }
 }
 
 const backend_record* reservation_dispatcher::ChooseEngine(const reservation_request& request,
@@ -200,6 +216,7 @@
   const std::set<std::string> excluded = {request.excluded_backend};
   return context_.selector.Choose({.service = request.service,
                                    .stage = engine_stage::kDecode,
+                                   .software = request.software,
                                    .cost = request.tokens,
                                    .repeatable = true,
                                    .tried = &excluded,
@@ -224,7 +241,7 @@
       number = each;
       break;
     }
-    if (first.excluded_backend.empty()) {
+    if (first.excluded_backend.empty() && !first.software) {
       full_services.insert(first.service);
     }
     // Otherwise an engine that it may not use can have memory for the ones behind it.
--- a/src/gateway/reservation_dispatcher.h
+++ b/src/gateway/reservation_dispatcher.h
@@ -19,6 +19,8 @@
 
 /// Reason of a rejection, for the log.
 inline constexpr std::string_view kNoSeatInTime = "no seat in time";
+/// Likewise.
+inline constexpr std::string_view kNoServerOfVersion = "no server of the stream's version";
 
 /// \brief Memory that a decode engine has reserved for one request.
 struct decode_reservation {
@@ -46,6 +48,9 @@
   /// its `latest_start`.
   [[nodiscard]] bool IsHopeless(const reservation_request& request, instant now) const;
 
+  /// \returns true when a decode engine has the software version that the request needs, if any.
+  [[nodiscard]] bool HasVersion(const reservation_request& request) const;
+
   /// \brief Enqueues a request; one of its handlers is called in a later loop iteration, unless
   /// its place is destroyed before.
   /// \returns Nothing when no reservation is expected in time; no handler is called then.
@@ -86,7 +91,7 @@
   [[nodiscard]] double EngineTokens(const std::string& service) const;
   void Tick();
   /// \brief Rejects the requests whose `latest_start` has passed, and those that others have
-  /// displaced and that get no reservation before it.
+  /// displaced and that get no reservation before it, and those whose version no engine has left.
   void RejectExpired();
 
   gateway_context& context_;
--- a/src/gateway/slot_dispatcher.cc
+++ b/src/gateway/slot_dispatcher.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/gateway/reservation_dispatcher.h"
+
 namespace jacinthspool {
 namespace {
 
@@ -50,9 +52,18 @@
     if (next == nullptr) {
       continue;  // It has left the queue when an earlier one was sent.
     }
-    const bool suits_any = next->tried.empty() && next->repeatable;
+    const engine_stage stage = context_.selector.ServingStage(service);
+    if (next->software && !context_.selector.HasSoftware(service, stage, *next->software)) {
+      queue_.Remove(number);
+      if (auto found = handlers_.extract(number)) {
+        found.mapped().on_rejected(kNoServerOfVersion);
+      }
+      continue;
+    }
+    const bool suits_any = next->tried.empty() && next->repeatable && !next->software;
     if (context_.selector.Choose({.service = service,
-                                  .stage = context_.selector.ServingStage(service),
+                                  .stage = stage,
+                                  .software = next->software,
                                   .repeatable = next->repeatable,
                                   .tried = &next->tried,
                                   .limiter = &context_.limiter},
--- a/src/routing/backend_selector.cc
+++ b/src/routing/backend_selector.cc
@@ -43,6 +43,11 @@
   return std::min(first * (1U << std::min(times, kMostDoublings)), last);
 }
 
+/// An unknown version equals no version, not even another unknown one.
+bool RunsSoftware(const backend_record& record, std::string_view software) {
+  return !software.empty() && record.software == software;
+}
+
 /// \brief Draws a server at random in proportion to its share rather than the fastest one: many
 /// gateways choose from the same beliefs, and each choice is also a measurement.
 /// \param part Of its share with which the server is drawn.
@@ -90,6 +95,7 @@
 bool backend_selector::Matches(const member& each, const placement& wanted) const {
   return !each.record.leaving && each.record.service == wanted.service &&
          each.record.stage == wanted.stage &&
+         (!wanted.software || RunsSoftware(each.record, *wanted.software)) &&
          (wanted.tried == nullptr || !wanted.tried->contains(each.record.id));
 }
 
@@ -202,6 +208,13 @@
   });
 }
 
+bool backend_selector::HasSoftware(std::string_view service, engine_stage stage,
+                                   std::string_view software) const {
+  return std::any_of(members_.begin(), members_.end(), [&](const auto& each) {
+    return Matches(each.second, {.service = service, .stage = stage, .software = software});
+  });
+}
+
 void backend_selector::OnStarted(const std::string& id, double cost) {
   if (const auto found = members_.find(id); found != members_.end()) {
     ++found->second.running;
