A stream that its caller takes up goes on only at the version that began it

Cause: the next try was placed like a new request; nothing connected it with the one that brought the first event, and Resumes was read nowhere. Class: state of one request that later requests need, held nowhere but in the process that may be gone.

From its first event on, a stream's origin (service and version) is known to its gateway and to three others, the first in the rendezvous order of its id, by a datagram each. A try that goes on asks the first four, unless its gateway knows. Where nobody remembers, the only version that the service had for twice the route's timeout is proof, if another gateway has answered and none knows of a second one. What is not known is refused with 503, at once or within 240 ms, as is a stream whose version has no server left. A try that goes on is told again under its first id.

--- a/include/jacinthspool/routing/backend_selector.h
+++ b/include/jacinthspool/routing/backend_selector.h
@@ -96,9 +96,10 @@
   /// \returns true when some server accepts new requests of that service and stage.
   [[nodiscard]] bool Has(std::string_view service, engine_stage stage) const;
 
-  /// \returns true when some server that `Has` counts runs that software version.
-  [[nodiscard]] bool HasSoftware(std::string_view service, engine_stage stage,
-                                 std::string_view software) const;
+  /// \returns The number of servers that accept new requests of that service and stage and run
+  /// that software version.
+  [[nodiscard]] std::size_t CountSoftware(std::string_view service, engine_stage stage,
+                                          std::string_view software) const;
 
   /// \returns The stage of the service's servers that answer requests.
   [[nodiscard]] engine_stage ServingStage(std::string_view service) const {
--- /dev/null
+++ b/include/jacinthspool/routing/origin_verdict.h
@@ -0,0 +1,70 @@
+#ifndef JACINTHSPOOL_ROUTING_ORIGIN_VERDICT_H_
+#define JACINTHSPOOL_ROUTING_ORIGIN_VERDICT_H_
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+#include "jacinthspool/impl/time.h"
+#include "jacinthspool/routing/stream_origins.h"
+
+namespace jacinthspool {
+
+/// \brief How the origin of a stream is known.
+enum class origin_evidence : std::uint8_t {
+  kNone,         ///< It is not known.
+  kNoted,        ///< It is remembered.
+  kContested,    ///< Several were stated.
+  kOnlyVersion,  ///< The service had no other version while the stream can have begun.
+  kSeenVersion,  ///< Likewise, but versions may have come and gone unseen.
+  kSeveral,      ///< The service had several versions, of which any may have begun it.
+};
+
+[[nodiscard]] std::string_view ToString(origin_evidence evidence);
+
+/// \brief What one gateway knows of a stream's origin.
+struct origin_knowledge {
+  origin_evidence evidence = origin_evidence::kNone;
+  stream_origin origin = {};
+  milliseconds age{};  ///< Since it was noted.
+};
+
+/// \brief Decides from what several gateways know where a stream began.
+///
+/// What one remembers is proof. That a service had only one version is proof only if nobody knows
+/// better, since a gateway may not have heard of a new version yet.
+///
+/// Load: a few comparisons for each answer.
+class origin_verdict {
+ public:
+  /// \param own What this gateway knows.
+  /// \param others How many gateways are asked.
+  origin_verdict(const origin_knowledge& own, std::size_t others) : asked_(others) { Add(own); }
+
+  /// \brief Adds the answer of one gateway.
+  void OnAnswer(const origin_knowledge& answer) {
+    ++answers_;
+    Add(answer);
+  }
+
+  /// \returns true when no further answer can change the verdict.
+  [[nodiscard]] bool settled() const { return noted_ || contested_ || answers_ >= asked_; }
+
+  /// \returns What is known once the answers are in or have been waited for.
+  [[nodiscard]] origin_knowledge Conclude() const;
+
+ private:
+  void Add(const origin_knowledge& knowledge);
+
+  std::size_t asked_;
+  std::size_t answers_ = 0;
+  std::optional<origin_knowledge> noted_;
+  std::optional<origin_knowledge> only_;
+  bool contested_ = false;
+  bool several_ = false;
+  std::optional<stream_origin> seen_;  ///< Of the version that the service has.
+};
+
+}  // namespace jacinthspool
+
+#endif  // JACINTHSPOOL_ROUTING_ORIGIN_VERDICT_H_
--- a/schema/generate.sh
+++ b/schema/generate.sh
@@ -15,6 +15,8 @@
   -o "$out" snapshot.fbs
 flatc --cpp --cpp-std c++17 --scoped-enums --gen-object-api --object-suffix _value --cpp-ptr-type std::shared_ptr \
   -o "$out" credit.fbs
+flatc --cpp --cpp-std c++17 --scoped-enums --gen-object-api --object-suffix _value --cpp-ptr-type std::shared_ptr \
+  -o "$out" streams.fbs
 if [ "$out" != generated ]; then
   diff -r generated "$out" && echo "generated code is up to date"
 fi
--- a/src/gateway/forward_exchange.cc
+++ b/src/gateway/forward_exchange.cc
@@ -7,12 +7,14 @@
 #include <vector>
 
 #include "jacinthspool/impl/overloaded.h"
+#include "jacinthspool/routing/retry_after.h"
 #include "src/gateway/backend_notices.h"
 #include "src/gateway/background_call.h"
 #include "src/gateway/caller_check.h"
 #include "src/gateway/held_request.h"
 #include "src/gateway/pace_notes.h"
 #include "src/gateway/reply_head.h"
+#include "src/gateway/request_fields.h"
 #include "src/gateway/send_trace_fields.h"
 #include "src/gateway/server_end.h"
 #include "src/telemetry/log.h"
@@ -558,7 +560,7 @@
   return {.service = settings_.service,
           .tokens = static_cast<double>(work.prompt_tokens + output),
           .excluded_backend = seeking_ ? attempt_->backend().id : std::string(),
-          .software = software_,
+          .software = settings_.software,
           .resumes = AnswerBegun() || settings_.request.resume_after.has_value(),
           .on_time_until = is_retry_ ? instant{} : settings_.received + objective - kFirstEventTime,
           .latest_start = std::max(now + kMinAttemptTime, latest_start),
@@ -805,7 +807,7 @@
 placement forward_exchange::MakePlacement(engine_stage stage, bool prefill) const {
   return {.service = settings_.service,
           .stage = stage,
-          .software = software_,
+          .software = settings_.software,
           .cost = Cost(),
           .repeatable = prefill || settings_.route->repeatable(),
           .tried = &tried_,
@@ -825,7 +827,7 @@
                                     .latest_start = now + (deadline_.at - now) / kSlotWaitDivisor,
                                     .tried = tried_,
                                     .repeatable = settings_.route->repeatable(),
-                                    .software = software_,
+                                    .software = settings_.software,
                                     .enqueued = now},
                                    {.on_ready =
                                         [this] {
@@ -1145,16 +1147,27 @@
     last_event_ = event.id ? event.id : last_event_;
     whole += event.bytes;
   }
-  if (!whole.empty() && !software_) {
-    software_ = attempt_->backend().software;
-  }
   RecordPace(context_, pace_, attempt_->backend(), last_event_);
   if (!whole.empty()) {
+    BindStream();
     BeginAnswer(head);
     SendToCaller(whole);
   }
 }
 
+void forward_exchange::BindStream() {
+  if (AnswerBegun()) {
+    return;
+  }
+  const forward_request& request = settings_.request;
+  settings_.software = settings_.software.value_or(attempt_->backend().software);
+  if (settings_.route->resumable) {
+    settings_.streams.OnBegun(request.resume_after ? request.stream_id : request.id,
+                              {.service = settings_.service, .software = *settings_.software},
+                              CallerTimeLeft(timer_service::now()));
+  }
+}
+
 void forward_exchange::SendToCaller(std::string_view bytes) {
   const auto self = shared_from_this();
   auto* begun = std::get_if<http1_stream>(&answer_);
@@ -1234,12 +1247,8 @@
     // No server accepts requests before that.
     wait = std::max(wait, std::chrono::ceil<milliseconds>(*back_off_end - now));
   }
-  // Jitter of up to a quarter of the wait, so that callers rejected together do not retry
-  // together.
-  const auto jitter = milliseconds(
-      static_cast<std::int64_t>(context_.random() % static_cast<std::uint64_t>(wait.count())) / 4);
-  Reply(http_status::kServiceUnavailable,
-        context_.dialect.RejectionHeaders(retry_after.value_or(wait + jitter)), "not run\n");
+  wait = retry_after.value_or(WithJitter(wait, context_.random()));
+  Reply(http_status::kServiceUnavailable, context_.dialect.RejectionHeaders(wait), "not run\n");
   Finish("refused", why);
 }
 
@@ -1340,15 +1349,12 @@
   ReleaseHandle();
   const auto took = now - settings_.received;
   nlohmann::json fields{
-      {"request", settings_.request.id},
       {"route", settings_.route->name},
       {"service", settings_.service},
       {"outcome", outcome},
       {"why", why},
       {"backend", last_backend_},
       {"software", last_software_},
-      {"stream", settings_.request.stream_id},
-      {"resumed_after", settings_.request.resume_after.value_or(0)},
       {"sends", sends_},
       {"prefills", prefills_},
       {"runs", runs_},
@@ -1357,16 +1363,12 @@
       {"allowed_ms", settings_.route->timeout.count()},
       {"bound_by", ToString(deadline_.cause)},
       {"digest", outcome == "served" ? std::string() : ToString(settings_.request.digest)},
-      {"caller_waits_ms", settings_.request.time_left.value_or(milliseconds(0)).count()},
       {"seat_ms", reservation_wait_ / milliseconds(1)},
       {"first_ms", time_to_first_event_ / milliseconds(1)},
-      {"prompt_tokens", settings_.request.model ? settings_.request.model->prompt_tokens : 0},
-      {"max_output", settings_.request.model ? settings_.request.model->max_output_tokens : 0},
-      {"expected_output",
-       settings_.request.model ? settings_.request.model->expected_output_tokens : 0},
       {"events", last_event_.value_or(0)},
       {"configuration_at_start", first_configuration_},
       {"configuration", context_.routes.configuration()->version}};
+  AddRequest(fields, settings_.request);
   AddTrace(fields, last_send_);
   Log(log_level::kInfo, "request", std::move(fields));
   context_.metrics.Count("gateway_requests", {{"outcome", std::string(outcome)}});
--- a/src/gateway/forward_exchange.h
+++ b/src/gateway/forward_exchange.h
@@ -16,6 +16,7 @@
 #include "src/gateway/queued_place.h"
 #include "src/gateway/reservation_dispatcher.h"
 #include "src/gateway/slot_dispatcher.h"
+#include "src/gateway/stream_directory.h"
 #include "src/transport/http1_server.h"
 
 namespace jacinthspool {
@@ -30,9 +31,12 @@
     gateway_context& context;
     reservation_dispatcher& reservations;
     slot_dispatcher& slots;
+    stream_directory& streams;
     forward_request request;
     std::shared_ptr<const forward_route> route;
     std::string service;
+    /// Version that the request must be sent to; nothing: any.
+    std::optional<std::string> software = {};
     /// Nothing: the request needs no key.
     std::optional<caller_identity> caller = {};
     http1_responder answer;
@@ -119,6 +123,8 @@
   void ReplaceSilentAttempt();
   void Deliver(const http1_head& head, std::string_view body);
   void ForwardEvents(const http1_head& head, const std::vector<stream_event>& events);
+  /// \brief Binds the stream to the version of the present server, unless it is bound already.
+  void BindStream();
   /// \brief Sends part of the answer; its server is throttled while there is no room for more.
   void SendToCaller(std::string_view bytes);
   /// \returns true when the head of an answer was sent to the caller.
@@ -211,7 +217,6 @@
   microseconds reservation_wait_{};     ///< From the request's arrival to its last reservation.
   microseconds time_to_first_event_{};  ///< From the request's arrival to the start of the answer.
   std::optional<std::uint64_t> last_event_;
-  std::optional<std::string> software_;  ///< Version that wrote the first event.
   stream_pace pace_;
   std::optional<http1_head> failed_head_;  ///< The newest error of a backend server.
   std::string failed_body_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -21,6 +21,10 @@
 constexpr std::size_t kPacesInSnapshot = 16;
 /// Retry-After while no configuration or list is known.
 constexpr milliseconds kStartRetryAfter = milliseconds(400);
+/// Retry-After of a request that cannot go on with its stream: no gateway knows more at once.
+constexpr milliseconds kStreamRetryAfter = milliseconds(1000);
+/// A stream is at most this multiple of its route's timeout old when its caller takes it up.
+constexpr int kTriesOfStream = 2;
 /// Retry-After late in a planned stop: the other gateways serve at once.
 constexpr milliseconds kStopRetryAfter = milliseconds(50);
 
@@ -51,6 +55,7 @@
       reservations_(context_),
       slots_(context_),
       payments_(context_, settings.name),
+      streams_(context_),
       on_limits_(settings.on_limits),
       configuration_confirmed_(settings.started) {
   // The publisher may have been unavailable before this process started.
@@ -225,29 +230,105 @@
   const auto* identity = std::get_if<caller_identity>(&caller);
   decoded->body = std::move(request.body);
   decoded->digest = DigestOf(decoded->method, decoded->host, decoded->target, decoded->body);
-  const tenant_payments::request paying{
-      .id = decoded->id,
-      .caller = identity == nullptr ? caller_identity() : *identity,
-      .arrived = request.received};
-  auto forward = [this, decoded = std::move(*decoded), route, service = *service,
-                  received = request.received,
-                  caller = identity == nullptr ? std::nullopt : std::optional(*identity)](
-                     http1_responder to) mutable {
+  const bool takes_up = route->kind == request_kind::kStreaming && decoded->resume_after;
+  admissible admitted{.request = std::move(*decoded),
+                      .route = route,
+                      .service = *service,
+                      .caller = identity == nullptr ? std::nullopt : std::optional(*identity),
+                      .received = request.received};
+  if (takes_up) {
+    TakeUp(std::move(admitted), std::move(answer));
+  } else {
+    Admit(std::move(admitted), std::nullopt, std::move(answer));
+  }
+}
+
+void gateway::TakeUp(admissible admitted, http1_responder answer) {
+  stream_directory::resumption wanted{.request = admitted.request.id,
+                                      .stream = admitted.request.stream_id,
+                                      .service = admitted.service,
+                                      .oldest = kTriesOfStream * admitted.route->timeout};
+  streams_.Find(std::move(wanted), std::move(answer),
+                [this, admitted = std::move(admitted)](const stream_directory::finding& found,
+                                                       http1_responder to) mutable {
+                  const stream_origin& origin = found.origin.origin;
+                  const std::string_view obstacle = ObstacleTo(found, *admitted.route);
+                  ReportTakenUp(admitted.request, found, obstacle);
+                  if (!obstacle.empty()) {
+                    Reject(std::move(to), http_status::kServiceUnavailable, admitted.request.id,
+                           obstacle, kStreamRetryAfter);
+                    return;
+                  }
+                  admitted.service = origin.service;
+                  Admit(std::move(admitted), origin.software, std::move(to));
+                });
+}
+
+std::string_view gateway::ObstacleTo(const stream_directory::finding& found,
+                                     const forward_route& route) const {
+  const stream_origin& origin = found.origin.origin;
+  if (found.origin.evidence != origin_evidence::kNoted &&
+      found.origin.evidence != origin_evidence::kOnlyVersion) {
+    return "the version that began the stream is unknown";
+  }
+  if (std::ranges::none_of(route.targets, [&](const route_target& target) {
+        return target.service == origin.service;
+      })) {
+    return "the service of the stream is not on its route";
+  }
+  return ServersOf(origin) == 0 ? kNoServerOfVersion : std::string_view();
+}
+
+std::size_t gateway::ServersOf(const stream_origin& origin) const {
+  return context_.selector.CountSoftware(
+      origin.service, context_.selector.ServingStage(origin.service), origin.software);
+}
+
+void gateway::ReportTakenUp(const forward_request& request, const stream_directory::finding& found,
+                            std::string_view obstacle) {
+  Log(log_level::kInfo, "stream_taken_up",
+      {{"request", request.id},
+       {"stream", request.stream_id},
+       {"resumed_after", request.resume_after.value_or(0)},
+       {"service", found.origin.origin.service},
+       {"software", found.origin.origin.software},
+       {"evidence", ToString(found.origin.evidence)},
+       {"age_ms", found.origin.age.count()},
+       {"asked", found.asked},
+       {"silent", found.silent},
+       {"took_ms", found.took / milliseconds(1)},
+       {"servers", ServersOf(found.origin.origin)},
+       {"obstacle", obstacle}});
+  context_.metrics.Count("gateway_streams_taken_up",
+                         {{"evidence", std::string(ToString(found.origin.evidence))},
+                          {"admitted", obstacle.empty() ? "yes" : "no"}});
+}
+
+void gateway::Admit(admissible admitted, std::optional<std::string> software,
+                    http1_responder answer) {
+  const std::optional<caller_identity> caller = admitted.caller;
+  const tenant_payments::request paying{.id = admitted.request.id,
+                                        .caller = caller.value_or(caller_identity()),
+                                        .arrived = admitted.received};
+  auto forward = [this, admitted = std::move(admitted),
+                  software = std::move(software)](http1_responder to) mutable {
     Forward({.context = context_,
              .reservations = reservations_,
              .slots = slots_,
-             .request = std::move(decoded),
-             .route = route,
-             .service = service,
-             .caller = std::move(caller),
+             .streams = streams_,
+             .request = std::move(admitted.request),
+             .route = std::move(admitted.route),
+             .service = std::move(admitted.service),
+             .software = std::move(software),
+             .caller = std::move(admitted.caller),
              .answer = std::move(to),
-             .received = received,
+             .received = admitted.received,
              .on_ended = {}});
   };
-  if (identity == nullptr) {
-    forward(std::move(answer));
-  } else {
+  if (caller) {
     payments_.Pay(paying, std::move(answer), std::move(forward));
+  } else {
+    forward(std::move(answer));
   }
 }
 
@@ -316,7 +397,14 @@
   }
 }
 
-void gateway::UpdateSelector() { context_.selector.Update(context_.backends.backends()); }
+void gateway::UpdateSelector() {
+  context_.selector.Update(context_.backends.backends());
+  streams_.history().Update(context_.backends.backends(), timer_service::now());
+}
+
+void gateway::UpdateHistory() {
+  streams_.history().SetComplete(list_known_ && !publisher_lost_, timer_service::now());
+}
 
 void gateway::OnBackends(std::vector<backend_record> records, store_position at) {
   Log(log_level::kInfo, "backends_listed",
@@ -324,6 +412,7 @@
   context_.backends.Replace(std::move(records), at, timer_service::now());
   list_known_ = true;
   UpdateSelector();
+  UpdateHistory();
 }
 
 void gateway::OnBackendPut(backend_record record) {
@@ -341,6 +430,7 @@
   context_.backends.Put(std::move(record));
   if (const auto newest = listed.find(id); newest != listed.end()) {
     context_.selector.Update(newest->second);
+    streams_.history().Update(newest->second);
     if (before && before->started_ms < newest->second.started_ms) {
       OnLapsed(*before);
     }
@@ -364,12 +454,14 @@
 void gateway::OnPublisherLost(const std::string& /*reason*/) {
   publisher_lost_ = true;
   context_.backends.PublisherLost();
+  UpdateHistory();
 }
 
 void gateway::OnPublisherRegained() {
   if (std::exchange(publisher_lost_, false)) {
     context_.backends.PublisherRegained(timer_service::now());
   }
+  UpdateHistory();
 }
 
 void gateway::OnConfigurationLost() {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "src/gateway/gateway_context.h"
 #include "src/gateway/slot_dispatcher.h"
 #include "src/gateway/snapshot.h"
+#include "src/gateway/stream_directory.h"
 #include "src/gateway/tenant_payments.h"
 #include "src/settings/settings.h"
 #include "src/telemetry/line_limit.h"
@@ -126,6 +127,7 @@
   /// \returns Number of requests that wait for a reservation or a request slot.
   [[nodiscard]] std::size_t waiting() const { return reservations_.waiting() + slots_.waiting(); }
   [[nodiscard]] tenant_payments& payments() { return payments_; }
+  [[nodiscard]] stream_directory& streams() { return streams_; }
   [[nodiscard]] metrics_registry& metrics() { return context_.metrics; }
 
  private:
@@ -133,6 +135,28 @@
   void ApplyConfiguration(std::shared_ptr<const forward_configuration> next,
                           configuration_source source);
   void UpdateSelector();
+  /// \brief Tells the history of the versions whether it sees every change of the list.
+  void UpdateHistory();
+  /// \brief A request that may be admitted.
+  struct admissible {
+    forward_request request;
+    std::shared_ptr<const forward_route> route;
+    std::string service;
+    std::optional<caller_identity> caller;
+    instant received{};
+  };
+  /// \brief Finds the version that may go on with the caller's stream.
+  void TakeUp(admissible admitted, http1_responder answer);
+  /// \returns Why the stream cannot go on; empty: it can.
+  [[nodiscard]] std::string_view ObstacleTo(const stream_directory::finding& found,
+                                            const forward_route& route) const;
+  /// \returns The number of servers that can go on with a stream of that origin.
+  [[nodiscard]] std::size_t ServersOf(const stream_origin& origin) const;
+  void ReportTakenUp(const forward_request& request, const stream_directory::finding& found,
+                     std::string_view obstacle);
+  /// \brief Forwards a request once it is paid for.
+  /// \param software Version that the request must be sent to; nothing: any.
+  void Admit(admissible admitted, std::optional<std::string> software, http1_responder answer);
   void Forward(forward_exchange::options settings);
   /// \brief Logs what is held and released, and applies it to the requests in progress.
   void ApplyVerdicts(instant now);
@@ -145,6 +169,7 @@
   reservation_dispatcher reservations_;
   slot_dispatcher slots_;
   tenant_payments payments_;
+  stream_directory streams_;
   std::function<void(const edge_limits&)> on_limits_;
   std::set<std::shared_ptr<forward_exchange>> exchanges_;
   timer_subscription expiry_;
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -34,6 +34,7 @@
     : settings_(std::move(settings)),
       start_(timer_service::now()),
       members_({.settle = kSettleTime}, start_),
+      addresses_({.self = settings_.listen, .seeds = settings_.peers, .started = start_}),
       random_(std::random_device{}()) {
   settings_.owner.payments().SetHomes(settings_.listen, settings_.peers);
   std::erase(settings_.peers, settings_.listen);
@@ -52,6 +53,12 @@
   if (!server_) {
     return false;
   }
+  std::string unbound;
+  if (!settings_.owner.streams().Open(settings_.listen, unbound)) {
+    // Callers still take up the streams that this gateway has begun.
+    Log(log_level::kError, "stream_messages_unavailable", {{"reason", unbound}});
+  }
+  UpdateMembers(start_);
   QueryPeers();
   news_check_ = settings_.timers.Every(kNewsCheckPeriod, [this](instant /*now*/) {
     const bool had_pace_news = std::exchange(had_pace_news_, settings_.owner.has_pace_news());
@@ -113,9 +120,11 @@
     last_query_[std::string(*name)] = now;
     Learn(request, now);
   }
+  std::uint64_t known_members = 0;
   if (!request.body.empty()) {
     if (const auto news = DecodeSnapshot(request.body)) {
       settings_.owner.ApplyFleet(*news);
+      known_members = news->members_digest;
     } else {
       Log(log_level::kWarning, "peer_news_unreadable",
           {{"peer", request.head.Find(kGatewayNameHeader).value_or("")},
@@ -130,6 +139,11 @@
     snapshot.limits = std::move(fleet.limits);
     snapshot.fleet = std::move(fleet.fleet);
     snapshot.paces = std::move(fleet.paces);
+    std::vector<std::string> heard = addresses_.Heard(now);
+    snapshot.members_digest = gateway_members::Digest(heard);
+    if (snapshot.members_digest != known_members) {
+      snapshot.members = std::move(heard);
+    }
   }
   std::move(answer).Reply(http_status::kOk, {{"Content-Type", "application/octet-stream"}},
                           EncodeSnapshot(snapshot));
@@ -146,6 +160,9 @@
   });
   const std::string address(request.head.Find(kGatewayAddressHeader).value_or(""));
   socket_address parsed;
+  if (ParseSocketAddress(address, parsed)) {
+    addresses_.OnContact(address, now);
+  }
   const bool configured =
       address == settings_.listen ||
       std::find(settings_.peers.begin(), settings_.peers.end(), address) != settings_.peers.end();
@@ -157,6 +174,10 @@
   }
 }
 
+void peer_exchange::UpdateMembers(instant now) {
+  settings_.owner.streams().SetMembers(addresses_.All(now));
+}
+
 std::uint32_t peer_exchange::CountGateways(instant now) const {
   const auto recent = std::count_if(last_query_.begin(), last_query_.end(), [&](const auto& each) {
     return now - each.second < kForgetAfter;
@@ -169,6 +190,8 @@
   if (query && !query->answered()) {
     return;
   }
+  gateway_snapshot news = settings_.owner.FleetSnapshot(gateway::fleet_scope::kOwn);
+  news.members_digest = addresses_.DigestOf(address);
   query = std::make_unique<snapshot_query>(snapshot_query::options{
       .timers = settings_.timers,
       .client = settings_.client,
@@ -176,7 +199,7 @@
       .gateway = settings_.name,
       .listen = settings_.listen,
       .scope = settings_.owner.WantedScope(),
-      .news = EncodeSnapshot(settings_.owner.FleetSnapshot(gateway::fleet_scope::kOwn)),
+      .news = EncodeSnapshot(news),
       .on_answer = [this, address](std::optional<gateway_snapshot> snapshot) {
         if (snapshot) {
           if (!snapshot->fault.empty() && fault_lines_.Permits(address, timer_service::now())) {
@@ -189,6 +212,14 @@
             reported_gateways_[address] = snapshot->gateways;
           }
           settings_.owner.OnPeerAnswer();
+          const instant now = timer_service::now();
+          addresses_.OnContact(address, now);
+          if (snapshot->members.empty()) {
+            addresses_.OnDigest(address, snapshot->members_digest, now);
+          } else {
+            addresses_.OnList(address, std::move(snapshot->members), now);
+          }
+          UpdateMembers(now);
           settings_.owner.ApplyFleet(*snapshot);
           settings_.owner.ApplySnapshot(std::move(*snapshot));
         }
@@ -224,6 +255,7 @@
   for (const auto& [peer, count] : reported_gateways_) {
     gateways = std::max(gateways, count);
   }
+  UpdateMembers(timer_service::now());
   settings_.owner.payments().SetCounted(gateways);
   settings_.owner.SetGateways(members_.Update(
       gateways, !reported_gateways_.empty() || settings_.peers.empty(), timer_service::now()));
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "jacinthspool/routing/gateway_count_estimate.h"
+#include "jacinthspool/routing/gateway_members.h"
 #include "src/gateway/gateway.h"
 #include "src/gateway/snapshot_query.h"
 #include "src/telemetry/line_limit.h"
@@ -55,6 +56,8 @@
   void Answer(const http1_request& request, http1_responder answer);
   void AnswerRecord(const http1_request& request, http1_responder answer);
   [[nodiscard]] std::uint32_t CountGateways(instant now) const;
+  /// \brief Tells the directory of streams which gateways there are.
+  void UpdateMembers(instant now);
 
   options settings_;
   std::unique_ptr<http1_server> server_;
@@ -66,6 +69,7 @@
   std::map<std::string, std::uint32_t> reported_gateways_;  ///< Count reported by each peer.
   instant start_;
   gateway_count_estimate members_;
+  gateway_members addresses_;
   std::size_t records_read_ = 0;  ///< Reads of records in progress.
   bool was_limited_ = false;      ///< Some server's limit was in force at the last query.
   bool lacked_news_ = true;       ///< The publisher's news were missing at the last query.
--- a/src/gateway/reservation_dispatcher.cc
+++ b/src/gateway/reservation_dispatcher.cc
@@ -119,8 +119,8 @@
 }
 
 bool reservation_dispatcher::HasVersion(const reservation_request& request) const {
-  return !request.software ||
-         context_.selector.HasSoftware(request.service, engine_stage::kDecode, *request.software);
+  return !request.software || context_.selector.CountSoftware(
+                                  request.service, engine_stage::kDecode, *request.software) > 0;
 }
 
 std::optional<queued_place> reservation_dispatcher::Enqueue(reservation_request request,
--- a/src/gateway/slot_dispatcher.cc
+++ b/src/gateway/slot_dispatcher.cc
@@ -53,7 +53,7 @@
       continue;  // It has left the queue when an earlier one was sent.
     }
     const engine_stage stage = context_.selector.ServingStage(service);
-    if (next->software && !context_.selector.HasSoftware(service, stage, *next->software)) {
+    if (next->software && context_.selector.CountSoftware(service, stage, *next->software) == 0) {
       queue_.Remove(number);
       if (auto found = handlers_.extract(number)) {
         found.mapped().on_rejected(kNoServerOfVersion);
--- a/src/gateway/snapshot.cc
+++ b/src/gateway/snapshot.cc
@@ -463,6 +463,8 @@
     wire.confirmed->version = value.confirmed->version;
     wire.confirmed->age = AgeOf(value.confirmed->as_of, now);
   }
+  wire.members = value.members;
+  wire.members_digest = value.members_digest;
   flatbuffers::FlatBufferBuilder builder;
   builder.Finish(snapshot::gateway_snapshot::Pack(builder, &wire));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
@@ -524,6 +526,8 @@
     value.confirmed = configuration_confirmation{.version = wire.confirmed->version,
                                                  .as_of = TimeOf(wire.confirmed->age, now)};
   }
+  value.members = wire.members;
+  value.members_digest = wire.members_digest;
   for (const auto& each : wire.paces) {
     value.paces.push_back(FromWire(*each, now));
   }
--- a/src/gateway/snapshot.h
+++ b/src/gateway/snapshot.h
@@ -70,6 +70,9 @@
   std::optional<configuration_confirmation> confirmed = {};
   /// Of some decode engines, as the gateways that have measured them report.
   std::vector<server_pace> paces = {};
+  /// ip:port of the gateways that the sender hears; empty where the recipient knows the list.
+  std::vector<std::string> members = {};
+  std::uint64_t members_digest = 0;  ///< Of that list; in a query, of the list known; 0: none.
   /// Why part of a decoded snapshot cannot be used and was left out; empty: nothing was.
   std::string_view fault = {};
 };
--- /dev/null
+++ b/src/gateway/stream_directory.cc
@@ -0,0 +1,173 @@
+#include "src/gateway/stream_directory.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "jacinthspool/impl/rendezvous.h"
+#include "src/telemetry/log.h"
+
+namespace jacinthspool {
+namespace {
+
+/// Gateways that remember a stream, beside the one that began it.
+constexpr std::size_t kHomes = 3;
+/// A gateway that is silent is asked again after this time, since datagrams may be lost.
+constexpr milliseconds kAskAgainAfter = milliseconds(60);
+constexpr milliseconds kGiveUpAfter = milliseconds(240);
+
+}  // namespace
+
+stream_directory::~stream_directory() = default;
+
+bool stream_directory::Open(const std::string& address, std::string& error) {
+  address_ = address;
+  socket_ = datagram_socket::Bind(
+      {.loop = context_.loop,
+       .address = address,
+       .on_datagram = [this](const std::string& from,
+                             std::string_view bytes) { OnDatagram(from, bytes); }},
+      error);
+  return socket_ != nullptr;
+}
+
+std::vector<std::string> stream_directory::HomesOf(std::uint64_t stream, std::size_t most) const {
+  std::vector<std::string> homes;
+  if (!socket_) {
+    return homes;
+  }
+  for (const std::size_t index : RendezvousOrder(stream, members_)) {
+    if (homes.size() == most) {
+      break;
+    }
+    if (members_[index] != address_) {
+      homes.push_back(members_[index]);
+    }
+  }
+  return homes;
+}
+
+void stream_directory::OnBegun(const std::string& id, const stream_origin& origin,
+                               milliseconds life) {
+  if (id.empty() || origin.software.empty()) {
+    return;
+  }
+  const std::uint64_t stream = HashKey(id);
+  known_.Note(stream, origin, life, timer_service::now());
+  const std::string bytes =
+      EncodeStreamMessage(stream_told{.stream = stream, .origin = origin, .life = life});
+  for (const std::string& home : HomesOf(stream, kHomes)) {
+    context_.metrics.Count("gateway_stream_origins_told",
+                           {{"sent", socket_->Send(home, bytes) ? "yes" : "no"}});
+  }
+}
+
+origin_knowledge stream_directory::Own(std::uint64_t stream, std::string_view service,
+                                       microseconds within, instant now) const {
+  const stream_origins::entry* entry = known_.Find(stream, now);
+  if (entry == nullptr) {
+    return history_.EvidenceOf(service, within, now);
+  }
+  return {.evidence = entry->contested ? origin_evidence::kContested : origin_evidence::kNoted,
+          .origin = entry->origin,
+          .age = std::chrono::duration_cast<milliseconds>(now - entry->noted)};
+}
+
+void stream_directory::Find(resumption wanted, http1_responder answer, on_found then) {
+  const instant now = timer_service::now();
+  const std::uint64_t stream = HashKey(wanted.stream);
+  const origin_knowledge own = wanted.stream.empty()
+                                   ? history_.EvidenceOf(wanted.service, wanted.oldest, now)
+                                   : Own(stream, wanted.service, wanted.oldest, now);
+  // The gateway that began it may be one of the first.
+  const std::vector<std::string> homes = HomesOf(stream, kHomes + 1);
+  const std::uint64_t number = ++last_question_;
+  answer.OnCallerDisconnected([this, number, request = wanted.request] {
+    Log(log_level::kInfo, "caller_left_before_origin", {{"request", request}});
+    questions_.erase(number);
+  });
+  questions_.emplace(number, question{.wanted = std::move(wanted),
+                                      .stream = stream,
+                                      .answer = std::move(answer),
+                                      .then = std::move(then),
+                                      .verdict = origin_verdict(own, homes.size()),
+                                      .others = homes.size(),
+                                      .silent = {homes.begin(), homes.end()},
+                                      .asked = now});
+  if (questions_.at(number).verdict.settled()) {
+    Conclude(number);
+  } else {
+    Ask(number);
+  }
+}
+
+void stream_directory::Ask(std::uint64_t number) {
+  question& asked = questions_.at(number);
+  const std::string bytes = EncodeStreamMessage(
+      stream_asked{.question = number,
+                   .stream = asked.stream,
+                   .service = asked.wanted.service,
+                   .within = std::chrono::ceil<milliseconds>(asked.wanted.oldest)});
+  for (const std::string& home : asked.silent) {
+    (void)socket_->Send(home, bytes);  // One that cannot be reached is silent.
+  }
+  asked.timer =
+      context_.timers.After(kAskAgainAfter, [this, number](instant /*now*/) { OnSilence(number); });
+}
+
+void stream_directory::OnSilence(std::uint64_t number) {
+  if (timer_service::now() - questions_.at(number).asked < kGiveUpAfter) {
+    Ask(number);
+  } else {
+    Conclude(number);
+  }
+}
+
+void stream_directory::Conclude(std::uint64_t number) {
+  auto node = questions_.extract(number);
+  question& ended = node.mapped();
+  ended.timer.Cancel();
+  ended.answer.OnCallerDisconnected({});
+  ended.then({.origin = ended.verdict.Conclude(),
+              .asked = ended.others,
+              .silent = ended.silent.size(),
+              .took = timer_service::now() - ended.asked},
+             std::move(ended.answer));
+}
+
+void stream_directory::OnDatagram(const std::string& from, std::string_view bytes) {
+  if (const auto message = DecodeStreamMessage(bytes)) {
+    std::visit([&](const auto& each) { OnMessage(from, each); }, *message);
+  } else {
+    context_.metrics.Count("gateway_stream_messages_unreadable");
+  }
+}
+
+void stream_directory::OnMessage(const std::string& /*from*/, const stream_told& told) {
+  if (!told.origin.software.empty()) {
+    known_.Note(told.stream, told.origin, told.life, timer_service::now());
+  }
+}
+
+void stream_directory::OnMessage(const std::string& from, const stream_asked& asked) {
+  (void)socket_->Send(
+      from,
+      EncodeStreamMessage(stream_answered{
+          .question = asked.question,
+          .stream = asked.stream,
+          .knowledge = Own(asked.stream, asked.service, asked.within, timer_service::now())}));
+}
+
+void stream_directory::OnMessage(const std::string& from, const stream_answered& answered) {
+  const auto found = questions_.find(answered.question);
+  if (found == questions_.end() || found->second.stream != answered.stream ||
+      found->second.silent.erase(from) == 0) {
+    return;  // It answers a question of an earlier process, or is a second answer.
+  }
+  found->second.verdict.OnAnswer(answered.knowledge);
+  if (found->second.verdict.settled()) {
+    Conclude(answered.question);
+  }
+}
+
+}  // namespace jacinthspool
--- a/src/routing/backend_selector.cc
+++ b/src/routing/backend_selector.cc
@@ -208,11 +208,12 @@
   });
 }
 
-bool backend_selector::HasSoftware(std::string_view service, engine_stage stage,
-                                   std::string_view software) const {
-  return std::any_of(members_.begin(), members_.end(), [&](const auto& each) {
-    return Matches(each.second, {.service = service, .stage = stage, .software = software});
-  });
+std::size_t backend_selector::CountSoftware(std::string_view service, engine_stage stage,
+                                            std::string_view software) const {
+  return static_cast<std::size_t>(
+      std::count_if(members_.begin(), members_.end(), [&](const auto& each) {
+        return Matches(each.second, {.service = service, .stage = stage, .software = software});
+      }));
 }
 
 void backend_selector::OnStarted(const std::string& id, double cost) {
--- a/tests/gateway/software_version_test.cc
+++ b/tests/gateway/software_version_test.cc
@@ -182,6 +182,7 @@
   }
   SUBCASE("after the gateway that began it was killed") {
     const auto streams = fleet.Begin(0, kStreams);
+    fleet.members[0].reset();
     fleet.Restart(0);
     fleet.Run(milliseconds(500));
     fleet.Resume(0, streams);
