An answer that ends before its request was sent is not whole

Now an answer without a length is whole at the end of the connection only if the whole request was written.

--- a/src/transport/http1_client.cc
+++ b/src/transport/http1_client.cc
@@ -210,8 +210,9 @@
 
   void OnClosed() override {
     const auto* call = std::get_if<running_call>(&phase_);
-    // A success without a byte of its body may be of a server that stopped after the head.
-    const bool whole = call != nullptr && call->reply_began &&
+    // A success without a byte of its body may be of a server that stopped after the head, and one
+    // that ends before its request was sent may be of a server that gave up.
+    const bool whole = call != nullptr && call->reply_began && trace_.written == trace_.bytes &&
                        (call->body_began || !call->success) && reader_.EndsAtClose();
     if (whole) {
       End(call_outcome::kWhole, "");
