An answer with a status that no answer has ends its call as malformed

The reader of replies now refuses statuses outside 100 to 599, 101, which no request of ours asks for, and interim answers with a body. All clients share it: of servers, peers, the store and sources of settings.

--- a/src/transport/http1_reader.cc
+++ b/src/transport/http1_reader.cc
@@ -9,6 +9,8 @@
 #include <limits>
 #include <utility>
 
+#include "src/transport/http_status.h"
+
 namespace jacinthspool {
 namespace {
 
@@ -113,6 +115,15 @@
   return std::nullopt;
 }
 
+/// \returns true for a status that a client which never asks to switch protocols can be sent. An
+/// interim answer has no body.
+bool HasValidStatus(const http1_head& head) {
+  const bool interim = head.status < http_status::kOk;
+  const bool has_body = head.chunked || head.content_length.value_or(0) > 0;
+  return head.status >= http_status::kContinue && head.status <= http_status::kLast &&
+         head.status != http_status::kSwitchingProtocols && !(interim && has_body);
+}
+
 }  // namespace
 
 std::optional<std::string_view> http1_head::Find(std::string_view name) const {
@@ -214,6 +225,9 @@
     if (const auto length = reading.content_length()) {
       reading.head.content_length = *length;
     }
+    if (!kIsRequest && !HasValidStatus(reading.head)) {
+      return Fail(http1_fault::kMalformed);
+    }
     return std::move(reading.head);
   }
 
--- a/src/transport/http_status.h
+++ b/src/transport/http_status.h
@@ -6,6 +6,8 @@
 /// \file
 /// \brief HTTP status codes that the code refers to (RFC 9110, section 15).
 
+inline constexpr int kContinue = 100;
+inline constexpr int kSwitchingProtocols = 101;
 inline constexpr int kOk = 200;
 inline constexpr int kNoContent = 204;
 inline constexpr int kMultipleChoices = 300;
@@ -20,6 +22,7 @@
 inline constexpr int kBadGateway = 502;
 inline constexpr int kServiceUnavailable = 503;
 inline constexpr int kGatewayTimeout = 504;
+inline constexpr int kLast = 599;  ///< The largest of a known class.
 
 }  // namespace jacinthspool::http_status
 
