Postmortem of streams that hold two software versions

Two more cases of software_version_test: a stream that nobody knows is refused within 500 ms, and one of a split route goes on at the service that began it.

--- a/src/transport/datagram_socket.cc
+++ b/src/transport/datagram_socket.cc
@@ -87,4 +87,6 @@
                 static_cast<socklen_t>(target.length)) == static_cast<ssize_t>(bytes.size());
 }
 
+std::uint16_t datagram_socket::port() const { return LocalPort(state_->socket); }
+
 }  // namespace jacinthspool
--- a/src/transport/datagram_socket.h
+++ b/src/transport/datagram_socket.h
@@ -2,6 +2,7 @@
 #define JACINTHSPOOL_TRANSPORT_DATAGRAM_SOCKET_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -34,6 +35,8 @@
   /// \returns false when the address is invalid, the message too long or the kernel refuses it.
   bool Send(const std::string& to, std::string_view bytes);
 
+  [[nodiscard]] std::uint16_t port() const;
+
  private:
   struct state;
   explicit datagram_socket(std::unique_ptr<state> initial);
--- a/tests/gateway/software_version_test.cc
+++ b/tests/gateway/software_version_test.cc
@@ -192,5 +192,61 @@
   }
 }
 
+TEST_CASE(
+    "a stream whose first version nobody knows does not go on, and its caller learns it at once") {
+  two_versions fleet;
+  fleet.Start(3);
+  fleet.Run(milliseconds(500));
+  const instant start = timer_service::now();
+  fleet.Resume(0, {"never-begun"});
+  CHECK(fleet.statuses[503] == 1);
+  CHECK(fleet.resumed_at.empty());
+  CHECK(timer_service::now() - start < milliseconds(500));
+}
+
+TEST_CASE("a stream of a split route goes on at the service that began it") {
+  fake_platform platform;
+  platform.Configure();
+  auto split = std::make_shared<forward_configuration>(*platform.router.configuration());
+  split->version = 2;
+  for (forward_route& route : split->routes) {
+    if (route.prefix == "/stream/") {
+      route.max_attempts = 1;
+      route.targets = {{.service = "model", .weight = 1}, {.service = "plain", .weight = 1}};
+    }
+  }
+  platform.router.OnConfiguration(std::move(split));
+  std::vector<std::string> begun;
+  std::vector<std::string> resumed;
+  for (const std::string service : {"model", "plain"}) {
+    platform.AddBackend(service).script = [&, service](const http1_request& request,
+                                                       any_answer& answer) {
+      if (request.head.Find("Last-Event-Id")) {
+        resumed.push_back(service);
+        SendEvents(request, answer, 3, 4);
+        answer.End();
+      } else {
+        begun.push_back(service);
+        SendEvents(request, answer, 1, 2);
+        answer.Abort();
+      }
+    };
+  }
+  const auto send = [&](const std::string& id, const std::string& headers) {
+    fake_caller caller(platform);
+    caller.socket.Write("POST /stream/ HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id + "\r\n" +
+                        headers + "X-Deadline-Ms: 4000\r\nContent-Length: 4\r\n\r\nbody");
+    CHECK(caller.Wait([&] { return !caller.open || caller.received.ends_with("0\r\n\r\n"); }));
+  };
+  constexpr int kStreams = 12;
+  for (int i = 0; i < kStreams; ++i) {
+    const std::string id = "first-" + std::to_string(i);
+    send(id, kSizes);
+    send("second-" + std::to_string(i), kSizes + ("Last-Event-Id: 2\r\nResumes: " + id) + "\r\n");
+  }
+  CHECK(begun.size() == kStreams);
+  CHECK(resumed == begun);
+}
+
 }  // namespace
 }  // namespace jacinthspool
