A stream that its caller does not name goes on while there is one version

The list of versions now has to be known only for as long as the stream can have lasted: the longest wait of the route's callers, less the time that this one has left, and a second. For an unnamed stream a version that was merely seen is enough while no gateway that answers has seen another. Two gateways that know of only one version need no third answer. Tests of each; named streams are as strict as before.

--- a/include/jacinthspool/routing/origin_verdict.h
+++ b/include/jacinthspool/routing/origin_verdict.h
@@ -48,9 +48,12 @@
   }
 
   /// \returns true when no further answer can change the verdict.
-  [[nodiscard]] bool settled() const { return noted_ || contested_ || answers_ >= asked_; }
+  [[nodiscard]] bool settled() const {
+    return noted_ || contested_ || answers_ >= asked_ || (!several_ && agreeing_ > 1);
+  }
 
-  /// \returns What is known once the answers are in or have been waited for.
+  /// \returns What is known once the answers are in or have been waited for. A version that was
+  /// only seen is no proof.
   [[nodiscard]] origin_knowledge Conclude() const;
 
  private:
@@ -59,7 +62,7 @@
   std::size_t asked_;
   std::size_t answers_ = 0;
   std::optional<origin_knowledge> noted_;
-  std::optional<origin_knowledge> only_;
+  std::size_t agreeing_ = 0;  ///< Gateways that know that there was only one version.
   bool contested_ = false;
   bool several_ = false;
   std::optional<stream_origin> seen_;  ///< Of the version that the service has.
--- a/include/jacinthspool/routing/retry_detector.h
+++ b/include/jacinthspool/routing/retry_detector.h
@@ -32,6 +32,9 @@
   /// \returns true when the request is probably a retry of a rejected one.
   bool IsRetry(std::string_view route, milliseconds time_left, instant now);
 
+  /// \returns How long the most patient caller of the route was going to wait; 0: unknown.
+  [[nodiscard]] milliseconds LongestWait(std::string_view route) const;
+
  private:
   struct longest_seen {
     double time_left_ms = 0;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -25,6 +25,8 @@
 constexpr milliseconds kStreamRetryAfter = milliseconds(1000);
 /// A stream is at most this multiple of its route's timeout old when its caller takes it up.
 constexpr int kTriesOfStream = 2;
+/// Added to the age that a stream can have by the time that its caller has left.
+constexpr milliseconds kAgeMargin = seconds(1);
 /// Retry-After late in a planned stop: the other gateways serve at once.
 constexpr milliseconds kStopRetryAfter = milliseconds(50);
 
@@ -247,12 +249,12 @@
   stream_directory::resumption wanted{.request = admitted.request.id,
                                       .stream = admitted.request.stream_id,
                                       .service = admitted.service,
-                                      .oldest = kTriesOfStream * admitted.route->timeout};
+                                      .oldest = LongestAge(admitted)};
   streams_.Find(std::move(wanted), std::move(answer),
                 [this, admitted = std::move(admitted)](const stream_directory::finding& found,
                                                        http1_responder to) mutable {
                   const stream_origin& origin = found.origin.origin;
-                  const std::string_view obstacle = ObstacleTo(found, *admitted.route);
+                  const std::string_view obstacle = ObstacleTo(found, admitted);
                   ReportTakenUp(admitted.request, found, obstacle);
                   if (!obstacle.empty()) {
                     Reject(std::move(to), http_status::kServiceUnavailable, admitted.request.id,
@@ -264,14 +266,29 @@
                 });
 }
 
+microseconds gateway::LongestAge(const admissible& admitted) const {
+  const milliseconds timeout = admitted.route->timeout;
+  const auto& left = admitted.request.time_left;
+  const milliseconds longest = context_.retries.LongestWait(admitted.route->name);
+  if (!left || longest == milliseconds(0)) {
+    return kTriesOfStream * timeout;
+  }
+  const milliseconds waited = std::max(std::max(timeout, longest) - *left, milliseconds(0));
+  return std::min<milliseconds>(waited + kAgeMargin, kTriesOfStream * timeout);
+}
+
 std::string_view gateway::ObstacleTo(const stream_directory::finding& found,
-                                     const forward_route& route) const {
+                                     const admissible& admitted) const {
   const stream_origin& origin = found.origin.origin;
-  if (found.origin.evidence != origin_evidence::kNoted &&
-      found.origin.evidence != origin_evidence::kOnlyVersion) {
+  const origin_evidence evidence = found.origin.evidence;
+  // A stream that is not named can't have been remembered, so nobody's silence tells against it.
+  const bool known =
+      evidence == origin_evidence::kNoted || evidence == origin_evidence::kOnlyVersion ||
+      (evidence == origin_evidence::kSeenVersion && admitted.request.stream_id.empty());
+  if (!known) {
     return "the version that began the stream is unknown";
   }
-  if (std::ranges::none_of(route.targets, [&](const route_target& target) {
+  if (std::ranges::none_of(admitted.route->targets, [&](const route_target& target) {
         return target.service == origin.service;
       })) {
     return "the service of the stream is not on its route";
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -149,7 +149,9 @@
   void TakeUp(admissible admitted, http1_responder answer);
   /// \returns Why the stream cannot go on; empty: it can.
   [[nodiscard]] std::string_view ObstacleTo(const stream_directory::finding& found,
-                                            const forward_route& route) const;
+                                            const admissible& admitted) const;
+  /// \returns The greatest age of the stream, by the time that callers of its route wait.
+  [[nodiscard]] microseconds LongestAge(const admissible& admitted) const;
   /// \returns The number of servers that can go on with a stream of that origin.
   [[nodiscard]] std::size_t ServersOf(const stream_origin& origin) const;
   void ReportTakenUp(const forward_request& request, const stream_directory::finding& found,
--- a/src/gateway/stream_directory.cc
+++ b/src/gateway/stream_directory.cc
@@ -75,7 +75,7 @@
 
 void stream_directory::Find(resumption wanted, http1_responder answer, on_found then) {
   const instant now = timer_service::now();
-  const std::uint64_t stream = HashKey(wanted.stream);
+  const std::uint64_t stream = HashKey(wanted.stream.empty() ? wanted.request : wanted.stream);
   const origin_knowledge own = wanted.stream.empty()
                                    ? history_.EvidenceOf(wanted.service, wanted.oldest, now)
                                    : Own(stream, wanted.service, wanted.oldest, now);
--- a/src/routing/origin_verdict.cc
+++ b/src/routing/origin_verdict.cc
@@ -32,7 +32,7 @@
       noted_ = knowledge;
       return;
     case origin_evidence::kOnlyVersion:
-      only_ = knowledge;
+      ++agreeing_;
       [[fallthrough]];
     case origin_evidence::kSeenVersion:
       several_ = several_ || (seen_ && *seen_ != knowledge.origin);
@@ -55,7 +55,11 @@
     return {.evidence = origin_evidence::kSeveral};
   }
   const bool heard = asked_ == 0 || answers_ > 0;
-  return only_ && heard ? *only_ : origin_knowledge();
+  if (!heard || !seen_) {
+    return {};
+  }
+  return {.evidence = agreeing_ > 0 ? origin_evidence::kOnlyVersion : origin_evidence::kSeenVersion,
+          .origin = *seen_};
 }
 
 }  // namespace jacinthspool
--- a/src/routing/retry_detector.cc
+++ b/src/routing/retry_detector.cc
@@ -21,4 +21,11 @@
   return left_ms < settings_.first_try_share * known_ms;
 }
 
+milliseconds retry_detector::LongestWait(std::string_view route) const {
+  const auto found = routes_.find(route);
+  return found == routes_.end()
+             ? milliseconds(0)
+             : milliseconds(static_cast<std::int64_t>(found->second.time_left_ms));
+}
+
 }  // namespace jacinthspool
--- a/tests/gateway/software_version_test.cc
+++ b/tests/gateway/software_version_test.cc
@@ -204,6 +204,53 @@
   CHECK(timer_service::now() - start < milliseconds(500));
 }
 
+TEST_CASE("a stream that its caller does not name goes on while its service has one version") {
+  fake_platform platform;
+  platform.Configure();
+  std::vector<std::string> resumed;
+  for (const std::string software : {"v1", "v2"}) {
+    platform.AddBackend("model", engine_stage::kNone, software).script =
+        [&, software](const http1_request& request, any_answer& answer) {
+          resumed.push_back(software);
+          SendEvents(request, answer, 3, 4);
+          answer.End();
+        };
+  }
+  const auto resume = [&] {
+    fake_caller caller(platform);
+    caller.Send("/stream/", kSizes + std::string("Last-Event-Id: 2\r\n"));
+    CHECK(caller.Wait([&] { return caller.received.find("\r\n\r\n") != std::string::npos; }));
+    return caller.received.substr(0, caller.received.find("\r\n"));
+  };
+  CHECK(resume().starts_with("HTTP/1.1 503"));
+  CHECK(resumed.empty());
+
+  SUBCASE("and not until streams of the other one can no longer be taken up") {
+    platform.router.OnPublisherRegained();
+    platform.router.OnBackendRemoved("i-1", ++platform.revision);
+    CHECK(resume().starts_with("HTTP/1.1 503"));
+    CHECK(resumed.empty());
+  }
+}
+
+TEST_CASE("a stream that its caller does not name goes on at a gateway that has just started") {
+  fake_platform platform;
+  platform.Configure();
+  platform.AddBackend("model").script = [](const http1_request& request, any_answer& answer) {
+    SendEvents(request, answer, 3, 4);
+    answer.End();
+  };
+  fake_caller caller(platform);
+  SUBCASE("as its service has one version") {
+    caller.Send("/stream/", kSizes + std::string("Last-Event-Id: 2\r\n"));
+    CHECK(caller.Receives("0\r\n\r\n"));
+  }
+  SUBCASE("but not one that is named, which others would remember") {
+    caller.Send("/stream/", kSizes + std::string("Last-Event-Id: 2\r\nResumes: r0\r\n"));
+    CHECK(caller.Receives("HTTP/1.1 503"));
+  }
+}
+
 TEST_CASE("a stream of a split route goes on at the service that began it") {
   fake_platform platform;
   platform.Configure();
