--- a/src/gateway/credit_messages.cc
+++ b/src/gateway/credit_messages.cc
@@ -5,28 +5,11 @@
 #include <memory>
 
 #include "schema/generated/credit_generated.h"
+#include "src/gateway/flatbuffer_codec.h"
 
 namespace jacinthspool {
 namespace {
 
-template <typename table>
-std::string Encode(const typename table::NativeTableType& value) {
-  flatbuffers::FlatBufferBuilder builder;
-  builder.Finish(table::Pack(builder, &value));
-  return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
-}
-
-template <typename table>
-std::optional<typename table::NativeTableType> Decode(std::string_view bytes) {
-  flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
-  if (!verifier.VerifyBuffer<table>(nullptr)) {
-    return std::nullopt;
-  }
-  typename table::NativeTableType value;
-  flatbuffers::GetRoot<table>(bytes.data())->UnPackTo(&value);
-  return value;
-}
-
 bool IsAmount(double value) { return std::isfinite(value) && value >= 0; }
 
 }  // namespace
@@ -47,11 +30,11 @@
     ask->returned = each.returned;
     wire.asks.push_back(std::move(ask));
   }
-  return Encode<credit::question>(wire);
+  return EncodeTable<credit::question>(wire);
 }
 
 std::optional<credit_question> DecodeQuestion(std::string_view bytes) {
-  auto wire = Decode<credit::question>(bytes);
+  auto wire = DecodeTable<credit::question>(bytes);
   if (!wire || wire->gateway.empty()) {
     return std::nullopt;
   }
@@ -83,12 +66,12 @@
     answer->askers = each.askers;
     wire.answers.push_back(std::move(answer));
   }
-  return Encode<credit::reply>(wire);
+  return EncodeTable<credit::reply>(wire);
 }
 
 std::optional<std::vector<credit_answer>> DecodeAnswers(std::string_view bytes) {
   constexpr std::uint64_t kLongestWait = 60'000'000;
-  const auto wire = Decode<credit::reply>(bytes);
+  const auto wire = DecodeTable<credit::reply>(bytes);
   if (!wire) {
     return std::nullopt;
   }
--- a/src/gateway/peer_exchange.cc
+++ b/src/gateway/peer_exchange.cc
@@ -58,7 +58,6 @@
     // Callers still take up the streams that this gateway has begun.
     Log(log_level::kError, "stream_messages_unavailable", {{"reason", unbound}});
   }
-  UpdateMembers(start_);
   QueryPeers();
   news_check_ = settings_.timers.Every(kNewsCheckPeriod, [this](instant /*now*/) {
     const bool had_pace_news = std::exchange(had_pace_news_, settings_.owner.has_pace_news());
@@ -160,13 +159,14 @@
   });
   const std::string address(request.head.Find(kGatewayAddressHeader).value_or(""));
   socket_address parsed;
-  if (ParseSocketAddress(address, parsed)) {
-    addresses_.OnContact(address, now);
+  if (!ParseSocketAddress(address, parsed)) {
+    return;
   }
+  addresses_.OnContact(address, now);
   const bool configured =
       address == settings_.listen ||
       std::find(settings_.peers.begin(), settings_.peers.end(), address) != settings_.peers.end();
-  if (configured || !ParseSocketAddress(address, parsed)) {
+  if (configured) {
     return;
   }
   if (learned_.size() < kMaxLearned || learned_.contains(address)) {
--- a/src/gateway/queued_place.h
+++ b/src/gateway/queued_place.h
@@ -2,10 +2,14 @@
 #define JACINTHSPOOL_GATEWAY_QUEUED_PLACE_H_
 
 #include <functional>
+#include <string_view>
 #include <utility>
 
 namespace jacinthspool {
 
+/// Reason of a rejection from either queue, for the log.
+inline constexpr std::string_view kNoServerOfVersion = "no server of the stream's version";
+
 /// \brief A request's place in the queue of a dispatcher; destroying it withdraws the request.
 ///
 /// A dispatcher calls no handler of a request before it has handed out its place, and none after
--- a/src/gateway/reservation_dispatcher.h
+++ b/src/gateway/reservation_dispatcher.h
@@ -19,8 +19,6 @@
 
 /// Reason of a rejection, for the log.
 inline constexpr std::string_view kNoSeatInTime = "no seat in time";
-/// Likewise.
-inline constexpr std::string_view kNoServerOfVersion = "no server of the stream's version";
 
 /// \brief Memory that a decode engine has reserved for one request.
 struct decode_reservation {
--- a/src/gateway/slot_dispatcher.cc
+++ b/src/gateway/slot_dispatcher.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "src/gateway/reservation_dispatcher.h"
-
 namespace jacinthspool {
 namespace {
 
--- a/src/gateway/snapshot.cc
+++ b/src/gateway/snapshot.cc
@@ -8,6 +8,7 @@
 
 #include "jacinthspool/impl/overloaded.h"
 #include "schema/generated/snapshot_generated.h"
+#include "src/gateway/flatbuffer_codec.h"
 #include "src/gateway/record_check.h"
 #include "src/transport/timer_service.h"
 
@@ -465,18 +466,15 @@
   }
   wire.members = value.members;
   wire.members_digest = value.members_digest;
-  flatbuffers::FlatBufferBuilder builder;
-  builder.Finish(snapshot::gateway_snapshot::Pack(builder, &wire));
-  return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
+  return EncodeTable<snapshot::gateway_snapshot>(wire);
 }
 
 std::optional<gateway_snapshot> DecodeSnapshot(std::string_view bytes) {
-  flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
-  if (!snapshot::Verifygateway_snapshotBuffer(verifier)) {
+  const auto decoded = DecodeTable<snapshot::gateway_snapshot>(bytes);
+  if (!decoded) {
     return std::nullopt;
   }
-  snapshot::gateway_snapshot_value wire;
-  snapshot::Getgateway_snapshot(bytes.data())->UnPackTo(&wire);
+  const snapshot::gateway_snapshot_value& wire = *decoded;
   gateway_snapshot value{.configuration = nullptr,
                          .backends = {},
                          .list_position = {wire.list_era, wire.list_revision},
--- a/src/gateway/stream_messages.cc
+++ b/src/gateway/stream_messages.cc
@@ -4,6 +4,7 @@
 
 #include "jacinthspool/impl/overloaded.h"
 #include "schema/generated/streams_generated.h"
+#include "src/gateway/flatbuffer_codec.h"
 
 namespace jacinthspool {
 namespace {
@@ -42,18 +43,15 @@
                           wire.age_ms = ToWire(answered.knowledge.age);
                         }},
              message);
-  flatbuffers::FlatBufferBuilder builder;
-  builder.Finish(streams::message::Pack(builder, &wire));
-  return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
+  return EncodeTable<streams::message>(wire);
 }
 
 std::optional<stream_message> DecodeStreamMessage(std::string_view bytes) {
-  flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
-  if (!verifier.VerifyBuffer<streams::message>(nullptr)) {
+  auto decoded = DecodeTable<streams::message>(bytes);
+  if (!decoded) {
     return std::nullopt;
   }
-  streams::message_value wire;
-  flatbuffers::GetRoot<streams::message>(bytes.data())->UnPackTo(&wire);
+  streams::message_value& wire = *decoded;
   stream_origin origin{.service = std::move(wire.service), .software = std::move(wire.software)};
   switch (wire.kind) {
     case streams::message_kind::tell:
