--- a/include/jacinthspool/routing/backend_list.h
+++ b/include/jacinthspool/routing/backend_list.h
@@ -1,6 +1,7 @@
 #ifndef JACINTHSPOOL_ROUTING_BACKEND_LIST_H_
 #define JACINTHSPOOL_ROUTING_BACKEND_LIST_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -82,6 +83,9 @@
   /// \returns The removals after that position that were not deferred.
   [[nodiscard]] std::vector<departed_backend> DepartedAfter(const store_position& after) const;
 
+  /// \returns The number of servers whose removal is deferred.
+  [[nodiscard]] std::size_t deferred() const { return deferred_removals_.size(); }
+
   /// \returns The position from which on removals may have been missed or deferred.
   [[nodiscard]] store_position lost_at() const { return lost_at_; }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -424,9 +424,13 @@
 }
 
 void gateway::OnBackends(std::vector<backend_record> records, store_position at) {
-  Log(log_level::kInfo, "backends_listed",
-      {{"count", records.size()}, {"era", at.era}, {"revision", at.revision}});
+  const std::size_t count = records.size();
   context_.backends.Replace(std::move(records), at, timer_service::now());
+  Log(log_level::kInfo, "backends_listed",
+      {{"count", count},
+       {"deferred", context_.backends.deferred()},
+       {"era", at.era},
+       {"revision", at.revision}});
   list_known_ = true;
   UpdateSelector();
   UpdateHistory();
@@ -458,10 +462,11 @@
   const auto& listed = context_.backends.backends();
   const auto known = listed.find(id);
   const auto before = known == listed.end() ? std::nullopt : std::optional(known->second);
+  context_.backends.Remove(id, at, timer_service::now());
   if (before) {
-    Log(log_level::kInfo, "backend_removed", {{"backend", id}, {"revision", at.revision}});
+    Log(log_level::kInfo, "backend_removed",
+        {{"backend", id}, {"revision", at.revision}, {"in_force", !listed.contains(id)}});
   }
-  context_.backends.Remove(id, at, timer_service::now());
   if (before && !listed.contains(id)) {
     OnLapsed(*before);
   }
