--- a/src/gateway/discovery.h
+++ b/src/gateway/discovery.h
@@ -41,6 +41,8 @@
   timer_service& timers;
   std::string publisher;      ///< ip:port
   milliseconds change_bound;  ///< Longest time from the publication of a change to its report.
+  /// Period in which servers renew what they publish; 0: not known.
+  milliseconds heartbeat = milliseconds(0);
   /// The configuration is confirmed several times within this, where the platform can; 0: no bound.
   milliseconds confirm_bound = milliseconds(0);
 };
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -91,6 +91,7 @@
                                            .timers = timers_,
                                            .publisher = settings.publisher,
                                            .change_bound = milliseconds(settings.change_bound_ms),
+                                           .heartbeat = milliseconds(settings.heartbeat_ms),
                                            .confirm_bound = milliseconds(settings.key_bound_ms)});
     discovery_->Start(gateway_);
     loop_.OnSignal(SIGTERM, [this] { Stop(); });
--- a/src/settings/process_checks.cc
+++ b/src/settings/process_checks.cc
@@ -51,6 +51,7 @@
   CheckNotZero(place, "repeat_window_s", gateway.repeat_window_s);
   CheckNotZero(place, "stop_grace_s", gateway.stop_grace_s);
   CheckNotZero(place, "change_bound_ms", gateway.change_bound_ms);
+  CheckNotZero(place, "heartbeat_ms", gateway.heartbeat_ms);
   if (!(gateway.repeat_ratio >= 0 && gateway.repeat_ratio <= 1)) {
     place.Add("repeat_ratio", "must be between 0 and 1");
   }
--- a/tests/soak/store_standin.cc
+++ b/tests/soak/store_standin.cc
@@ -250,16 +250,23 @@
   }
   watches_.push_back(std::move(watch));
   const auto place = std::prev(watches_.end());
-  place->timeout = timers_.After(wait, [this, answer = place->answer.get()](instant /*now*/) {
-    const auto found = std::find_if(watches_.begin(), watches_.end(),
-                                    [&](const auto& each) { return each.answer.get() == answer; });
-    if (found != watches_.end()) {
-      const std::shared_ptr<any_answer> open_answer = found->answer;
-      watches_.erase(found);
-      Answer(*open_answer, http_status::kOk,
-             json{{"events", json::array()}, {"storeRevision", content_.revision}}.dump());
-    }
-  });
+  const bool cut = cut_after_ && *cut_after_ < wait;
+  place->timeout = timers_.After(
+      cut ? *cut_after_ : wait, [this, cut, answer = place->answer.get()](instant /*now*/) {
+        const auto found = std::find_if(watches_.begin(), watches_.end(), [&](const auto& each) {
+          return each.answer.get() == answer;
+        });
+        if (found != watches_.end()) {
+          const std::shared_ptr<any_answer> open_answer = found->answer;
+          watches_.erase(found);
+          if (cut) {
+            open_answer->Abort();
+            return;
+          }
+          Answer(*open_answer, http_status::kOk,
+                 json{{"events", json::array()}, {"storeRevision", content_.revision}}.dump());
+        }
+      });
 }
 
 void store_standin::NotifyWatches() {
--- a/tests/soak/store_standin.h
+++ b/tests/soak/store_standin.h
@@ -45,6 +45,9 @@
   /// \brief Loses the answers of the waiting watches, whose connections stay open and silent.
   void LoseWatches();
 
+  /// \brief Closes the connection of each watch that has waited for that long; nothing: of none.
+  void CutWatchesAfter(std::optional<milliseconds> wait) { cut_after_ = wait; }
+
   /// \brief Makes a backup of the current content.
   void BackUp();
   /// \brief Restores the backup: later writes are lost, and a new era begins.
@@ -103,6 +106,7 @@
   std::list<std::shared_ptr<any_answer>> unanswered_;
   std::list<std::shared_ptr<any_answer>> lost_;  ///< Never answered.
   behaviour behaviour_ = behaviour::kServing;
+  std::optional<milliseconds> cut_after_;
   std::uint64_t calls_ = 0;
   std::size_t page_size_ = std::numeric_limits<std::size_t>::max();
 };
