A number of the settings that can't be used has its default, and fractions are used

Callers: after a bound had become 7.5 in place of 8 and all gateways were killed, none started again; none of 600 requests was served.

Cause: the schema read the numbers that the platform fills in as whole, and a fault in one refused the whole file (exit code 3, "stop_grace_s: must be a whole number"). The reload before had kept the old settings, so that nothing showed it.

The numbers of a gateway's and a sidecar's settings may be fractions. One of another type or out of range is replaced by its default at a start, with a line on standard error; a reload that is refused says what the next start does, and a metric counts its faults. Addresses and names have no default and are refused as before. Whole numbers may be written as 8.0 or 1e3 in all documents and records. check looks at a gateway's or sidecar's file as such.

--- a/src/cli/check_command.cc
+++ b/src/cli/check_command.cc
@@ -89,11 +89,20 @@
     if (!process) {
       return;
     }
-    CheckRole(*process, process->backend ? process_role::kAgent : process_role::kEntry, file,
-              found_);
+    CheckRole(*process, RoleOf(*process), file, found_);
     CheckEmbeddedReferences(*process, file, found_);
   }
 
+  static process_role RoleOf(const process_settings& process) {
+    if (process.gateway) {
+      return process_role::kGateway;
+    }
+    if (process.sidecar) {
+      return process_role::kSidecar;
+    }
+    return process.backend ? process_role::kAgent : process_role::kEntry;
+  }
+
   std::optional<document_kind> kind_;
   findings found_;
   bool unreadable_ = false;
--- a/src/cli/daemon_commands.cc
+++ b/src/cli/daemon_commands.cc
@@ -59,10 +59,15 @@
     return nullptr;
   }
   findings found;
-  auto process = ParseProcess(*text, file, found);
+  findings replaced;
+  auto process = ParseProcess(*text, file, found, &replaced);
   if (process) {
     CheckRole(*process, command.role, file, found);
   }
+  for (const finding& each : replaced) {
+    PrintError(std::string(command.name) + ": " + each.place + ": " + each.text +
+               "; the default holds");
+  }
   for (const finding& each : found) {
     PrintError(std::string(command.name) + ": " + each.place + ": " + each.text);
   }
--- a/src/coordination/from_seconds.h
+++ b/src/coordination/from_seconds.h
@@ -16,6 +16,13 @@
       std::chrono::duration<double>(std::clamp(value, 0.0, kMaxSeconds)));
 }
 
+/// \brief Converts a number of milliseconds from the settings, likewise limited; a fraction is
+/// dropped.
+[[nodiscard]] inline milliseconds FromMilliseconds(double value) {
+  constexpr double kPerSecond = 1000;
+  return std::chrono::duration_cast<milliseconds>(FromSeconds(value / kPerSecond));
+}
+
 }  // namespace jacinthspool
 
 #endif  // JACINTHSPOOL_COORDINATION_FROM_SECONDS_H_
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "jacinthspool/impl/rendezvous.h"
+#include "src/coordination/from_seconds.h"
 #include "src/gateway/backend_notices.h"
 #include "src/gateway/caller_check.h"
 #include "src/gateway/pace_notes.h"
@@ -87,10 +88,10 @@
 gateway::~gateway() = default;
 
 void gateway::ApplySettings(const gateway_settings& settings) {
-  context_.budget.SetLimits(settings.repeat_ratio, seconds(settings.repeat_window_s),
+  context_.budget.SetLimits(settings.repeat_ratio, FromSeconds(settings.repeat_window_s),
                             settings.repeat_extra);
-  context_.bytes.SetMemoryLimit(settings.memory_limit_mb);
-  context_.freshness.SetBound(milliseconds(settings.key_bound_ms));
+  context_.bytes.SetMemoryLimit(static_cast<std::uint32_t>(settings.memory_limit_mb));
+  context_.freshness.SetBound(FromMilliseconds(settings.key_bound_ms));
 }
 
 void gateway::SetGateways(std::uint32_t gateways) {
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -5,10 +5,12 @@
 #include <fstream>
 #include <optional>
 #include <sstream>
+#include <string_view>
 #include <utility>
 
 #include "jacinthspool/routing/planned_stop.h"
 #include "src/cli/exit_code.h"
+#include "src/coordination/from_seconds.h"
 #include "src/gateway/gateway.h"
 #include "src/gateway/peer_exchange.h"
 #include "src/telemetry/log.h"
@@ -87,12 +89,13 @@
     if (!callers_ || !ready_ || !peers_->Start(error) || !StartMetrics(settings, error)) {
       return false;
     }
-    discovery_ = platform_.open_discovery({.loop = loop_,
-                                           .timers = timers_,
-                                           .publisher = settings.publisher,
-                                           .change_bound = milliseconds(settings.change_bound_ms),
-                                           .heartbeat = milliseconds(settings.heartbeat_ms),
-                                           .confirm_bound = milliseconds(settings.key_bound_ms)});
+    discovery_ =
+        platform_.open_discovery({.loop = loop_,
+                                  .timers = timers_,
+                                  .publisher = settings.publisher,
+                                  .change_bound = FromMilliseconds(settings.change_bound_ms),
+                                  .heartbeat = FromMilliseconds(settings.heartbeat_ms),
+                                  .confirm_bound = FromMilliseconds(settings.key_bound_ms)});
     discovery_->Start(gateway_);
     loop_.OnSignal(SIGTERM, [this] { Stop(); });
     loop_.OnSignal(SIGHUP, [this] { Reload(); });
@@ -147,8 +150,8 @@
       return;
     }
     const instant begun = timer_service::now();
-    stop_.emplace(
-        planned_stop::options{.begun = begun, .grace = seconds(process_->gateway->stop_grace_s)});
+    stop_.emplace(planned_stop::options{.begun = begun,
+                                        .grace = FromSeconds(process_->gateway->stop_grace_s)});
     Log(log_level::kInfo, "stopping",
         {{"in_progress", callers_->in_progress()},
          {"accepts_for_ms", (stop_->accepts_until() - begun) / milliseconds(1)},
@@ -174,20 +177,30 @@
     }
   }
 
+  /// \param next_start What the next start does if the file stays as it is.
+  static void ReportRefused(const findings& found, std::string_view next_start) {
+    for (const finding& each : found) {
+      Log(log_level::kError, "reload_refused",
+          {{"place", each.place}, {"reason", each.text}, {"next_start", next_start}});
+    }
+  }
+
   /// Reads the settings file again; settings that need a restart are not applied.
   void Reload() {
     std::ifstream file(process_file_);
     std::stringstream text;
     text << file.rdbuf();
     findings found;
-    const auto next = ParseProcess(text.str(), process_file_, found);
+    findings replaced;
+    const auto next = ParseProcess(text.str(), process_file_, found, &replaced);
     if (next) {
       CheckRole(*next, process_role::kGateway, process_file_, found);
     }
-    if (!next || !found.empty()) {
-      for (const finding& each : found) {
-        Log(log_level::kError, "reload_refused", {{"place", each.place}, {"reason", each.text}});
-      }
+    ReportRefused(found, "fails");
+    ReportRefused(replaced, "uses the default");
+    gateway_.metrics().Set("gateway_settings_refused", {},
+                           static_cast<double>(found.size() + replaced.size()));
+    if (!next || !found.empty() || !replaced.empty()) {
       return;
     }
     process_ = next;
--- a/src/settings/process_checks.cc
+++ b/src/settings/process_checks.cc
@@ -48,21 +48,11 @@
   CheckAddress(place, "snapshot_listen", gateway.snapshot_listen, port_rule::kMayBeZero);
   CheckOptionalAddress(place, "metrics_listen", gateway.metrics_listen, port_rule::kMayBeZero);
   CheckAddress(place, "publisher", gateway.publisher);
-  CheckNotZero(place, "repeat_window_s", gateway.repeat_window_s);
-  CheckNotZero(place, "stop_grace_s", gateway.stop_grace_s);
-  CheckNotZero(place, "change_bound_ms", gateway.change_bound_ms);
-  CheckNotZero(place, "heartbeat_ms", gateway.heartbeat_ms);
-  if (!(gateway.repeat_ratio >= 0 && gateway.repeat_ratio <= 1)) {
-    place.Add("repeat_ratio", "must be between 0 and 1");
-  }
 }
 
 void CheckSidecar(const sidecar_settings& sidecar, document_place& place) {
   const place_scope scope(place, std::string("sidecar"));
   CheckAddress(place, "engine", sidecar.engine);
-  if (sidecar.prefill_percent > 100) {
-    place.Add("prefill_percent", "must be at most 100");
-  }
 }
 
 /// Checks the documents that a source of kind "file" embeds.
--- a/src/settings/schema_reader.cc
+++ b/src/settings/schema_reader.cc
@@ -9,6 +9,7 @@
 #include <numeric>
 #include <vector>
 
+#include "jacinthspool/impl/whole_number.h"
 #include "schema/generated/settings_bfbs_generated.h"
 #include "src/settings/document_place.h"
 
@@ -52,6 +53,13 @@
   }
 }
 
+std::optional<std::uint64_t> WholeValue(const nlohmann::json& value) {
+  if (value.is_number_unsigned()) {
+    return value.get<std::uint64_t>();
+  }
+  return value.is_number_float() ? WholeNumber(value.get<double>()) : std::nullopt;
+}
+
 /// One member of a table: the bits of a scalar, or the offset of a value that was encoded first.
 struct encoded_member {
   const reflection::Field* field;
@@ -126,15 +134,16 @@
       }
       return std::bit_cast<std::uint64_t>(value.get<double>());
     }
-    if (value.is_number_integer() && !value.is_number_unsigned()) {
+    if (value.is_number() && value.get<double>() < 0) {
       place_.Add("must not be negative");
       return 0;
     }
-    if (!value.is_number_unsigned()) {
+    const std::optional<std::uint64_t> whole = WholeValue(value);
+    if (!whole) {
       ReportWrongType("a whole number", value);
       return 0;
     }
-    const auto number = value.get<std::uint64_t>();
+    const std::uint64_t number = *whole;
     const std::uint64_t largest = LargestOf(type.base_type());
     if (number > largest) {
       place_.Add("is out of range: " + std::to_string(number) + ", at most " +
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -1,21 +1,27 @@
 #include "src/settings/settings.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "src/settings/document_checks.h"
+#include "src/settings/gateway_figures.h"
 #include "src/settings/json_document.h"
 #include "src/settings/schema_reader.h"
 
 namespace jacinthspool {
 
 std::shared_ptr<const process_settings> ParseProcess(std::string_view text, std::string_view place,
-                                                     findings& found) {
-  const auto json = ParseJson(text, place, kMaxProcessFileBytes, found);
+                                                     findings& found, findings* replaced) {
+  auto json = ParseJson(text, place, kMaxProcessFileBytes, found);
   if (!json) {
     return nullptr;
   }
+  findings unusable;
+  ReplaceUnusableFigures(*json, place, unusable);
   auto process = ReadBySchema<config::process_settings>(*json, "process_settings", place, found);
-  if (!process) {
+  findings& reported = replaced == nullptr ? found : *replaced;
+  std::ranges::move(unusable, std::back_inserter(reported));
+  if (!process || !found.empty()) {
     return nullptr;
   }
   if (process->operators) {
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -34,8 +34,11 @@
 
 /// \brief Parses and checks a document. Adds every fault to `found`.
 /// \returns Nothing when there was any fault.
+///
+/// \param replaced Receives the faults of numbers that have a safe default, which then holds;
+/// null: they are faults like others.
 std::shared_ptr<const process_settings> ParseProcess(std::string_view text, std::string_view place,
-                                                     findings& found);
+                                                     findings& found, findings* replaced = nullptr);
 std::shared_ptr<const operator_settings> ParseOperators(std::string_view text,
                                                         std::string_view place, findings& found);
 std::shared_ptr<const team_settings> ParseTeam(std::string_view text, std::string_view place,
--- a/src/sidecar/sidecar_daemon.cc
+++ b/src/sidecar/sidecar_daemon.cc
@@ -33,7 +33,7 @@
       : process_(std::move(process)),
         platform_(std::move(platform)),
         client_({.loop = loop_, .timers = timers_}),
-        plan_({.prefill_percent = process_->sidecar->prefill_percent}),
+        plan_({.prefill_percent = static_cast<std::uint32_t>(process_->sidecar->prefill_percent)}),
         random_(std::random_device{}()) {}
 
   void Run() {
--- a/tests/platform/store_records_test.cc
+++ b/tests/platform/store_records_test.cc
@@ -315,6 +315,15 @@
   for (const char* number : {"1e300", "1e18", "4294967296", "-1", "\"1\"", "null"}) {
     refused("\"holdMs\":2000.0", "\"holdMs\":" + std::string(number));
   }
+  SUBCASE("whole numbers may be written as fractions or with an exponent") {
+    for (const char* number : {"900.0", "9e2", "9.0E+2", "90000e-2"}) {
+      const auto read = DecodeConfiguration(
+          Replaced(kConfiguration, "\"goalMs\":900", "\"goalMs\":" + std::string(number)), error);
+      CAPTURE(number);
+      REQUIRE(read);
+      CHECK(read->routes[0].latency_objective == milliseconds(900));
+    }
+  }
   SUBCASE("the longest times are read as they are") {
     const auto longest = DecodeConfiguration(
         Replaced(kConfiguration, "\"goalMs\":900", "\"goalMs\":4294967295"), error);
