Only a list that is confirmed since proves that a service has one version

A gateway that had been cut off while servers of another version joined let streams of that version, begun elsewhere, go on at the old one, once any other gateway answered, also one that had just started and knew nothing.

Cause: software_history called its list complete until a call to the store failed, and origin_verdict took a list that was complete in this sense for proof.

The history now knows up to which moment its list holds, the sending of the last call that the store answered. A stream that its caller names, and that nobody remembers, goes on only if the list was confirmed after the caller came back; the watch is called without waiting for that, at most once in 100 ms. Lists of others only speak against it, and a gateway that knows nothing is not heard. The history goes on over failed calls, since the watch goes on from its revision.

Two cases of stream_origins_test stated the fault ("proof once another gateway has answered", with an answer that knew nothing; two agreeing gateways settle a named stream); they are replaced by cases that ask for more.

--- a/include/jacinthspool/routing/origin_verdict.h
+++ b/include/jacinthspool/routing/origin_verdict.h
@@ -31,25 +31,46 @@
 
 /// \brief Decides from what several gateways know where a stream began.
 ///
-/// What one remembers is proof. That a service had only one version is proof only if nobody knows
-/// better, since a gateway may not have heard of a new version yet.
+/// What one remembers is proof. That a service had only one version is proof if this gateway's list
+/// has been confirmed since, and nobody knows better. Without proof only a stream that its caller
+/// does not name may go on, which nobody can have remembered.
 ///
 /// Load: a few comparisons for each answer.
 class origin_verdict {
  public:
+  struct options {
+    bool named = false;      ///< The caller names the stream.
+    std::size_t others = 0;  ///< How many gateways are asked.
+  };
+
   /// \param own What this gateway knows.
-  /// \param others How many gateways are asked.
-  origin_verdict(const origin_knowledge& own, std::size_t others) : asked_(others) { Add(own); }
+  origin_verdict(const origin_knowledge& own, const options& settings) : settings_(settings) {
+    SetOwn(own);
+  }
+
+  /// \brief This gateway knows more than before.
+  void SetOwn(const origin_knowledge& own) {
+    proved_ = own.evidence == origin_evidence::kOnlyVersion;
+    awaited_ = own.evidence == origin_evidence::kSeenVersion;
+    Add(own);
+  }
 
   /// \brief Adds the answer of one gateway.
   void OnAnswer(const origin_knowledge& answer) {
     ++answers_;
+    heard_ = heard_ || answer.evidence != origin_evidence::kNone;
     Add(answer);
   }
 
   /// \returns true when no further answer can change the verdict.
   [[nodiscard]] bool settled() const {
-    return noted_ || contested_ || answers_ >= asked_ || (!several_ && agreeing_ > 1);
+    if (noted_ || contested_) {
+      return true;
+    }
+    if (settings_.named) {
+      return (proved_ && !several_) || (answers_ >= settings_.others && (several_ || !awaited_));
+    }
+    return answers_ >= settings_.others || (!several_ && agreeing_ > 1);
   }
 
   /// \returns What is known once the answers are in or have been waited for. A version that was
@@ -59,7 +80,10 @@
  private:
   void Add(const origin_knowledge& knowledge);
 
-  std::size_t asked_;
+  options settings_;
+  bool proved_ = false;   ///< This gateway knows that there was only one version.
+  bool awaited_ = false;  ///< It may know so once its list is confirmed.
+  bool heard_ = false;    ///< Some gateway knows something.
   std::size_t answers_ = 0;
   std::optional<origin_knowledge> noted_;
   std::size_t agreeing_ = 0;  ///< Gateways that know that there was only one version.
--- a/include/jacinthspool/routing/software_history.h
+++ b/include/jacinthspool/routing/software_history.h
@@ -1,6 +1,7 @@
 #ifndef JACINTHSPOOL_ROUTING_SOFTWARE_HISTORY_H_
 #define JACINTHSPOOL_ROUTING_SOFTWARE_HISTORY_H_
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -27,14 +28,20 @@
   void Update(const std::map<std::string, backend_record>& listed, instant now);
   /// \brief Applies the newest record of one server.
   void Update(const backend_record& record);
-  /// \param complete Every change of the list reaches this process; what came and went before is
-  /// unknown.
-  void SetComplete(bool complete, instant now);
-
-  /// \returns What the versions that the service's servers had within that time tell of a stream
-  /// that began then.
-  [[nodiscard]] origin_knowledge EvidenceOf(std::string_view service, microseconds within,
-                                            instant now) const;
+  /// \brief A whole list was applied: what came and went before is unknown.
+  void OnList(instant now) { complete_since_ = now; }
+  /// \brief Every change since the list that was published before `sent` has been applied.
+  void OnConfirmed(instant sent) { confirmed_ = std::max(confirmed_, sent); }
+
+  /// \brief When a stream can have begun.
+  struct period {
+    instant oldest{};
+    instant newest{};
+  };
+  /// \returns What the versions that the service's servers have had since `oldest` tell of a stream
+  /// that began in that period. The only version is proof if every change of the whole period is
+  /// known: that no news has come is none.
+  [[nodiscard]] origin_knowledge EvidenceOf(std::string_view service, const period& begun) const;
 
  private:
   struct versions {
@@ -45,6 +52,7 @@
   options settings_;
   std::map<std::string, versions, std::less<>> services_ = {};
   std::optional<instant> complete_since_ = {};
+  instant confirmed_{};
 };
 
 }  // namespace jacinthspool
--- a/src/gateway/discovery.h
+++ b/src/gateway/discovery.h
@@ -27,6 +27,8 @@
   virtual void OnBackendRemoved(const std::string& id, store_position at) = 0;
   virtual void OnPublisherLost(const std::string& reason) = 0;
   virtual void OnPublisherRegained() = 0;
+  /// \brief Every change of the servers that was published before `sent` has been reported.
+  virtual void OnBackendsConfirmed(instant sent) = 0;
   /// \brief Changes of the configuration are not reported until OnConfigurationRegained.
   virtual void OnConfigurationLost() = 0;
   /// \brief Changes of the configuration are reported; called again with each answer.
@@ -53,6 +55,10 @@
   virtual ~discovery_source() = default;
   virtual void Start(discovery_listener& listener) = 0;
 
+  /// \brief Has OnBackendsConfirmed called soon for a time after this one, if the publisher
+  /// answers.
+  virtual void ConfirmBackends() = 0;
+
   /// \brief Reads what is published about one server now.
   /// \param on_read Called once, in a later loop iteration; with nothing when the publisher has not
   /// answered. Not called after this source is destroyed.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -61,6 +61,7 @@
       streams_(context_),
       on_limits_(settings.on_limits),
       configuration_confirmed_(settings.started) {
+  context_.confirm_list = settings.confirm_list;
   // The publisher may have been unavailable before this process started.
   context_.backends.PublisherLost();
   expiry_ = settings.timers.Every(kExpiryPeriod, [this](instant now) {
@@ -420,10 +421,6 @@
   streams_.history().Update(context_.backends.backends(), timer_service::now());
 }
 
-void gateway::UpdateHistory() {
-  streams_.history().SetComplete(list_known_ && !publisher_lost_, timer_service::now());
-}
-
 void gateway::OnBackends(std::vector<backend_record> records, store_position at) {
   const std::size_t count = records.size();
   context_.backends.Replace(std::move(records), at, timer_service::now());
@@ -434,7 +431,7 @@
        {"revision", at.revision}});
   list_known_ = true;
   UpdateSelector();
-  UpdateHistory();
+  streams_.history().OnList(timer_service::now());
 }
 
 void gateway::OnBackendPut(backend_record record) {
@@ -477,14 +474,17 @@
 void gateway::OnPublisherLost(const std::string& /*reason*/) {
   publisher_lost_ = true;
   context_.backends.PublisherLost();
-  UpdateHistory();
 }
 
 void gateway::OnPublisherRegained() {
   if (std::exchange(publisher_lost_, false)) {
     context_.backends.PublisherRegained(timer_service::now());
   }
-  UpdateHistory();
+}
+
+void gateway::OnBackendsConfirmed(instant sent) {
+  streams_.history().OnConfirmed(sent);
+  streams_.OnListConfirmed();
 }
 
 void gateway::OnConfigurationLost() {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -33,6 +33,8 @@
     instant started{};      ///< Start of the process; earlier use of the retry budget is unknown.
     /// Called with the limits of each configuration that becomes active.
     std::function<void(const edge_limits&)> on_limits = {};
+    /// Has the publisher confirm the list of servers; empty: it can't.
+    std::function<void()> confirm_list = {};
   };
 
   explicit gateway(const options& settings);
@@ -59,6 +61,7 @@
   void OnBackendRemoved(const std::string& id, store_position at) override;
   void OnPublisherLost(const std::string& reason) override;
   void OnPublisherRegained() override;
+  void OnBackendsConfirmed(instant sent) override;
   void OnConfigurationLost() override;
   void OnConfigurationRegained() override;
   void OnConfigurationConfirmed(instant sent) override;
@@ -135,8 +138,6 @@
   void ApplyConfiguration(std::shared_ptr<const forward_configuration> next,
                           configuration_source source);
   void UpdateSelector();
-  /// \brief Tells the history of the versions whether it sees every change of the list.
-  void UpdateHistory();
   /// \brief A request that may be admitted.
   struct admissible {
     forward_request request;
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -2,6 +2,7 @@
 #define JACINTHSPOOL_GATEWAY_GATEWAY_CONTEXT_H_
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <random>
 #include <string>
@@ -63,6 +64,8 @@
   std::uint32_t gateways = 1;          ///< That serve the callers, this one included.
   bounded_labels counted_priorities = bounded_labels({});
   bounded_labels counted_tenants = bounded_labels({});
+  /// Has the list of servers confirmed soon; empty: nothing can.
+  std::function<void()> confirm_list = {};
   std::optional<planned_stop> stop = {};  ///< Set once this process has been told to stop.
 };
 
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -31,15 +31,15 @@
         process_file_(std::move(process_file)),
         platform_(std::move(platform)),
         client_({.loop = loop_, .timers = timers_}),
-        gateway_(
-            {.loop = loop_,
-             .timers = timers_,
-             .client = client_,
-             .dialect = *platform_.dialect,
-             .data_centre = process_->data_centre,
-             .name = process_->name,
-             .started = timer_service::now(),
-             .on_limits = [this](const edge_limits& limits) { callers_->SetLimits(limits); }}) {}
+        gateway_({.loop = loop_,
+                  .timers = timers_,
+                  .client = client_,
+                  .dialect = *platform_.dialect,
+                  .data_centre = process_->data_centre,
+                  .name = process_->name,
+                  .started = timer_service::now(),
+                  .on_limits = [this](const edge_limits& limits) { callers_->SetLimits(limits); },
+                  .confirm_list = [this] { discovery_->ConfirmBackends(); }}) {}
 
   bool Start(std::string& error) {
     const gateway_settings& settings = *process_->gateway;
--- a/src/gateway/stream_directory.cc
+++ b/src/gateway/stream_directory.cc
@@ -14,6 +14,8 @@
 constexpr std::size_t kHomes = 3;
 /// A gateway that is silent is asked again after this time, since datagrams may be lost.
 constexpr milliseconds kAskAgainAfter = milliseconds(60);
+/// A list that was confirmed within this time counts as current where that is no proof.
+constexpr milliseconds kListAge = seconds(3);
 /// Counted, as a process that stood still has let time pass without reading the answers.
 constexpr int kMaxAsks = 4;
 
@@ -64,22 +66,29 @@
 }
 
 origin_knowledge stream_directory::Own(std::uint64_t stream, std::string_view service,
-                                       microseconds within, instant now) const {
+                                       const software_history::period& begun) const {
+  const instant now = timer_service::now();
   const stream_origins::entry* entry = known_.Find(stream, now);
   if (entry == nullptr) {
-    return history_.EvidenceOf(service, within, now);
+    return history_.EvidenceOf(service, begun);
   }
   return {.evidence = entry->contested ? origin_evidence::kContested : origin_evidence::kNoted,
           .origin = entry->origin,
           .age = std::chrono::duration_cast<milliseconds>(now - entry->noted)};
 }
 
+origin_knowledge stream_directory::Own(const question& asked) const {
+  const instant oldest = asked.asked - asked.wanted.oldest;
+  if (asked.wanted.stream.empty()) {
+    return history_.EvidenceOf(asked.wanted.service,
+                               {.oldest = oldest, .newest = asked.asked - kListAge});
+  }
+  return Own(asked.stream, asked.wanted.service, {.oldest = oldest, .newest = asked.asked});
+}
+
 void stream_directory::Find(resumption wanted, http1_responder answer, on_found then) {
-  const instant now = timer_service::now();
-  const std::uint64_t stream = HashKey(wanted.stream.empty() ? wanted.request : wanted.stream);
-  const origin_knowledge own = wanted.stream.empty()
-                                   ? history_.EvidenceOf(wanted.service, wanted.oldest, now)
-                                   : Own(stream, wanted.service, wanted.oldest, now);
+  const bool named = !wanted.stream.empty();
+  const std::uint64_t stream = HashKey(named ? wanted.stream : wanted.request);
   // The gateway that began it may be one of the first.
   const std::vector<std::string> homes = HomesOf(stream, kHomes + 1);
   const std::uint64_t number = ++last_question_;
@@ -87,18 +96,44 @@
     Log(log_level::kInfo, "caller_left_before_origin", {{"request", request}});
     questions_.erase(number);
   });
-  questions_.emplace(number, question{.wanted = std::move(wanted),
-                                      .stream = stream,
-                                      .answer = std::move(answer),
-                                      .then = std::move(then),
-                                      .verdict = origin_verdict(own, homes.size()),
-                                      .others = homes.size(),
-                                      .silent = {homes.begin(), homes.end()},
-                                      .asked = now});
-  if (questions_.at(number).verdict.settled()) {
+  question& asked =
+      questions_
+          .emplace(number,
+                   question{.wanted = std::move(wanted),
+                            .stream = stream,
+                            .answer = std::move(answer),
+                            .then = std::move(then),
+                            .verdict = origin_verdict({}, {.named = named, .others = homes.size()}),
+                            .others = homes.size(),
+                            .silent = {homes.begin(), homes.end()},
+                            .asked = timer_service::now()})
+          .first->second;
+  const origin_knowledge own = Own(asked);
+  asked.verdict.SetOwn(own);
+  if (asked.verdict.settled()) {
     Conclude(number);
-  } else {
-    Ask(number);
+    return;
+  }
+  if (named && own.evidence == origin_evidence::kSeenVersion && context_.confirm_list) {
+    context_.confirm_list();
+  }
+  Ask(number);
+}
+
+void stream_directory::OnListConfirmed() {
+  std::vector<std::uint64_t> settled;
+  for (auto& [number, asked] : questions_) {
+    if (!asked.wanted.stream.empty()) {
+      asked.verdict.SetOwn(Own(asked));
+      if (asked.verdict.settled()) {
+        settled.push_back(number);
+      }
+    }
+  }
+  for (const std::uint64_t number : settled) {
+    if (questions_.contains(number)) {
+      Conclude(number);
+    }
   }
 }
 
@@ -152,12 +187,13 @@
 }
 
 void stream_directory::OnMessage(const std::string& from, const stream_asked& asked) {
+  const instant now = timer_service::now();
   (void)socket_->Send(
-      from,
-      EncodeStreamMessage(stream_answered{
-          .question = asked.question,
-          .stream = asked.stream,
-          .knowledge = Own(asked.stream, asked.service, asked.within, timer_service::now())}));
+      from, EncodeStreamMessage(stream_answered{
+                .question = asked.question,
+                .stream = asked.stream,
+                .knowledge = Own(asked.stream, asked.service,
+                                 {.oldest = now - asked.within, .newest = now - kListAge})}));
 }
 
 void stream_directory::OnMessage(const std::string& from, const stream_answered& answered) {
--- a/src/gateway/stream_directory.h
+++ b/src/gateway/stream_directory.h
@@ -45,6 +45,9 @@
   /// \returns The versions that were published, which the owner updates with the list.
   [[nodiscard]] software_history& history() { return history_; }
 
+  /// \brief The history has been confirmed.
+  void OnListConfirmed();
+
   /// \brief A stream has sent its first event.
   /// \param id Of the caller's attempt that brought it.
   /// \param life How long its caller may take it up again.
@@ -87,8 +90,11 @@
 
   /// \returns The other gateways that come first in the rendezvous order of the stream.
   [[nodiscard]] std::vector<std::string> HomesOf(std::uint64_t stream, std::size_t most) const;
+  /// \returns What this gateway knows of a stream that began in that period.
   [[nodiscard]] origin_knowledge Own(std::uint64_t stream, std::string_view service,
-                                     microseconds within, instant now) const;
+                                     const software_history::period& begun) const;
+  /// \returns The same for the stream of a question.
+  [[nodiscard]] origin_knowledge Own(const question& asked) const;
   void Ask(std::uint64_t number);
   /// \brief Asks those again that are silent, or gives up.
   void OnSilence(std::uint64_t number);
--- a/src/routing/origin_verdict.cc
+++ b/src/routing/origin_verdict.cc
@@ -54,12 +54,16 @@
   if (several_) {
     return {.evidence = origin_evidence::kSeveral};
   }
-  const bool heard = asked_ == 0 || answers_ > 0;
-  if (!heard || !seen_) {
+  if (!seen_) {
     return {};
   }
-  return {.evidence = agreeing_ > 0 ? origin_evidence::kOnlyVersion : origin_evidence::kSeenVersion,
-          .origin = *seen_};
+  if (proved_) {
+    return {.evidence = origin_evidence::kOnlyVersion, .origin = *seen_};
+  }
+  // A gateway that nobody tells anything may be the only one that has not heard of a new version.
+  const bool heard = settings_.others == 0 || heard_;
+  return heard ? origin_knowledge{.evidence = origin_evidence::kSeenVersion, .origin = *seen_}
+               : origin_knowledge{};
 }
 
 }  // namespace jacinthspool
--- a/src/routing/software_history.cc
+++ b/src/routing/software_history.cc
@@ -19,26 +19,22 @@
   services_[record.service].last[record.software] = std::nullopt;
 }
 
-void software_history::SetComplete(bool complete, instant now) {
-  complete_since_ = complete ? std::optional(complete_since_.value_or(now)) : std::nullopt;
-}
-
-origin_knowledge software_history::EvidenceOf(std::string_view service, microseconds within,
-                                              instant now) const {
+origin_knowledge software_history::EvidenceOf(std::string_view service, const period& begun) const {
   const auto known = services_.find(service);
   if (known == services_.end()) {
     return {};
   }
   origin_knowledge evidence;
   for (const auto& [version, last] : known->second.last) {
-    if (last && now - *last > within) {
+    if (last && *last < begun.oldest) {
       continue;
     }
     // An unknown version may be any.
     if (version.empty() || evidence.evidence != origin_evidence::kNone) {
       return {.evidence = origin_evidence::kSeveral};
     }
-    const bool complete = complete_since_ && now - *complete_since_ >= within;
+    const bool complete =
+        complete_since_ && *complete_since_ <= begun.oldest && confirmed_ >= begun.newest;
     evidence = {
         .evidence = complete ? origin_evidence::kOnlyVersion : origin_evidence::kSeenVersion,
         .origin = {.service = std::string(service), .software = version}};
--- a/tests/gateway/software_version_test.cc
+++ b/tests/gateway/software_version_test.cc
@@ -87,6 +87,8 @@
   std::vector<backend_record> records;
   std::map<std::string, std::string> begun_at;                  ///< Version by id of the request.
   std::vector<std::pair<std::string, std::string>> resumed_at;  ///< Stream and version.
+  std::size_t listed = 4;              ///< Servers that a gateway is told of when it starts.
+  milliseconds timeout = seconds(10);  ///< Of the route.
 
   two_versions() {
     for (const char* software : {"v1", "v2", "v1", "v2"}) {
@@ -122,13 +124,19 @@
                             .prefix = "/stream/",
                             .kind = request_kind::kStreaming,
                             .max_attempts = 2,
-                            .timeout = seconds(10),
+                            .timeout = timeout,
                             .latency_objective = seconds(1),
                             .silence_limit = seconds(2),
                             .targets = {{.service = "model"}},
                             .resumable = true});
     made->services["model"] = {.name = "model"};
-    peered_gateways::Publish(router, std::move(made), records, records.size());
+    if (listed == 0) {
+      router.OnConfiguration(std::move(made));
+      return;
+    }
+    peered_gateways::Publish(
+        router, std::move(made),
+        {records.begin(), records.begin() + static_cast<std::ptrdiff_t>(listed)}, listed);
   }
 
   /// \brief Lets the gateway begin streams, whose callers leave after the first events.
@@ -204,6 +212,44 @@
   CHECK(timer_service::now() - start < milliseconds(500));
 }
 
+// ORDER: a gateway that was out of step took its old list for proof that there was one version.
+TEST_CASE("a stream of a version that a gateway has not heard of does not go on there") {
+  constexpr int kStreams = 8;
+  two_versions fleet;
+  fleet.timeout = milliseconds(500);
+  fleet.listed = 1;
+  fleet.Start(2);
+  // Twice the timeout: no older stream is taken up again.
+  fleet.Run(milliseconds(1200));
+  const std::string address = fleet.seeds[1];
+  std::string error;
+
+  SUBCASE("after it was cut off while servers of that version joined") {
+    gateway& out_of_step = fleet.members[1]->router;
+    REQUIRE(out_of_step.streams().Open("127.0.0.1:0", error));
+    fleet.members[0]->router.OnBackendPut(fleet.records[1]);
+    const auto streams = fleet.Begin(0, kStreams);
+    SUBCASE("and the gateway that began the stream has just started again") {
+      fleet.listed = 0;
+      fleet.members[0].reset();
+      fleet.Restart(0);
+    }
+    SUBCASE("and is so still") { fleet.members[0].reset(); }
+    REQUIRE(out_of_step.streams().Open(address, error));
+    fleet.Resume(1, streams);
+    CHECK(fleet.MixedStreams() == 0);
+    CHECK(fleet.statuses[503] == kStreams);
+  }
+  SUBCASE("but one of the only version does, once its list has been confirmed since") {
+    gateway& asked = fleet.members[1]->router;
+    const timer_subscription answers =
+        fleet.timers.Every(milliseconds(20), [&](instant now) { asked.OnBackendsConfirmed(now); });
+    fleet.members[0].reset();
+    fleet.Resume(1, {"forgotten-1", "forgotten-2"});
+    CHECK(fleet.statuses[200] == 2);
+  }
+}
+
 TEST_CASE("a stream that its caller does not name goes on while its service has one version") {
   fake_platform platform;
   platform.Configure();
--- a/tests/platform/counting_listener.h
+++ b/tests/platform/counting_listener.h
@@ -22,6 +22,7 @@
   void OnBackendRemoved(const std::string& /*id*/, store_position /*at*/) override {}
   void OnPublisherLost(const std::string& /*reason*/) override { ++lost; }
   void OnPublisherRegained() override {}
+  void OnBackendsConfirmed(instant /*sent*/) override {}
   void OnConfigurationLost() override {}
   void OnConfigurationRegained() override {}
   void OnConfigurationConfirmed(instant /*sent*/) override {}
--- a/tests/platform/cut_watch_test.cc
+++ b/tests/platform/cut_watch_test.cc
@@ -28,6 +28,7 @@
   }
   void OnPublisherLost(const std::string& /*reason*/) override { list.PublisherLost(); }
   void OnPublisherRegained() override { list.PublisherRegained(timer_service::now()); }
+  void OnBackendsConfirmed(instant /*sent*/) override {}
   void OnConfigurationLost() override {}
   void OnConfigurationRegained() override {}
   void OnConfigurationConfirmed(instant /*sent*/) override {}
--- a/tests/platform/large_configuration_test.cc
+++ b/tests/platform/large_configuration_test.cc
@@ -52,6 +52,7 @@
   void OnBackendRemoved(const std::string& /*id*/, store_position /*at*/) override {}
   void OnPublisherLost(const std::string& /*reason*/) override {}
   void OnPublisherRegained() override {}
+  void OnBackendsConfirmed(instant /*sent*/) override {}
   void OnConfigurationLost() override {}
   void OnConfigurationRegained() override {}
   void OnConfigurationConfirmed(instant /*sent*/) override {}
--- a/tests/platform/store_watch_test.cc
+++ b/tests/platform/store_watch_test.cc
@@ -66,6 +66,7 @@
   std::map<std::string, std::string> addresses;
   std::vector<store_position> lists;
   int lost = 0;
+  instant backends_confirmed{};
   std::vector<instant> confirmed;            ///< Sending times.
   std::vector<std::uint64_t> versions_then;  ///< The version known at each.
 
@@ -85,6 +86,7 @@
   }
   void OnPublisherLost(const std::string& /*reason*/) override { ++lost; }
   void OnPublisherRegained() override {}
+  void OnBackendsConfirmed(instant sent) override { backends_confirmed = sent; }
   void OnConfigurationLost() override {}
   void OnConfigurationRegained() override {}
   void OnConfigurationConfirmed(instant sent) override {
@@ -378,6 +380,32 @@
   }
 }
 
+TEST_CASE("the list of servers can be confirmed while the watch waits") {
+  watch_rig rig(seconds(3));
+  const instant asked = timer_service::now();
+  rig.watch.ConfirmBackends();
+  rig.Elapse(milliseconds(60));
+  CHECK(rig.listener.backends_confirmed >= asked);
+
+  SUBCASE("at most once in a tenth of a second") {
+    const std::uint64_t before = rig.store.calls();
+    for (int i = 0; i < 200; ++i) {
+      rig.watch.ConfirmBackends();
+      rig.Elapse(milliseconds(1));
+    }
+    CHECK(rig.listener.backends_confirmed > asked);
+    // Each is a call without waiting and a watch.
+    CHECK(rig.store.calls() - before <= 8);
+  }
+  SUBCASE("and changes are reported as before") {
+    rig.watch.ConfirmBackends();
+    rig.store.Put("servers/b", Registration("10.0.0.2:80"));
+    rig.Elapse(milliseconds(60));
+    CHECK(rig.listener.addresses.size() == 2);
+    CHECK(rig.listener.lost == 0);
+  }
+}
+
 TEST_CASE("a watch that hangs leaves the configuration confirmed within its bound") {
   watch_rig rig(seconds(3), seconds(5));
   rig.Elapse(milliseconds(1600));
--- a/tests/routing/stream_origins_test.cc
+++ b/tests/routing/stream_origins_test.cc
@@ -55,13 +55,18 @@
   const origin_knowledge several{.evidence = origin_evidence::kSeveral};
   const origin_knowledge seen_other{.evidence = origin_evidence::kSeenVersion, .origin = kSecond};
 
+  const auto named = [](std::size_t others) {
+    return origin_verdict::options{.named = true, .others = others};
+  };
+  const auto unnamed = [](std::size_t others) { return origin_verdict::options{.others = others}; };
+
   SUBCASE("what this gateway remembers needs no other") {
-    const origin_verdict verdict(noted, 3);
+    const origin_verdict verdict(noted, named(3));
     CHECK(verdict.settled());
     CHECK(verdict.Conclude().origin == kFirst);
   }
   SUBCASE("what another one remembers is proof, whatever the rest says") {
-    origin_verdict verdict(several, 3);
+    origin_verdict verdict(several, named(3));
     verdict.OnAnswer(nothing);
     CHECK_FALSE(verdict.settled());
     verdict.OnAnswer(noted);
@@ -69,42 +74,62 @@
     CHECK(verdict.Conclude().origin == kFirst);
   }
   SUBCASE("gateways that remember different origins prove nothing") {
-    origin_verdict verdict(nothing, 3);
+    origin_verdict verdict(nothing, named(3));
     verdict.OnAnswer(noted);
     verdict.OnAnswer({.evidence = origin_evidence::kNoted, .origin = kSecond});
     CHECK(verdict.Conclude().evidence == origin_evidence::kContested);
   }
-  SUBCASE("the only version that there was is proof once another gateway has answered") {
-    origin_verdict verdict(only, 2);
-    CHECK(verdict.Conclude().evidence == origin_evidence::kNone);
-    verdict.OnAnswer(nothing);
+  SUBCASE("the only version that there was, as the own list proves, needs no other") {
+    origin_verdict verdict({.evidence = origin_evidence::kSeenVersion, .origin = kFirst}, named(2));
     CHECK_FALSE(verdict.settled());
+    verdict.SetOwn(only);
+    CHECK(verdict.settled());
+    CHECK(verdict.Conclude().evidence == origin_evidence::kOnlyVersion);
     CHECK(verdict.Conclude().origin == kFirst);
   }
-  SUBCASE("for a gateway that is alone, its own list is") {
-    CHECK(origin_verdict(only, 0).Conclude().origin == kFirst);
+  SUBCASE("the lists of others prove nothing, since they may be as old") {
+    origin_verdict verdict({.evidence = origin_evidence::kSeenVersion, .origin = kFirst}, named(3));
+    verdict.OnAnswer(only);
+    verdict.OnAnswer(only);
+    CHECK_FALSE(verdict.settled());
+    CHECK(verdict.Conclude().evidence == origin_evidence::kSeenVersion);
+    verdict.OnAnswer(noted);
+    CHECK(verdict.settled());
+    CHECK(verdict.Conclude().evidence == origin_evidence::kNoted);
   }
   SUBCASE("it is none when somebody knows of another version") {
     for (const origin_knowledge& better : {several, seen_other}) {
-      origin_verdict verdict(only, 2);
+      origin_verdict verdict({.evidence = origin_evidence::kSeenVersion, .origin = kFirst},
+                             named(2));
       verdict.OnAnswer(better);
+      verdict.SetOwn(only);
+      CHECK_FALSE(verdict.settled());
       verdict.OnAnswer(only);
+      CHECK(verdict.settled());
       CHECK(verdict.Conclude().evidence == origin_evidence::kSeveral);
     }
   }
-  SUBCASE("two gateways that know it need no third") {
-    origin_verdict verdict(only, 3);
-    verdict.OnAnswer(only);
-    CHECK(verdict.settled());
-    CHECK(verdict.Conclude().evidence == origin_evidence::kOnlyVersion);
-  }
-  SUBCASE("a version that was only seen is no proof") {
-    origin_verdict verdict(seen_other, 1);
-    CHECK(verdict.Conclude().evidence == origin_evidence::kNone);
-    verdict.OnAnswer(nothing);
-    CHECK(verdict.settled());
-    CHECK(verdict.Conclude().evidence == origin_evidence::kSeenVersion);
-    CHECK(verdict.Conclude().origin == kSecond);
+  SUBCASE("a stream without a name goes on at the only version") {
+    SUBCASE("that two gateways know, without a third") {
+      origin_verdict verdict(only, unnamed(3));
+      CHECK_FALSE(verdict.settled());
+      verdict.OnAnswer(only);
+      CHECK(verdict.settled());
+      CHECK(verdict.Conclude().evidence == origin_evidence::kOnlyVersion);
+    }
+    SUBCASE("that a gateway knows which is alone") {
+      CHECK(origin_verdict(only, unnamed(0)).Conclude().origin == kFirst);
+    }
+    SUBCASE("that was seen, once another gateway knows something") {
+      origin_verdict verdict(seen_other, unnamed(2));
+      CHECK(verdict.Conclude().evidence == origin_evidence::kNone);
+      verdict.OnAnswer(nothing);
+      CHECK(verdict.Conclude().evidence == origin_evidence::kNone);
+      verdict.OnAnswer(seen_other);
+      CHECK(verdict.settled());
+      CHECK(verdict.Conclude().evidence == origin_evidence::kSeenVersion);
+      CHECK(verdict.Conclude().origin == kSecond);
+    }
   }
 }
 
@@ -118,31 +143,42 @@
     }
     return records;
   };
+  const auto period = [](instant now) {
+    return software_history::period{.oldest = now - seconds(20), .newest = now};
+  };
   const auto evidence = [&](instant now) {
-    return history.EvidenceOf("model", seconds(20), now).evidence;
+    return history.EvidenceOf("model", period(now)).evidence;
   };
   CHECK(evidence(kStart) == origin_evidence::kNone);
   history.Update(listed({"v1", "v1"}), kStart);
-  history.SetComplete(true, kStart);
+  history.OnList(kStart);
 
   SUBCASE("nothing is proved before every change was seen for long enough") {
+    history.OnConfirmed(kStart + seconds(30));
     CHECK(evidence(kStart + seconds(19)) == origin_evidence::kSeenVersion);
     CHECK(evidence(kStart + seconds(20)) == origin_evidence::kOnlyVersion);
-    CHECK(history.EvidenceOf("other", seconds(20), kStart).evidence == origin_evidence::kNone);
-  }
-  SUBCASE("changes may have been missed while the publisher was away") {
-    history.SetComplete(false, kStart + seconds(30));
-    CHECK(evidence(kStart + seconds(31)) == origin_evidence::kSeenVersion);
-    history.SetComplete(true, kStart + seconds(40));
+    CHECK(history.EvidenceOf("other", period(kStart)).evidence == origin_evidence::kNone);
+  }
+  SUBCASE("nor after the latest confirmation, when a server may have joined unseen") {
+    history.OnConfirmed(kStart + seconds(30));
+    CHECK(evidence(kStart + seconds(30)) == origin_evidence::kOnlyVersion);
+    CHECK(evidence(kStart + seconds(30) + milliseconds(1)) == origin_evidence::kSeenVersion);
+    history.OnConfirmed(kStart + seconds(25));
+    CHECK(evidence(kStart + seconds(30)) == origin_evidence::kOnlyVersion);
+  }
+  SUBCASE("changes may have been missed before another whole list") {
+    history.OnList(kStart + seconds(40));
+    history.OnConfirmed(kStart + seconds(90));
     CHECK(evidence(kStart + seconds(59)) == origin_evidence::kSeenVersion);
     CHECK(evidence(kStart + seconds(60)) == origin_evidence::kOnlyVersion);
   }
   SUBCASE("a version counts for as long as its streams can be taken up") {
+    history.OnConfirmed(kStart + seconds(100));
     history.Update({.id = "i-9", .service = "model", .software = "v2"});
     CHECK(evidence(kStart + seconds(30)) == origin_evidence::kSeveral);
     history.Update(listed({"v2"}), kStart + seconds(40));
     CHECK(evidence(kStart + seconds(59)) == origin_evidence::kSeveral);
-    const origin_knowledge later = history.EvidenceOf("model", seconds(20), kStart + seconds(61));
+    const origin_knowledge later = history.EvidenceOf("model", period(kStart + seconds(61)));
     CHECK(later.evidence == origin_evidence::kOnlyVersion);
     CHECK(later.origin == kSecond);
     SUBCASE("and again when it comes back") {
@@ -151,6 +187,7 @@
     }
   }
   SUBCASE("an unknown version may be any") {
+    history.OnConfirmed(kStart + seconds(100));
     history.Update(listed({"", ""}), kStart + seconds(1));
     CHECK(evidence(kStart + seconds(60)) == origin_evidence::kSeveral);
   }
