--- a/tests/routing/publisher_outage_test.cc
+++ b/tests/routing/publisher_outage_test.cc
@@ -24,7 +24,9 @@
 
 enum class store_state { kServing, kRefusing, kSilent };
 
-void showValue(store_state state, std::ostream& out) { out << static_cast<int>(state); }
+std::ostream& operator<<(std::ostream& out, store_state state) {
+  return out << static_cast<int>(state);
+}
 
 /// What happens to the publisher from one moment on.
 struct change_of_store {
@@ -176,18 +178,15 @@
     const auto waited = std::chrono::duration_cast<milliseconds>(now_ - sent_);
     const milliseconds backoff =
         std::min(milliseconds(100) * (1 << std::min(failures_, 4)), milliseconds(1600));
-    if (state_ == store_state::kRefusing && failures_ == 0 && !cut_ && waited > kStep) {
-      Cut();
-    } else if (state_ == store_state::kRefusing) {
-      Fail(backoff);
-    } else if (lost_poll_ || state_ == store_state::kSilent) {
-      if (waited >= wait_ + kSlack) {
-        Fail(backoff);
-      }
-    } else if (applied_ < history_.size() || waited >= wait_) {
+    const bool refused = state_ == store_state::kRefusing;
+    const bool unanswered = lost_poll_ || state_ == store_state::kSilent;
+    const bool cut = refused ? waited > kStep : cuts_after_ && waited >= *cuts_after_;
+    if (!refused && !unanswered && (applied_ < history_.size() || waited >= wait_)) {
       Answer();
-    } else if (failures_ == 0 && !cut_ && cuts_after_ && waited >= *cuts_after_) {
+    } else if (cut && !unanswered && failures_ == 0 && !cut_) {
       Cut();
+    } else if (refused || (unanswered && waited >= wait_ + kSlack)) {
+      Fail(backoff);
     }
   }
 
