--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -176,6 +176,7 @@
         fault_random_(options.seed),
         limit_random_(options.seed),
         pause_random_(options.seed),
+        cut_random_(options.seed),
         standstill_random_(options.seed),
         client_({.loop = environment_.loop(), .timers = environment_.timers()}),
         store_(environment_.loop(), environment_.timers()) {}
@@ -227,6 +228,7 @@
   void InjectLimitChange();
   void LiftLimits();
   void InjectPause();
+  void InjectWatchCuts();
   void InjectStandstill();
   void Silence(server_slot& slot, double manner, milliseconds length);
   void StandStill(gateway_slot& slot, milliseconds length, std::function<void()> then);
@@ -249,6 +251,7 @@
   std::mt19937_64
       limit_random_;  ///< For the servers' limits, so that the other faults stay the same.
   std::mt19937_64 pause_random_;       ///< For the servers' pauses, likewise.
+  std::mt19937_64 cut_random_;         ///< For the cuts of watches, likewise.
   std::mt19937_64 standstill_random_;  ///< For standstills and what is beside them, likewise.
   std::uint64_t faults_injected_ = 0;
   test_environment environment_;
@@ -777,6 +780,20 @@
            [this] { InjectPause(); });
 }
 
+/// The store cuts watches that wait. No disturbance: it answers every call.
+void soak::InjectWatchCuts() {
+  if (traffic_ended_) {
+    store_.CutWatchesAfter(std::nullopt);
+    return;
+  }
+  const bool cuts = Draw(cut_random_) < 0.6;
+  const milliseconds wait = DrawTime(cut_random_, milliseconds(0), kDrainBound);
+  RecordFault(cuts ? "watches cut" : "watches left", std::to_string(wait.count()) + " ms");
+  store_.CutWatchesAfter(cuts ? std::optional(wait) : std::nullopt);
+  Schedule(DrawTime(cut_random_, milliseconds(500), milliseconds(4000)),
+           [this] { InjectWatchCuts(); });
+}
+
 void soak::StandStill(gateway_slot& slot, milliseconds length, std::function<void()> then) {
   slot.paused = true;
   slot.last_disturbed = timer_service::now();
@@ -1069,6 +1086,7 @@
   servers_.front()->server->SetLimit(kFirstLimit);
   InjectLimitChange();
   InjectPause();
+  InjectWatchCuts();
   if (options_.gateways_stand_still) {
     InjectStandstill();
   }
