--- a/src/coordination/from_seconds.h
+++ b/src/coordination/from_seconds.h
@@ -2,6 +2,7 @@
 #define JACINTHSPOOL_COORDINATION_FROM_SECONDS_H_
 
 #include <algorithm>
+#include <ratio>
 
 #include "jacinthspool/impl/time.h"
 
@@ -19,8 +20,9 @@
 /// \brief Converts a number of milliseconds from the settings, likewise limited; a fraction is
 /// dropped.
 [[nodiscard]] inline milliseconds FromMilliseconds(double value) {
-  constexpr double kPerSecond = 1000;
-  return std::chrono::duration_cast<milliseconds>(FromSeconds(value / kPerSecond));
+  constexpr double kMaxMilliseconds = 3'600'000;
+  return std::chrono::duration_cast<milliseconds>(
+      std::chrono::duration<double, std::milli>(std::clamp(value, 0.0, kMaxMilliseconds)));
 }
 
 }  // namespace jacinthspool
