--- a/tests/process/fractional_bounds_test.cc
+++ b/tests/process/fractional_bounds_test.cc
@@ -30,9 +30,8 @@
                          environment.PathOf(log));
   };
   const auto logged = [&](const std::string& text, const std::string& log = "before.log") {
-    return environment.WaitUntil([&] {
-      return ReadFile(environment.PathOf(log)).find(text) != std::string::npos;
-    });
+    return environment.WaitUntil(
+        [&] { return ReadFile(environment.PathOf(log)).find(text) != std::string::npos; });
   };
   environment.WriteFile("gateway-0.json", settings.dump());
   child_process before = start("before.log");
