--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -1,7 +1,6 @@
 #include "src/settings/settings.h"
 
 #include <algorithm>
-#include <iterator>
 
 #include "src/settings/document_checks.h"
 #include "src/settings/gateway_figures.h"
@@ -16,18 +15,15 @@
   if (!json) {
     return nullptr;
   }
-  findings unusable;
-  ReplaceUnusableFigures(*json, place, unusable);
+  const std::size_t before = found.size();
+  ReplaceUnusableFigures(*json, place, replaced == nullptr ? found : *replaced);
   auto process = ReadBySchema<config::process_settings>(*json, "process_settings", place, found);
-  findings& reported = replaced == nullptr ? found : *replaced;
-  std::ranges::move(unusable, std::back_inserter(reported));
-  if (!process || !found.empty()) {
+  if (!process) {
     return nullptr;
   }
   if (process->operators) {
     FillDefaults(*process->operators);
   }
-  const std::size_t before = found.size();
   CheckProcess(*process, place, found);
   return found.size() == before ? process : nullptr;
 }
--- a/tests/settings/unusable_settings_test.cc
+++ b/tests/settings/unusable_settings_test.cc
@@ -101,6 +101,12 @@
   }
 }
 
+TEST_CASE("faults of an earlier document are none of a later one") {
+  findings found = {{.place = "earlier.json", .text = "is not JSON"}};
+  CHECK(ParseProcess(Document(""), "x.json", found));
+  CHECK(found.size() == 1);
+}
+
 TEST_CASE("no number keeps a sidecar from starting") {
   for (const char* value : {"23", "23.0", "2.35e1", "101", "-1", "null", "\"23\"", "{}"}) {
     CAPTURE(value);
